--- /dev/null
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Placeholder.kt
@@ -0,0 +1,5 @@
+package org.auburnstream.cli
+
+import org.auburnstream.model.VmId
+
+internal val placeholder = VmId("none")
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Placeholder.kt
@@ -0,0 +1,5 @@
+package org.auburnstream.daemon
+
+import org.auburnstream.model.VmId
+
+internal val placeholder = VmId("none")
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/Placeholder.kt
@@ -0,0 +1,5 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.VmId
+
+internal val placeholder = VmId("none")
--- /dev/null
+++ b/model/src/test/kotlin/org/auburnstream/model/IdsTest.kt
@@ -0,0 +1,20 @@
+package org.auburnstream.model
+
+import kotlinx.serialization.json.Json
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+
+class IdsTest {
+    @Test
+    fun idsAreWrittenAsPlainStrings() {
+        val text = Json.encodeToString(VmId.serializer(), VmId("vm-1"))
+
+        assertEquals("\"vm-1\"", text)
+    }
+
+    @Test
+    fun idWithSpaceIsInvalid() {
+        assertFalse(isValidId("vm 1"))
+    }
+}
