--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/peer/PeerAddress.kt
@@ -0,0 +1,11 @@
+package org.auburnstream.daemon.peer
+
+import org.auburnstream.model.DaemonId
+
+/**
+ * Address of another daemon's peer listener.
+ *
+ * @property host IP number.
+ * @property port TCP port, 1 to 65535.
+ */
+public data class PeerAddress(val id: DaemonId, val host: String, val port: Int)
