--- a/daemon/src/main/kotlin/org/auburnstream/daemon/peer/OutgoingLink.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/peer/OutgoingLink.kt
@@ -7,8 +7,8 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import org.auburnstream.model.DaemonId
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -76,9 +77,9 @@
                     aSocket(selector).tcp().connect(InetSocketAddress(peer.host, peer.port)) { noDelay = true }
                 }
             opened = exchangeHello(socket)
-        } catch (e: CancellationException) {
-            if (e !is kotlinx.coroutines.TimeoutCancellationException) throw e
-        } catch (_: java.io.IOException) {
+        } catch (_: TimeoutCancellationException) {
+            // The loop opens the connection again after the backoff.
+        } catch (_: IOException) {
             // The loop opens the connection again after the backoff.
         } finally {
             socket?.close()
@@ -124,9 +125,9 @@
                     withTimeout(WRITE_TIMEOUT) { writer.flush() }
                 }
             }
-        } catch (_: java.io.IOException) {
+        } catch (_: IOException) {
             // Reported as closed by the caller; frames not yet written stay queued.
-        } catch (_: kotlinx.coroutines.TimeoutCancellationException) {
+        } catch (_: TimeoutCancellationException) {
             // A peer that reads nothing for the whole write timeout is reconnected.
         }
     }
@@ -141,7 +142,7 @@
     private fun CoroutineScope.launchCloseWatch(socket: Socket) {
         launch {
             socket.socketContext.join()
-            throw java.io.IOException("link to ${peer.id} closed")
+            throw IOException("link to ${peer.id} closed")
         }
     }
 
