--- /dev/null
+++ b/bench/src/main/kotlin/org/auburnstream/bench/Experiments.kt
@@ -0,0 +1,4 @@
+package org.auburnstream.bench
+
+/** Every experiment of the command line. */
+internal val experiments: List<Experiment> = emptyList()
