Read the daemon's start settings from flags and environment

One registry of typed definitions gives the args4j options, the variables, the help text and the checks, so that the three cannot drift apart. Annotated fields were ruled out: they would name unit, range and default a second time. Before: no settings. After: a wrong value, unknown variable, missing peer or unwritable folder is a typed error with one line that names setting, value and remedy.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingFiles.kt
@@ -0,0 +1,37 @@
+package org.auburnstream.daemon.config
+
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Checks the files that the daemon needs at the start without changing any. */
+internal fun checkFiles(settings: DaemonSettings) {
+    val definitions = DaemonSettingDefinitions
+    settings.dataFolder?.let { folder ->
+        if (!canHoldFiles(folder)) fail(SettingsError.UnwritableFolder(definitions.dataFolder.flag, folder.toString()))
+    }
+    settings.portsFile?.let { file -> checkParent(definitions.portsFile, file) }
+    (settings.traceExport as? TraceExport.ToFile)?.let { checkParent(definitions.traceExport, it.path) }
+    if (firstLine(settings.operatorTokenFile).isNullOrBlank()) {
+        fail(SettingsError.UnreadableFile(definitions.operatorTokenFile.flag, settings.operatorTokenFile.toString()))
+    }
+}
+
+private fun checkParent(definition: SettingDefinition<*>, file: Path) {
+    val parent = file.toAbsolutePath().parent
+    if (parent == null || !Files.isDirectory(parent) || !Files.isWritable(parent)) {
+        fail(SettingsError.UnwritableFolder(definition.flag, parent.toString()))
+    }
+}
+
+/** Whether [folder] is writable or can be created below its nearest ancestor that exists. */
+private fun canHoldFiles(folder: Path): Boolean {
+    val existing = generateSequence(folder.toAbsolutePath()) { it.parent }.firstOrNull { Files.exists(it) }
+    return existing != null && Files.isDirectory(existing) && Files.isWritable(existing)
+}
+
+private fun firstLine(file: Path): String? = try {
+    Files.newBufferedReader(file).use { it.readLine() }
+} catch (_: IOException) {
+    null
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingFlags.kt
@@ -0,0 +1,78 @@
+package org.auburnstream.daemon.config
+
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.spi.BooleanOptionHandler
+import org.kohsuke.args4j.spi.ConfigElement
+import org.kohsuke.args4j.spi.FieldSetter
+import org.kohsuke.args4j.spi.OptionImpl
+import org.kohsuke.args4j.spi.Setter
+import org.kohsuke.args4j.spi.StringOptionHandler
+import java.lang.reflect.AnnotatedElement
+
+/** Flags of one command line; [values] holds the written values by the settings' names. */
+internal class SettingFlags {
+    val values = mutableMapOf<String, String>()
+    var check = false
+    var help = false
+    var version = false
+}
+
+/** Parses [arguments] with one args4j option for each setting of the registry. */
+internal fun parseFlags(arguments: List<String>): SettingFlags {
+    val flags = SettingFlags()
+    val parser = CmdLineParser(null)
+    DaemonSettingDefinitions.all.forEach { definition ->
+        parser.addOption(
+            CallbackSetter(String::class.java) {
+                flags.values[definition.name] = it
+            },
+            valueOption(definition.flag),
+        )
+    }
+    parser.addOption(CallbackSetter(Boolean::class.java) { flags.check = it }, switchOption("--check"))
+    parser.addOption(CallbackSetter(Boolean::class.java) { flags.help = it }, switchOption("--help"))
+    parser.addOption(CallbackSetter(Boolean::class.java) { flags.version = it }, switchOption("--version"))
+    checkNames(parser, arguments)
+    try {
+        parser.parseArgument(arguments)
+    } catch (_: CmdLineException) {
+        // Names were checked before, so only a flag at the end can lack its value.
+        val definition = DaemonSettingDefinitions.all.find { it.flag == arguments.last() }
+        fail(SettingsError.MissingValue(arguments.last(), definition?.variable ?: arguments.last()))
+    }
+    return flags
+}
+
+/** Rejects what is neither a known flag nor the value of one. */
+private fun checkNames(parser: CmdLineParser, arguments: List<String>) {
+    val options = parser.options.associateBy { it.option.toString() }
+    var i = 0
+    while (i < arguments.size) {
+        val handler = options[arguments[i]] ?: fail(SettingsError.UnknownFlag(arguments[i]))
+        i += if (handler is StringOptionHandler) 2 else 1
+    }
+}
+
+private fun valueOption(name: String): OptionImpl = OptionImpl(element(name, StringOptionHandler::class.java))
+
+private fun switchOption(name: String): OptionImpl = OptionImpl(element(name, BooleanOptionHandler::class.java))
+
+private fun element(flag: String, type: Class<*>): ConfigElement = ConfigElement().apply {
+    name = flag
+    handler = type.name
+    aliases = emptyArray()
+}
+
+/** Hands each parsed value to [set]. */
+private class CallbackSetter<T>(private val type: Class<T>, private val set: (T) -> Unit) : Setter<T> {
+    override fun addValue(value: T) = set(value)
+
+    override fun getType(): Class<T> = type
+
+    override fun isMultiValued(): Boolean = false
+
+    override fun asFieldSetter(): FieldSetter? = null
+
+    override fun asAnnotatedElement(): AnnotatedElement? = null
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingParsers.kt
@@ -0,0 +1,65 @@
+package org.auburnstream.daemon.config
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.isValidId
+import java.nio.file.InvalidPathException
+import java.nio.file.Path
+import kotlin.time.Duration
+
+private const val IPV4_PARTS = 4
+private const val MAX_BYTE = 255
+private const val MAX_PORT = 65_535
+
+/** Ports that a listener may be given; 0 lets the system choose. */
+internal val portRange = 0..MAX_PORT
+
+/** Parses an id and wraps it by [wrap]. */
+internal fun <T> idParser(wrap: (String) -> T): ValueParser<T> = { text -> text.takeIf(::isValidId)?.let(wrap) }
+
+internal fun intParser(range: IntRange): ValueParser<Int> = { text -> text.toIntOrNull()?.takeIf { it in range } }
+
+internal fun durationParser(range: ClosedRange<Duration>): ValueParser<Duration> = { text ->
+    Duration.parseOrNull(text)?.takeIf { it in range }
+}
+
+/** Parses a comma-separated list without doubles; an empty text is the empty list. */
+internal fun <T> listParser(element: ValueParser<T>): ValueParser<List<T>> = { text ->
+    val parts = text.split(',').map { it.trim() }.filter { it.isNotEmpty() }
+    val values = parts.mapNotNull(element)
+    values.takeIf { it.size == parts.size && it.distinct().size == it.size }
+}
+
+internal fun parseAddress(text: String): String? = text.takeIf(::isIpNumber)
+
+internal fun parsePath(text: String): Path? = try {
+    text.takeIf { it.isNotBlank() }?.let { Path.of(it) }
+} catch (_: InvalidPathException) {
+    null
+}
+
+/** Parses `id=address:port`; an IPv6 number stands in square brackets. */
+internal fun parsePeer(text: String): PeerAddress? {
+    val id = text.substringBefore('=', "").takeIf(::isValidId) ?: return null
+    val endpoint = text.substringAfter('=')
+    val address = endpoint.substringBeforeLast(':', "").removePrefix("[").removeSuffix("]")
+    val port = endpoint.substringAfterLast(':').toIntOrNull()?.takeIf { it in 1..MAX_PORT } ?: return null
+    return PeerAddress(DaemonId(id), parseAddress(address) ?: return null, port)
+}
+
+internal fun parseLogLevel(text: String): LogLevel? = LogLevel.entries.find { it.name.lowercase() == text }
+
+internal fun parseTraceExport(text: String): TraceExport? = when (text) {
+    "off" -> TraceExport.Off
+    "log" -> TraceExport.Log
+    else -> text.takeIf { '/' in it }?.let(::parsePath)?.let(TraceExport::ToFile)
+}
+
+private fun isIpNumber(text: String): Boolean = isIpv4(text) || isIpv6(text)
+
+private fun isIpv4(text: String): Boolean {
+    val parts = text.split('.')
+    return parts.size == IPV4_PARTS && parts.all { part -> part.toIntOrNull()?.let { it in 0..MAX_BYTE } == true }
+}
+
+private fun isIpv6(text: String): Boolean = text.count { it == ':' } >= 2 &&
+    text.all { it.isDigit() || it in 'a'..'f' || it in 'A'..'F' || it == ':' || it == '.' }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingValues.kt
@@ -0,0 +1,25 @@
+package org.auburnstream.daemon.config
+
+/** Written values of the settings: those given as flags, then those of the environment, then the defaults. */
+internal class SettingValues(private val flags: Map<String, String>, private val environment: Map<String, String>) {
+    init {
+        val known = DaemonSettingDefinitions.all.map { it.variable }.toSet()
+        environment.entries
+            .filter { it.key.startsWith(SettingDefinition.VARIABLE_PREFIX) && it.key !in known }
+            .minByOrNull { it.key }
+            ?.let { fail(SettingsError.UnknownVariable(it.key, it.value)) }
+    }
+
+    fun <T : Any> optional(definition: SettingDefinition<T>): T? {
+        val source = flags[definition.name]?.let { definition.flag to it }
+            ?: environment[definition.variable]?.let { definition.variable to it }
+            ?: definition.default?.let { definition.flag to it }
+            ?: return null
+        val (setting, text) = source
+        return definition.parse(text)
+            ?: fail(SettingsError.WrongValue(setting, text, definition.unit, definition.range))
+    }
+
+    fun <T : Any> required(definition: SettingDefinition<T>): T =
+        optional(definition) ?: fail(SettingsError.MissingValue(definition.flag, definition.variable))
+}
