Decide elections, replication and membership of a replicated group

Cause: accepted changes need a durable, replicated log of the project's own.

Failures that the schedules showed before they were mended: - two candidates repeated split votes beyond two seconds; an undecided campaign is now repeated sooner; - a learner displaced by a late request of its earlier life stayed outside; a member without a leader asks again; - a voter whose removal was written but not committed held the longest log and never campaigned; it may now.

--- /dev/null
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Follower.kt
@@ -0,0 +1,119 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.consensus.ConsensusMessage.AppendRequest
+import org.auburnstream.consensus.ConsensusMessage.AppendResponse
+import org.auburnstream.consensus.ConsensusMessage.Heartbeat
+import org.auburnstream.consensus.ConsensusMessage.HeartbeatResponse
+import org.auburnstream.consensus.ConsensusMessage.SnapshotChunk
+import org.auburnstream.consensus.ConsensusMessage.SnapshotResponse
+import org.auburnstream.model.LogIndex
+
+/** Takes what a leader sends; every acknowledgement waits until what it covers is durable. */
+internal class Follower(private val core: ReplicaCore) {
+    private var incoming: IncomingSnapshot? = null
+
+    fun onHeartbeat(from: MemberId, heartbeat: Heartbeat) {
+        val response = HeartbeatResponse(maxOf(core.term, heartbeat.term), heartbeat.round)
+        if (!accept(from, heartbeat.term)) return core.outbox.send(from, response)
+        core.commitTo(minOf(heartbeat.commitIndex, core.log.lastIndex))
+        respond(from, response)
+    }
+
+    fun onAppend(from: MemberId, request: AppendRequest) {
+        if (!accept(from, request.term)) {
+            return core.outbox.send(from, AppendResponse(core.term, false, NoIndex, request.previousIndex))
+        }
+        val known = request.previousIndex < core.log.baseIndex
+        val matches = known || core.log.termAt(request.previousIndex) == request.previousTerm
+        if (!matches) {
+            return respond(from, AppendResponse(core.term, false, retryIndex(request), request.previousIndex))
+        }
+        request.entries.filter { it.index > core.log.baseIndex }.forEach(::store)
+        val match = request.previousIndex + request.entries.size.toLong()
+        core.commitTo(minOf(request.commitIndex, match))
+        respond(from, AppendResponse(core.term, true, match, request.previousIndex))
+    }
+
+    fun onSnapshotChunk(from: MemberId, chunk: SnapshotChunk) {
+        val index = chunk.metadata.index
+        if (!accept(from, chunk.term)) return core.outbox.send(from, SnapshotResponse(core.term, index, 0))
+        if (core.log.termAt(index) == chunk.metadata.term || index <= core.commitIndex) {
+            core.commitTo(index)
+            return respond(from, SnapshotResponse(core.term, index, chunk.totalBytes, done = true))
+        }
+        val snapshot = receive(chunk) ?: return core.outbox.send(from, SnapshotResponse(core.term, index, 0))
+        if (!snapshot.isComplete) {
+            return core.outbox.send(from, SnapshotResponse(core.term, index, snapshot.receivedBytes))
+        }
+        incoming = null
+        core.install(chunk.metadata, snapshot.assemble())
+        respond(from, SnapshotResponse(core.term, index, chunk.totalBytes, done = true))
+    }
+
+    private fun accept(from: MemberId, term: Long): Boolean {
+        if (term < core.term) return false
+        check(core.role != RaftRole.LEADER || term > core.term) { "two leaders in term $term: ${core.id} and $from" }
+        core.follow(term, from)
+        return true
+    }
+
+    private fun store(entry: LogEntry) {
+        val term = core.log.termAt(entry.index)
+        if (term == entry.term) return
+        if (term != null) {
+            check(entry.index > core.commitIndex) { "committed entry ${entry.index} of term $term would be replaced" }
+            core.log.truncateFrom(entry.index)
+            core.outbox.recordTruncation(entry.index)
+        }
+        core.log.append(entry)
+        core.outbox.recordEntry(entry)
+    }
+
+    private fun retryIndex(request: AppendRequest): LogIndex {
+        if (request.previousIndex > core.log.lastIndex) return core.log.lastIndex + 1
+        return maxOf(core.log.firstIndexOfTerm(request.previousIndex), core.commitIndex + 1)
+    }
+
+    /** Sends [response] once what it covers is durable, unless the term has changed by then. */
+    private fun respond(to: MemberId, response: ConsensusMessage) {
+        val term = core.term
+        core.outbox.afterPersist { if (core.term == term) core.outbox.send(to, response) }
+    }
+
+    /** Adds [chunk] to the snapshot being received, or returns null if it cannot be taken. */
+    private fun receive(chunk: SnapshotChunk): IncomingSnapshot? {
+        if (chunk.totalBytes > core.settings.maxSnapshotBytes) return null
+        val current = incoming?.takeIf { it.isOf(chunk) } ?: IncomingSnapshot(chunk.metadata, chunk.totalBytes)
+        incoming = current
+        current.add(chunk)
+        return current
+    }
+
+    private class IncomingSnapshot(private val metadata: SnapshotMetadata, private val totalBytes: Long) {
+        private val parts = ArrayList<ByteArray>()
+
+        var receivedBytes = 0L
+            private set
+
+        val isComplete: Boolean
+            get() = receivedBytes == totalBytes
+
+        fun isOf(chunk: SnapshotChunk): Boolean = metadata == chunk.metadata && totalBytes == chunk.totalBytes
+
+        fun add(chunk: SnapshotChunk) {
+            if (chunk.offset != receivedBytes || receivedBytes + chunk.bytes.size > totalBytes) return
+            parts.add(chunk.bytes)
+            receivedBytes += chunk.bytes.size
+        }
+
+        fun assemble(): ByteArray {
+            val whole = ByteArray(totalBytes.toInt())
+            var position = 0
+            for (part in parts) {
+                part.copyInto(whole, position)
+                position += part.size
+            }
+            return whole
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Leader.kt
@@ -0,0 +1,237 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.consensus.ConsensusMessage.AppendRequest
+import org.auburnstream.consensus.ConsensusMessage.AppendResponse
+import org.auburnstream.consensus.ConsensusMessage.Heartbeat
+import org.auburnstream.consensus.ConsensusMessage.HeartbeatResponse
+import org.auburnstream.consensus.ConsensusMessage.SnapshotResponse
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+
+/** One leadership: replicates and commits entries until it is [dispose]d of. */
+internal class Leader(private val core: ReplicaCore) {
+    private val log = core.log
+    private val progress = HashMap<MemberId, PeerProgress>()
+    private val rounds = HeartbeatRounds(core.now)
+    private val reads = PendingReads(core.outbox)
+    private val membership = MembershipDriver(core, progress) { append(EntryPayload.Membership(it)) }
+    private val firstIndex = log.lastIndex + 1
+
+    var nextHeartbeat: MonotonicTime = core.now
+        private set
+
+    /** When the latest heartbeat that a quorum answered was sent, or null before the first. */
+    val quorumContactTime: MonotonicTime?
+        get() = if (core.configuration.isQuorum { it == core.id }) core.now else rounds.confirmedAt
+
+    private val hasCommittedOwnEntry: Boolean
+        get() = core.commitIndex >= firstIndex
+
+    /** Takes up the leadership. */
+    fun start() {
+        append(EntryPayload.NoOp)
+        broadcast()
+    }
+
+    /** Steps down if no quorum answered for an election timeout. */
+    fun checkQuorum() {
+        val alone = core.configuration.isQuorum { it == core.id }
+        if (!alone && core.now - rounds.lastQuorum > core.settings.electionTimeoutMax) core.follow(core.term, null)
+    }
+
+    fun tick() {
+        if (core.now < nextHeartbeat) return
+        broadcast()
+        progress.forEach { (id, peer) -> resend(id, peer) }
+        if (hasCommittedOwnEntry) membership.tick()
+    }
+
+    fun propose(id: ProposalId, command: ByteArray) {
+        val refusal = when {
+            command.size > core.settings.maxCommandBytes -> ProposalRefusal.TOO_LARGE
+            core.proposals.size >= core.settings.maxPendingProposals -> ProposalRefusal.OVERLOADED
+            else -> null
+        }
+        if (refusal != null) return core.outbox.emit(Effect.RejectProposal(id, refusal))
+        core.proposals.add(id, append(EntryPayload.Command(command)))
+    }
+
+    fun read(id: ReadId) {
+        if (!hasCommittedOwnEntry) return reads.addEarly(id)
+        // Reads that arrive while a round is on its way share the next one.
+        val idle = reads.awaitedRound <= rounds.confirmed
+        reads.add(id, core.commitIndex, rounds.current + 1)
+        if (idle) broadcast()
+    }
+
+    fun changeMembership(id: MembershipRequestId, change: MembershipChange) {
+        if (!hasCommittedOwnEntry) {
+            val result = MembershipResult.Refused(MembershipRefusal.CHANGE_IN_PROGRESS)
+            return core.outbox.emit(Effect.CompleteMembership(id, result))
+        }
+        membership.request(id, change)
+    }
+
+    fun onJoinRequest(member: Member) {
+        if (hasCommittedOwnEntry) membership.admit(member)
+    }
+
+    fun onHeartbeatResponse(from: MemberId, response: HeartbeatResponse) {
+        if (stepDownIfOutdated(from, response.term)) return
+        val returned = progress[from]?.let { !isInContact(it) } ?: false
+        val peer = contact(from, response.term) ?: return
+        if (returned) resend(from, peer)
+        peer.ackedRound = maxOf(peer.ackedRound, response.round)
+        confirmRounds()
+    }
+
+    fun onAppendResponse(from: MemberId, response: AppendResponse) {
+        if (stepDownIfOutdated(from, response.term)) return
+        val peer = contact(from, response.term) ?: return
+        if (response.success) acknowledge(peer, response.matchIndex) else reject(peer, response)
+        replicate(from, peer)
+    }
+
+    fun onSnapshotResponse(from: MemberId, response: SnapshotResponse) {
+        if (stepDownIfOutdated(from, response.term)) return
+        val peer = contact(from, response.term) ?: return
+        val transfer = peer.transfer ?: return
+        if (response.index != transfer.metadata.index) return
+        peer.lastActivity = core.now
+        if (response.done) {
+            peer.transfer = null
+            acknowledge(peer, response.index)
+            replicate(from, peer)
+        } else if (response.nextOffset != transfer.offset) {
+            sendSnapshotFrom(from, peer, transfer.copy(offset = response.nextOffset))
+        }
+    }
+
+    /** Commits what a quorum holds durably; an entry of an earlier term only together with one of this term. */
+    fun advanceCommit() {
+        val reached = core.configuration.quorumValue { voter ->
+            if (voter == core.id) core.outbox.durableIndex.value else progress[voter]?.match?.value ?: 0
+        }
+        val index = LogIndex(reached)
+        if (index <= core.commitIndex || log.termAt(index) != core.term) return
+        core.commitTo(index)
+        reads.takeEarly().forEach(::read)
+        membership.onCommitted()
+        if (core.commitIndex == log.lastIndex) broadcast()
+    }
+
+    /** Returns how many further losses of voters the group survives now. */
+    fun failureTolerance(): FailureTolerance = membership.failureTolerance()
+
+    /** Ends the leadership. */
+    fun dispose() {
+        reads.refuseAll()
+        membership.abandon()
+    }
+
+    private fun append(payload: EntryPayload): LogEntry {
+        val entry = LogEntry(log.lastIndex + 1, core.term, payload)
+        log.append(entry)
+        core.outbox.recordEntry(entry)
+        refreshRecipients()
+        progress.forEach { (id, peer) -> replicate(id, peer) }
+        core.outbox.afterPersist { if (core.role == RaftRole.LEADER && core.term == entry.term) advanceCommit() }
+        return entry
+    }
+
+    private fun refreshRecipients() {
+        val recipients = core.configuration.recipients - core.id
+        progress.keys.retainAll(recipients)
+        recipients.forEach { progress.getOrPut(it) { PeerProgress(log.lastIndex, core.now) } }
+    }
+
+    private fun broadcast() {
+        val round = rounds.start(core.now)
+        nextHeartbeat = core.now + core.settings.heartbeatInterval
+        progress.forEach { (id, peer) ->
+            core.outbox.send(id, Heartbeat(core.term, round, minOf(core.commitIndex, peer.match)))
+        }
+        confirmRounds()
+    }
+
+    private fun confirmRounds() {
+        val confirmed = core.configuration.quorumValue { voter ->
+            if (voter == core.id) rounds.current else progress[voter]?.ackedRound ?: 0
+        }
+        rounds.confirm(confirmed)
+        reads.confirm(confirmed)
+        if (reads.awaitedRound > rounds.current && rounds.current <= rounds.confirmed) broadcast()
+    }
+
+    private fun replicate(id: MemberId, peer: PeerProgress) {
+        if (peer.transfer != null || !isInContact(peer)) return
+        while (peer.next <= log.lastIndex && peer.inFlightBatches < core.settings.maxInFlightBatches) {
+            val previous = peer.next - 1
+            val previousTerm = log.termAt(previous) ?: return startTransfer(id, peer)
+            val entries = log.batch(peer.next, core.settings.maxBatchBytes)
+            peer.next += entries.size.toLong()
+            peer.inFlightBatches += 1
+            peer.lastActivity = core.now
+            core.outbox.send(id, AppendRequest(core.term, previous, previousTerm, entries, core.commitIndex))
+        }
+    }
+
+    private fun resend(id: MemberId, peer: PeerProgress) {
+        val waits = peer.transfer != null || peer.match < log.lastIndex
+        if (!waits || !isInContact(peer) || core.now - peer.lastActivity < core.settings.retransmitTimeout) return
+        val transfer = peer.transfer
+        if (transfer != null) return sendSnapshotFrom(id, peer, transfer)
+        peer.rewind()
+        replicate(id, peer)
+    }
+
+    private fun startTransfer(id: MemberId, peer: PeerProgress) {
+        val metadata = core.snapshot ?: return
+        sendSnapshotFrom(id, peer, SnapshotTransfer(metadata, offset = 0))
+    }
+
+    /** Sends the next part, or starts again if a newer snapshot has taken the place of the one being sent. */
+    private fun sendSnapshotFrom(id: MemberId, peer: PeerProgress, transfer: SnapshotTransfer) {
+        val latest = core.snapshot ?: return
+        val current = if (transfer.metadata == latest) transfer else SnapshotTransfer(latest, offset = 0)
+        peer.transfer = current
+        peer.lastActivity = core.now
+        val bytes = core.settings.snapshotChunkBytes
+        core.outbox.emit(Effect.SendSnapshotChunk(id, core.term, current.metadata, current.offset, bytes))
+    }
+
+    private fun acknowledge(peer: PeerProgress, match: LogIndex) {
+        if (match > peer.match) {
+            peer.match = match
+            peer.lastActivity = core.now
+        }
+        peer.next = maxOf(peer.next, peer.match + 1)
+        peer.inFlightBatches = if (peer.next == peer.match + 1) 0 else maxOf(0, peer.inFlightBatches - 1)
+        advanceCommit()
+    }
+
+    private fun reject(peer: PeerProgress, response: AppendResponse) {
+        val outdated = response.previousIndex < peer.match || response.previousIndex >= peer.next
+        if (outdated) return
+        peer.next = maxOf(minOf(response.matchIndex, response.previousIndex), peer.match + 1)
+        peer.inFlightBatches = 0
+    }
+
+    /** Notes an answer of [from] in this term, or returns null if it must not count. */
+    private fun contact(from: MemberId, term: Long): PeerProgress? {
+        if (term != core.term || core.role != RaftRole.LEADER) return null
+        val peer = progress[from] ?: return null
+        peer.lastContact = core.now
+        peer.hasAnswered = true
+        return peer
+    }
+
+    /** Whether entries are worth sending: a silent recipient gets heartbeats only. */
+    private fun isInContact(peer: PeerProgress): Boolean = core.now - peer.lastContact < core.settings.contactTimeout
+
+    private fun stepDownIfOutdated(from: MemberId, term: Long): Boolean {
+        if (term <= core.term || from !in progress) return false
+        core.follow(term, newLeader = null)
+        return true
+    }
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/MembershipDriver.kt
@@ -0,0 +1,178 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.consensus.MembershipChange.AddLearner
+import org.auburnstream.consensus.MembershipChange.Demote
+import org.auburnstream.consensus.MembershipChange.Promote
+import org.auburnstream.consensus.MembershipChange.Remove
+import org.auburnstream.consensus.MembershipChange.Replace
+import org.auburnstream.model.DaemonId
+
+/**
+ * Leads changes of the members, one at a time.
+ *
+ * A change of the voters takes two entries: a joint configuration, and once that is committed the new one. A change
+ * of the learners moves no quorum and takes one entry.
+ *
+ * @property append appends a configuration to the log.
+ */
+internal class MembershipDriver(
+    private val core: ReplicaCore,
+    private val progress: Map<MemberId, PeerProgress>,
+    private val append: (Configuration) -> Unit,
+) {
+    private var request: MembershipRequestId? = null
+
+    private val isChanging: Boolean
+        get() = core.log.configuration.index > core.commitIndex || core.configuration.isJoint
+
+    fun request(id: MembershipRequestId, change: MembershipChange) {
+        val refusal = refusalOf(change)
+        if (refusal != null) return complete(id, MembershipResult.Refused(refusal))
+        request = id
+        start(change)
+    }
+
+    /** Admits [member] as a learner if it is not a member yet and was not removed by an operator. */
+    fun admit(member: Member) {
+        val known = member.id in core.configuration.recipients || member.id.daemon in core.configuration.removed
+        if (!known && !isChanging) start(AddLearner(member))
+    }
+
+    /** Continues or ends the change whose configuration was committed. */
+    fun onCommitted() {
+        if (core.log.configuration.index > core.commitIndex) return
+        if (core.configuration.isJoint) return append(core.configuration.copy(outgoingVoters = emptySet()))
+        request?.let { complete(it, MembershipResult.Committed(core.configuration)) }
+        request = null
+        if (!core.isVoter) core.follow(core.term, newLeader = null)
+    }
+
+    /** Replaces a voter that was silent for too long, or whose daemon came back without its data. */
+    fun tick() {
+        if (!core.settings.automaticReplacement || isChanging) return
+        for (lost in core.configuration.voters.filter(::isLost)) {
+            val spare = spareFor(lost) ?: continue
+            return start(Replace(lost, spare))
+        }
+    }
+
+    /** Gives up on the request in progress, whose change a later leader may finish. */
+    fun abandon() {
+        request?.let { complete(it, MembershipResult.Unknown) }
+        request = null
+    }
+
+    fun failureTolerance(): FailureTolerance {
+        val configuration = core.configuration
+        val healthy = configuration.voters.filter(::isHealthy)
+        val furtherLosses = listOf(configuration.voters, configuration.outgoingVoters)
+            .filter { it.isNotEmpty() }
+            .minOfOrNull { voters -> voters.count(::isHealthy) - (voters.size / 2 + 1) } ?: 0
+        return FailureTolerance(
+            voters = configuration.voters.size,
+            healthyVoters = healthy.size,
+            spares = configuration.learners.count { it.durable && isHealthy(it.id) },
+            furtherLosses = maxOf(0, furtherLosses),
+            changeInProgress = isChanging,
+        )
+    }
+
+    private fun start(change: MembershipChange) {
+        val old = core.configuration
+        val new = old.changedBy(change)
+        append(if (new.voters == old.voters) new else new.copy(outgoingVoters = old.voters))
+    }
+
+    private fun refusalOf(change: MembershipChange): MembershipRefusal? {
+        if (isChanging) return MembershipRefusal.CHANGE_IN_PROGRESS
+        val configuration = core.configuration
+        return when (change) {
+            is AddLearner -> MembershipRefusal.NO_SUCH_MEMBER.takeIf { configuration.isVoter(change.member.id) }
+            is Promote -> promotionRefusal(configuration.learnerOf(change.daemon))
+            is Demote -> lossRefusal(configuration.voterOf(change.daemon)?.id)
+            is Replace -> when {
+                !configuration.isVoter(change.lost) -> MembershipRefusal.NO_SUCH_MEMBER
+                else -> promotionRefusal(configuration.learners.firstOrNull { it.id == change.replacement })
+            }
+            is Remove -> when (val voter = configuration.voterOf(change.daemon)) {
+                null -> MembershipRefusal.NO_SUCH_MEMBER.takeIf { configuration.learnerOf(change.daemon) == null }
+                else -> lossRefusal(voter.id)
+            }
+        }
+    }
+
+    private fun promotionRefusal(learner: Member?): MembershipRefusal? = when {
+        learner == null -> MembershipRefusal.NO_SUCH_MEMBER
+        !learner.durable -> MembershipRefusal.NOT_DURABLE
+        !isHealthy(learner.id) -> MembershipRefusal.NOT_CAUGHT_UP
+        else -> null
+    }
+
+    private fun lossRefusal(voter: MemberId?): MembershipRefusal? = when {
+        voter == null -> MembershipRefusal.NO_SUCH_MEMBER
+        core.configuration.voters.size == 1 -> MembershipRefusal.LAST_VOTER
+        else -> null
+    }
+
+    private fun isLost(voter: MemberId): Boolean {
+        val peer = progress[voter] ?: return false
+        val silence = core.now - peer.lastContact
+        val superseded = core.configuration.learners.any { it.id.daemon == voter.daemon && isInContact(it.id) }
+        return silence >= core.settings.replacementDelay || superseded
+    }
+
+    /** Chooses a caught-up spare: the same daemon first, then one in the same data centre, then any. */
+    private fun spareFor(lost: MemberId): MemberId? {
+        val place = core.configuration.member(lost)?.dataCentre
+        return core.configuration.learners
+            .filter { it.durable && isHealthy(it.id) }
+            .sortedWith(compareBy({ it.id.daemon != lost.daemon }, { it.dataCentre != place }, { it.id }))
+            .firstOrNull()
+            ?.id
+    }
+
+    private fun isHealthy(id: MemberId): Boolean {
+        if (id == core.id) return true
+        val peer = progress[id] ?: return false
+        return isInContact(id) && peer.match + core.settings.promotionLag >= core.log.lastIndex
+    }
+
+    private fun isInContact(id: MemberId): Boolean {
+        val peer = progress[id] ?: return false
+        return peer.hasAnswered && core.now - peer.lastContact < core.settings.contactTimeout
+    }
+
+    private fun complete(id: MembershipRequestId, result: MembershipResult) {
+        core.outbox.emit(Effect.CompleteMembership(id, result))
+    }
+}
+
+private fun Configuration.learnerOf(daemon: DaemonId): Member? = learners.firstOrNull { it.id.daemon == daemon }
+
+private fun Configuration.voterOf(daemon: DaemonId): Member? =
+    members.firstOrNull { it.id.daemon == daemon && it.role == MemberRole.VOTER }
+
+private fun Configuration.changedBy(change: MembershipChange): Configuration = when (change) {
+    is AddLearner -> {
+        val daemon = change.member.id.daemon
+        val others = members.filterNot { it.id.daemon == daemon && it.role == MemberRole.LEARNER }
+        copy(members = others, removed = removed - daemon).with(change.member.copy(role = MemberRole.LEARNER))
+    }
+    is Promote -> withRole(checkNotNull(learnerOf(change.daemon)).id, MemberRole.VOTER)
+    is Demote -> withRole(checkNotNull(voterOf(change.daemon)).id, MemberRole.LEARNER)
+    is Replace -> {
+        val promoted = withRole(change.replacement, MemberRole.VOTER)
+        // A daemon that came back without its data never takes its old incarnation up again.
+        val isSameDaemon = change.lost.daemon == change.replacement.daemon
+        if (isSameDaemon) promoted.without(change.lost) else promoted.withRole(change.lost, MemberRole.LEARNER)
+    }
+    is Remove -> copy(
+        members = members.filterNot { it.id.daemon == change.daemon },
+        removed = removed + change.daemon,
+    )
+}
+
+private fun Configuration.withRole(id: MemberId, role: MemberRole): Configuration {
+    val member = checkNotNull(member(id)) { "$id is not a member" }
+    return with(member.copy(role = role))
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Outbox.kt
@@ -0,0 +1,104 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+
+/** Collects the effects of one input and holds back what must wait until state is durable. */
+internal class Outbox(private val self: MemberId, private val group: GroupId, restoredIndex: LogIndex) {
+    private var effects = ArrayList<Effect>()
+    private val outstanding = ArrayDeque<OutstandingPersist>()
+    private val deferred = ArrayDeque<DeferredAction>()
+    private var lastSequence = 0L
+    private var hardState: HardState? = null
+    private var truncateFrom: LogIndex? = null
+    private val entries = ArrayList<LogEntry>()
+    private var lastIndex = restoredIndex
+
+    /** Last index up to which the current log is durable. */
+    var durableIndex: LogIndex = restoredIndex
+        private set
+
+    fun emit(effect: Effect) {
+        effects.add(effect)
+    }
+
+    fun send(to: MemberId, message: ConsensusMessage) {
+        emit(Effect.Send(to.daemon, Envelope(group, self, to.incarnation, message)))
+    }
+
+    /** Runs [action] once everything recorded so far is durable. */
+    fun afterPersist(action: () -> Unit) {
+        deferred.add(DeferredAction(sequenceOfRecords(), action))
+    }
+
+    fun recordHardState(state: HardState) {
+        hardState = state
+    }
+
+    fun recordEntry(entry: LogEntry) {
+        entries.add(entry)
+        lastIndex = entry.index
+    }
+
+    fun recordTruncation(from: LogIndex) {
+        truncateFrom = minOf(truncateFrom ?: from, from)
+        entries.removeAll { it.index >= from }
+        lastIndex = from - 1
+        limitDurableTo(lastIndex)
+    }
+
+    /** Replaces the whole log by a snapshot. */
+    fun installSnapshot(metadata: SnapshotMetadata, bytes: ByteArray) {
+        flush()
+        lastIndex = metadata.index
+        limitDurableTo(lastIndex)
+        lastSequence += 1
+        emit(Effect.InstallSnapshot(lastSequence, metadata, bytes))
+        outstanding.add(OutstandingPersist(lastSequence, lastIndex))
+    }
+
+    /** Notes that everything up to [sequence] is durable. */
+    fun completed(sequence: Long) {
+        while (outstanding.isNotEmpty() && outstanding.first().sequence <= sequence) {
+            durableIndex = outstanding.removeFirst().lastIndex
+        }
+    }
+
+    /** Returns the effects collected since the last call. */
+    fun drain(): List<Effect> {
+        flush()
+        while (deferred.isNotEmpty() && isDurable(deferred.first().sequence)) {
+            deferred.removeFirst().action()
+            flush()
+        }
+        val drained = effects
+        effects = ArrayList()
+        return drained
+    }
+
+    private fun limitDurableTo(index: LogIndex) {
+        durableIndex = minOf(durableIndex, index)
+        outstanding.forEach { it.lastIndex = minOf(it.lastIndex, index) }
+    }
+
+    private fun flush() {
+        if (hardState == null && truncateFrom == null && entries.isEmpty()) return
+        lastSequence += 1
+        emit(Effect.Persist(lastSequence, hardState, truncateFrom, entries.toList()))
+        outstanding.add(OutstandingPersist(lastSequence, lastIndex))
+        hardState = null
+        truncateFrom = null
+        entries.clear()
+    }
+
+    private fun sequenceOfRecords(): Long {
+        val unflushed = hardState != null || truncateFrom != null || entries.isNotEmpty()
+        return if (unflushed) lastSequence + 1 else lastSequence
+    }
+
+    private fun isDurable(sequence: Long): Boolean = (outstanding.firstOrNull()?.sequence ?: Long.MAX_VALUE) > sequence
+
+    private class OutstandingPersist(val sequence: Long, var lastIndex: LogIndex)
+
+    private class DeferredAction(val sequence: Long, val action: () -> Unit)
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
@@ -0,0 +1,187 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import kotlin.random.Random
+
+/**
+ * One replica of a group: decides on elections, replication and membership.
+ *
+ * Follows Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014), with pre-vote, a check
+ * of the quorum by the leader, reads confirmed by a quorum and membership by joint configurations. The shell feeds
+ * inputs one at a time and carries out the effects in order. A replica is not thread-safe.
+ *
+ * @param self this replica; its role is ignored, the group's configuration decides.
+ * @param restored what the store holds.
+ * @param initialVoters daemons that form the group if it does not exist yet.
+ * @param peers other daemons that can be asked for admission.
+ * @param random source of the election jitter.
+ * @param now reading of the clock at the start.
+ */
+public class Replica(
+    self: Member,
+    group: GroupId,
+    restored: RestoredState,
+    initialVoters: Set<DaemonId>,
+    peers: Set<DaemonId>,
+    random: Random,
+    now: MonotonicTime,
+    settings: ReplicaSettings = ReplicaSettings.Default,
+) {
+    private val core = ReplicaCore(self, group, restored, settings, random, now)
+    private val elector = Elector(core, ::takeLeadership)
+    private val follower = Follower(core)
+    private val formation = Formation(core, initialVoters.takeIf { self.durable }.orEmpty(), peers - self.id.daemon)
+    private var leading: Leader? = null
+
+    /** Current term. */
+    public val term: Long
+        get() = core.term
+
+    /** Role in the election. */
+    public val role: RaftRole
+        get() = core.role
+
+    /** Leader that this replica follows or is, or null. */
+    public val leader: MemberId?
+        get() = core.leader
+
+    /** Last index known to be committed. */
+    public val commitIndex: LogIndex
+        get() = core.commitIndex
+
+    /** Last index of the log, committed or not. */
+    public val lastIndex: LogIndex
+        get() = core.log.lastIndex
+
+    /** Size in bytes of the latest snapshot that the store holds. */
+    public val snapshotBytes: Long
+        get() = core.snapshotBytes
+
+    /** Latest configuration, committed or not. */
+    public val configuration: Configuration
+        get() = core.configuration
+
+    /** When [handle] must be called at the latest, with [ReplicaInput.Tick] if nothing else arrives. */
+    public val nextDeadline: MonotonicTime
+        get() {
+            val own = leading?.nextHeartbeat ?: core.electionDeadline
+            return minOf(formation.deadline, own)
+        }
+
+    /**
+     * When the latest heartbeat that a quorum answered was sent, or null if this replica does not lead.
+     *
+     * No other leader can be elected before [ReplicaSettings.electionTimeoutMin] has passed since then, so leases
+     * may be granted from this time on.
+     */
+    public val quorumContactTime: MonotonicTime?
+        get() = leading?.quorumContactTime
+
+    /** How many losses the group survives, or null if this replica does not lead. */
+    public val failureTolerance: FailureTolerance?
+        get() = leading?.failureTolerance()
+
+    /**
+     * Handles [input] at the reading [now] and returns what the shell must do.
+     *
+     * @throws IllegalStateException if the log contradicts itself or another replica; the replica must stop then.
+     */
+    public fun handle(input: ReplicaInput, now: MonotonicTime): List<Effect> {
+        core.now = now
+        // A process that was frozen must notice before it acts on anything that queued up meanwhile.
+        leading?.checkQuorum()
+        endLostLeadership()
+        dispatch(input)
+        val effects = core.outbox.drain()
+        endLostLeadership()
+        return effects + core.outbox.drain()
+    }
+
+    /** Returns what a snapshot of the state machine after [applied] stands for. */
+    public fun snapshotMetadata(applied: LogIndex): SnapshotMetadata {
+        val term = checkNotNull(core.log.termAt(applied)) { "entry $applied is not in the log" }
+        return SnapshotMetadata(applied, term, core.log.configurationAt(applied))
+    }
+
+    private fun dispatch(input: ReplicaInput) {
+        when (input) {
+            ReplicaInput.Tick -> tick()
+            is ReplicaInput.MessageReceived -> receive(input.envelope)
+            is ReplicaInput.Propose -> propose(input)
+            is ReplicaInput.PersistCompleted -> core.outbox.completed(input.sequence)
+            is ReplicaInput.ReadRequested -> read(input.id)
+            is ReplicaInput.MembershipRequested -> changeMembership(input)
+            is ReplicaInput.SnapshotTaken -> compact(input)
+        }
+    }
+
+    private fun tick() {
+        formation.tick()
+        leading?.tick() ?: elector.tick()
+    }
+
+    private fun receive(envelope: Envelope) {
+        val misdirected = envelope.to != null && envelope.to != core.id.incarnation
+        if (envelope.group != core.group || misdirected) return
+        val from = envelope.from
+        when (val message = envelope.message) {
+            is ConsensusMessage.Heartbeat -> follower.onHeartbeat(from, message)
+            is ConsensusMessage.AppendRequest -> follower.onAppend(from, message)
+            is ConsensusMessage.SnapshotChunk -> follower.onSnapshotChunk(from, message)
+            is ConsensusMessage.HeartbeatResponse -> leading?.onHeartbeatResponse(from, message)
+            is ConsensusMessage.AppendResponse -> leading?.onAppendResponse(from, message)
+            is ConsensusMessage.SnapshotResponse -> leading?.onSnapshotResponse(from, message)
+            is ConsensusMessage.VoteRequest -> elector.onVoteRequest(from, message)
+            is ConsensusMessage.VoteResponse -> if (core.configuration.isVoter(
+                    from,
+                )
+            ) {
+                elector.onVoteResponse(from, message)
+            }
+            is ConsensusMessage.JoinRequest -> join(from, message)
+            is ConsensusMessage.JoinResponse -> formation.onJoinResponse(message)
+        }
+    }
+
+    private fun join(from: MemberId, request: ConsensusMessage.JoinRequest) {
+        formation.onJoinRequest(from)
+        leading?.onJoinRequest(request.member)
+    }
+
+    private fun propose(input: ReplicaInput.Propose) {
+        val refusal = Effect.RejectProposal(input.id, ProposalRefusal.NOT_LEADER)
+        leading?.propose(input.id, input.command) ?: core.outbox.emit(refusal)
+    }
+
+    private fun read(id: ReadId) {
+        leading?.read(id) ?: core.outbox.emit(Effect.ReadRefused(id))
+    }
+
+    private fun changeMembership(input: ReplicaInput.MembershipRequested) {
+        val refusal = MembershipResult.Refused(MembershipRefusal.NOT_LEADER)
+        leading?.changeMembership(input.id, input.change)
+            ?: core.outbox.emit(Effect.CompleteMembership(input.id, refusal))
+    }
+
+    private fun compact(input: ReplicaInput.SnapshotTaken) {
+        val newest = core.snapshot?.index ?: NoIndex
+        if (input.metadata.index <= newest) return
+        core.snapshot = input.metadata
+        core.snapshotBytes = input.bytes
+        core.log.compactTo(input.metadata.index)
+    }
+
+    private fun takeLeadership() {
+        core.lead()
+        leading = Leader(core).also { it.start() }
+    }
+
+    private fun endLostLeadership() {
+        if (core.role == RaftRole.LEADER) return
+        leading?.dispose()
+        leading = null
+    }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
@@ -0,0 +1,356 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Faults of the links; a message is lost or doubled with these probabilities and takes up to [maxDelay]. */
+internal data class Weather(
+    val loss: Double = 0.0,
+    val doubling: Double = 0.0,
+    val maxDelay: Duration = 1.milliseconds,
+    val maxSync: Duration = 5.milliseconds,
+)
+
+/** Replicas on virtual time with links that fail; checks the safety of every step. */
+internal class Cluster(
+    seed: Int,
+    voters: Int = 3,
+    spares: Int = 0,
+    diskless: Int = 0,
+    val settings: ReplicaSettings = ReplicaSettings.Default,
+    private val snapshotEvery: Int = 40,
+) {
+    val random = Random(seed)
+    val nodes = (1..voters + spares + diskless).map { Node(DaemonId("d$it"), durable = it <= voters + spares) }
+    var weather = Weather()
+    var time = MonotonicTime.Zero
+        private set
+    var messages = 0L
+        private set
+    var onSend: (Effect.Send) -> Unit = {}
+
+    /** Committed entries as first seen anywhere, and every entry ever written by its index and term. */
+    val committed = sortedMapOf<Long, LogEntry>()
+    private val written = HashMap<Pair<LogIndex, Long>, EntryPayload>()
+    private val leaders = HashMap<Long, MemberId>()
+    private val cuts = HashSet<Pair<Node, Node>>()
+    private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
+    private var order = 0L
+    private val initialVoters = nodes.take(voters).map { it.daemon }.toSet()
+    val history = History()
+
+    val leader: Node?
+        get() = nodes.filter { it.replica?.role == RaftRole.LEADER && !it.isFrozen }.maxByOrNull { it.replica!!.term }
+
+    init {
+        nodes.forEach { it.start() }
+    }
+
+    fun at(delay: Duration, action: () -> Unit) {
+        events.add(Event(time + delay, order++, action))
+    }
+
+    fun run(duration: Duration) = runUntil(duration) { false }
+
+    /** Runs until [done], at most for [limit]; returns whether it is done. */
+    fun runUntil(limit: Duration, done: () -> Boolean): Boolean {
+        val end = time + limit
+        while (!done()) {
+            val next = events.peek()?.takeIf { it.at <= end }
+            if (next == null) {
+                time = end
+                return done()
+            }
+            events.poll()
+            time = next.at
+            next.action()
+        }
+        return true
+    }
+
+    fun awaitLeader(limit: Duration = 5.seconds): Node {
+        check(runUntil(limit) { leader?.replica?.quorumContactTime != null }) { "no leader within $limit" }
+        return leader!!
+    }
+
+    fun cut(from: Node, to: Node) = cuts.add(from to to)
+
+    fun isolate(node: Node) = nodes.forEach {
+        cut(it, node)
+        cut(node, it)
+    }
+
+    fun heal() = cuts.clear()
+
+    fun node(daemon: DaemonId) = nodes.first { it.daemon == daemon }
+
+    /** Ends all faults and checks that every live node reaches the same state with everything committed. */
+    fun settle() {
+        heal()
+        weather = Weather()
+        nodes.forEach {
+            it.thaw()
+            if (it.replica == null) it.start()
+        }
+        var last = -1L
+        var answer: String? = null
+        check(
+            runUntil(30.seconds) {
+                if (answer == null && leader?.replica?.quorumContactTime != null) answer = ""
+                if (answer == "") answer = leader?.propose("end${order++} end 0") { answer = it ?: "" }.let { "sent" }
+                last = committed.lastKey()
+                answer?.startsWith("conflict") == true || answer?.startsWith("accepted") == true
+            },
+        ) { "no progress after the faults ended: ${describe()}" }
+        check(runUntil(20.seconds) { nodes.all { it.machine.applied >= last } }) { "not converged: ${describe()}" }
+        run(1.seconds)
+        val states = nodes.map { it.machine.snapshot().decodeToString() }.toSet()
+        check(states.size == 1) { "states differ: ${describe()}" }
+        history.check()
+    }
+
+    /** Whether every configuration that any node knows keeps a quorum of intact disks without [node]. */
+    fun survivesLossOf(node: Node): Boolean {
+        val intact = nodes.filter { it.durable && it != node }.map { it.id }.toSet()
+        val known = nodes.flatMap { listOfNotNull(it.disk.configuration, it.replica?.configuration) }
+        return known.filter { it.isVoter(node.id) }.all { it.isQuorum { voter -> voter in intact } }
+    }
+
+    fun describe() = nodes.joinToString {
+        "${it.daemon} ${it.replica?.role} t${it.replica?.term} ${it.machine.applied}"
+    }
+
+    private fun deliver(from: Node, send: Effect.Send) {
+        messages += 1
+        onSend(send)
+        val to = node(send.to)
+        if (from to to in cuts || random.nextDouble() < weather.loss) return
+        val copies = if (random.nextDouble() < weather.doubling) 2 else 1
+        repeat(copies) {
+            at(delay(weather.maxDelay)) { to.receive(ReplicaInput.MessageReceived(send.envelope)) }
+        }
+    }
+
+    private fun delay(max: Duration) = random.nextLong(1, max.inWholeMicroseconds + 2).microseconds
+
+    private class Event(val at: MonotonicTime, val order: Long, val action: () -> Unit)
+
+    /** What survives a crash. */
+    class Disk {
+        var hardState = HardState()
+        var snapshot: SnapshotMetadata? = null
+        var snapshotBytes = ByteArray(0)
+        val entries = ArrayList<LogEntry>()
+
+        fun write(effect: Effect.Persist, limit: Int = Int.MAX_VALUE) {
+            effect.hardState?.let { hardState = it }
+            effect.truncateFrom?.let { from -> entries.removeAll { it.index >= from } }
+            entries.addAll(effect.entries.take(limit))
+        }
+
+        val configuration: Configuration
+            get() = entries.mapNotNull { it.payload as? EntryPayload.Membership }.lastOrNull()?.configuration
+                ?: snapshot?.configuration
+                ?: Configuration()
+
+        fun restored() = RestoredState(hardState, snapshot, snapshotBytes.size.toLong(), entries.toList())
+    }
+
+    inner class Node(val daemon: DaemonId, val durable: Boolean) {
+        var disk = Disk()
+        var incarnation = 1L
+        var replica: Replica? = null
+            private set
+        var machine = SettingsMachine()
+            private set
+        private var life = 0
+        private var frozen: ArrayList<ReplicaInput>? = null
+        private val pending = ArrayDeque<Effect>()
+        private var timerAt: MonotonicTime? = null
+        private var requests = 0L
+        private val proposals = HashMap<ProposalId, (String?) -> Unit>()
+        private val results = HashMap<LogIndex, ProposalId>()
+        private val reads = HashMap<ReadId, (Long?) -> Unit>()
+        val membershipResults = ArrayList<MembershipResult>()
+        val id get() = MemberId(daemon, Incarnation(incarnation))
+        val isFrozen get() = frozen != null
+
+        fun start() {
+            if (!durable) incarnation += 1
+            life += 1
+            machine = SettingsMachine()
+            if (!durable) disk = Disk()
+            disk.snapshot?.let { machine.restore(it.index, disk.snapshotBytes) }
+            val group = GroupId("control")
+            val peers = nodes.map { it.daemon }.toSet()
+            val member = Member(id, durable = durable)
+            replica =
+                Replica(member, group, disk.restored(), initialVoters, peers, Random(random.nextInt()), time, settings)
+            timerAt = null
+            schedule()
+        }
+
+        /** Ends the process; of the writes in progress a prefix survives. */
+        fun crash() {
+            replica = null
+            frozen = null
+            life += 1
+            (pending.firstOrNull() as? Effect.Persist)?.let { disk.write(it, random.nextInt(it.entries.size + 1)) }
+            pending.clear()
+            listOf(proposals.values.map { { it(null) } }, reads.values.map { { it(null) } }).flatten().forEach { it() }
+            proposals.clear()
+            reads.clear()
+            results.clear()
+        }
+
+        fun wipe() {
+            crash()
+            disk = Disk()
+            incarnation += 1
+        }
+
+        fun freeze() {
+            if (replica != null && frozen == null) frozen = ArrayList()
+        }
+
+        fun thaw() {
+            val inputs = frozen ?: return
+            frozen = null
+            inputs.forEach(::receive)
+            receive(ReplicaInput.Tick)
+        }
+
+        fun propose(command: String, done: (String?) -> Unit) {
+            val id = ProposalId(requests++)
+            proposals[id] = done
+            receive(ReplicaInput.Propose(id, command.encodeToByteArray()))
+        }
+
+        /** Reads the number of the last applied entry through the leader. */
+        fun read(done: (Long?) -> Unit) {
+            val id = ReadId(requests++)
+            reads[id] = done
+            receive(ReplicaInput.ReadRequested(id))
+        }
+
+        fun change(change: MembershipChange) =
+            receive(ReplicaInput.MembershipRequested(MembershipRequestId(requests++), change))
+
+        fun receive(input: ReplicaInput) {
+            val current = replica ?: return
+            frozen?.let {
+                it.add(input)
+                return
+            }
+            val effects = current.handle(input, time)
+            if (current.role == RaftRole.LEADER) {
+                val other = leaders.getOrPut(current.term) { id }
+                check(other == id) { "two leaders in term ${current.term}: $other and $id" }
+                check(current.configuration.member(id)?.durable != false) { "$id leads without a disk" }
+            }
+            effects.forEach(::carryOut)
+            schedule()
+        }
+
+        private fun schedule() {
+            val deadline = maxOf(replica?.nextDeadline ?: return, time + 1.milliseconds)
+            val planned = timerAt
+            if (planned != null && planned <= deadline && planned > time) return
+            timerAt = deadline
+            val current = life
+            at(deadline - time) {
+                if (life == current) {
+                    if (timerAt == time) timerAt = null
+                    if (frozen == null) receive(ReplicaInput.Tick) else schedule()
+                }
+            }
+        }
+
+        private fun carryOut(effect: Effect) {
+            when (effect) {
+                is Effect.Send -> deliver(this, effect)
+                is Effect.Persist -> persist(effect)
+                is Effect.InstallSnapshot -> persist(effect)
+                is Effect.Apply -> effect.entries.forEach(::apply)
+                is Effect.SendSnapshotChunk -> sendChunk(effect)
+                is Effect.CompleteProposal -> results[effect.index] = effect.id
+                is Effect.RejectProposal -> proposals.remove(effect.id)?.invoke(null)
+                is Effect.AbandonProposal -> proposals.remove(effect.id)?.invoke(null)
+                is Effect.ReadReady -> reads.remove(effect.id)?.invoke(maxOf(effect.index.value, machine.applied))
+                is Effect.ReadRefused -> reads.remove(effect.id)?.invoke(null)
+                is Effect.CompleteMembership -> membershipResults.add(effect.result)
+            }
+        }
+
+        private fun persist(effect: Effect) {
+            pending.add(effect)
+            (effect as? Effect.Persist)?.entries?.forEach {
+                val payload = written.getOrPut(it.index to it.term) { it.payload }
+                check(payload == it.payload) { "entry ${it.index} of term ${it.term} has two payloads" }
+            }
+            if (effect is Effect.InstallSnapshot) machine.restore(effect.metadata.index, effect.bytes)
+            if (pending.size == 1) sync()
+        }
+
+        private fun sync() {
+            val current = life
+            at(delay(weather.maxSync)) { if (life == current) synced() }
+        }
+
+        private fun synced() {
+            val effect = pending.removeFirst()
+            val sequence = when (effect) {
+                is Effect.Persist -> effect.sequence.also { disk.write(effect) }
+                is Effect.InstallSnapshot -> effect.sequence.also {
+                    disk.snapshot = effect.metadata
+                    disk.snapshotBytes = effect.bytes
+                    disk.entries.clear()
+                }
+                else -> error("not a write: $effect")
+            }
+            if (pending.isNotEmpty()) sync()
+            receive(ReplicaInput.PersistCompleted(sequence))
+            takeSnapshot()
+        }
+
+        /** Takes a snapshot of what is applied and durable, as the shell does between two writes. */
+        private fun takeSnapshot() {
+            val last = disk.snapshot?.index?.value ?: 0
+            val current = replica ?: return
+            if (pending.isNotEmpty() || frozen != null || machine.applied - last < snapshotEvery) return
+            val metadata = current.snapshotMetadata(LogIndex(machine.applied))
+            disk.snapshot = metadata
+            disk.snapshotBytes = machine.snapshot()
+            disk.entries.removeAll { it.index <= metadata.index }
+            receive(ReplicaInput.SnapshotTaken(metadata, disk.snapshotBytes.size.toLong()))
+        }
+
+        private fun apply(entry: LogEntry) {
+            val first = committed.getOrPut(entry.index.value) { entry }
+            check(first == entry) { "committed entry ${entry.index} of term ${first.term} reverted to ${entry.term}" }
+            val payload = entry.payload as? EntryPayload.Command
+            val answer = payload?.let { machine.apply(entry.index, it.bytes).decodeToString() }
+            if (payload == null) machine.restore(entry.index, machine.snapshot())
+            results.remove(entry.index)?.let { proposals.remove(it)?.invoke(answer) }
+        }
+
+        private fun sendChunk(effect: Effect.SendSnapshotChunk) {
+            val snapshot = disk.snapshot
+            if (snapshot != effect.metadata) return
+            val end = minOf(disk.snapshotBytes.size.toLong(), effect.offset + effect.maxBytes).toInt()
+            val bytes = disk.snapshotBytes.copyOfRange(effect.offset.toInt(), end)
+            val total = disk.snapshotBytes.size.toLong()
+            val chunk = ConsensusMessage.SnapshotChunk(effect.term, effect.metadata, effect.offset, total, bytes)
+            val envelope = Envelope(GroupId("control"), id, effect.to.incarnation, chunk)
+            deliver(this, Effect.Send(effect.to.daemon, envelope))
+        }
+    }
+}
