--- /dev/null
+++ b/storage/src/main/kotlin/org/auburnstream/storage/SnapshotFiles.kt
@@ -0,0 +1,52 @@
+package org.auburnstream.storage
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.consensus.SnapshotMetadata
+
+/** Snapshot files, of which the latest counts. */
+internal class SnapshotFiles(private val folder: DataFolder) {
+    /** Latest snapshot, or null. */
+    var latest: SnapshotHeader? = null
+        private set
+
+    /** Finds the latest snapshot and deletes the others. */
+    fun load() {
+        val names = folder.list().filter { it.startsWith(PREFIX) && !it.endsWith(TEMPORARY_SUFFIX) }.sorted()
+        val name = names.lastOrNull() ?: return
+        names.dropLast(1).forEach(folder::delete)
+        val frames = folder.frames(name)
+        if (frames.size != FRAMES) throw StorageException(StorageError.Corrupt(name, 0, "not a header and a state"))
+        latest = StorageCodec.decode(SnapshotHeader.serializer(), frames.first(), name, offset = 0)
+    }
+
+    fun save(header: SnapshotHeader, bytes: ByteArray) {
+        val previous = latest
+        folder.replace(nameOf(header), listOf(encode(header), bytes))
+        latest = header
+        if (previous != null && nameOf(previous) != nameOf(header)) folder.delete(nameOf(previous))
+    }
+
+    fun read(header: SnapshotHeader, offset: Long, maxBytes: Int): ByteArray {
+        val start = Frames.HEADER_BYTES + encode(header).size + Frames.HEADER_BYTES
+        return folder.read(nameOf(header), start + offset, maxBytes)
+    }
+
+    private fun encode(header: SnapshotHeader) = StorageCodec.encode(SnapshotHeader.serializer(), header)
+
+    private fun nameOf(header: SnapshotHeader): String =
+        PREFIX + header.metadata.index.value.toString().padStart(INDEX_DIGITS, '0') + "-" + header.metadata.term
+
+    private companion object {
+        const val PREFIX = "snapshot-"
+        const val INDEX_DIGITS = 20
+        const val FRAMES = 2
+    }
+}
+
+/**
+ * Header of a snapshot file.
+ *
+ * @property firstSegment segment at which the log continues; older ones do not count even if they still exist.
+ */
+@Serializable
+internal data class SnapshotHeader(val metadata: SnapshotMetadata, val firstSegment: Long, val bytes: Long)
