Run a replicated group over the links between daemons

One coroutine owns the replica and the state machine; the store works beside it. Calls of any daemon reach the leader, which recognizes copies, so a proposal is taken once at most. Tests on virtual time with links that lose, delay and double messages, a leader lost, all restarted, a disk lost.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/CallForwarder.kt
@@ -0,0 +1,127 @@
+package org.auburnstream.daemon.replication
+
+import org.auburnstream.consensus.MemberId
+import org.auburnstream.consensus.RaftRole
+import org.auburnstream.consensus.Replica
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+
+/**
+ * Brings the calls of this daemon to the leader, here or elsewhere.
+ *
+ * A call waits while no leader is known. A request is sent again to the same leader in the same term only, which
+ * recognizes the copy, so that it is executed once at most; one that changes nothing may go to the next leader.
+ */
+internal class CallForwarder(
+    private val configuration: GroupConfiguration,
+    private val replica: Replica,
+    private val requests: LeaderRequests,
+    private val process: Long,
+    private val appliedIndex: () -> LogIndex,
+    private val send: (DaemonId, GroupMessage) -> Unit,
+) {
+    private val waiting = ArrayDeque<PendingCall>()
+    private val forwarded = LinkedHashMap<Long, ForwardedCall>()
+    private val readers = ArrayList<WaitingReader>()
+    private var lastCorrelation = 0L
+
+    /** When [tick] is due, or null if nothing waits. */
+    val deadline: MonotonicTime?
+        get() = forwarded.values.minOfOrNull { it.sentAt }?.let { it + configuration.resendInterval }
+
+    fun accept(call: PendingCall, now: MonotonicTime) {
+        if (waiting.size >= configuration.maxWaitingCalls) {
+            waiting.removeAll { it.isOver }
+            if (waiting.size >= configuration.maxWaitingCalls) {
+                return call.complete(ReplyBody.Rejected(RejectReason.OVERLOADED))
+            }
+        }
+        waiting.addLast(call)
+        dispatchWaiting(now)
+    }
+
+    /** Sends what waited for a leader. */
+    fun dispatchWaiting(now: MonotonicTime) {
+        repeat(waiting.size) {
+            val leader = replica.leader ?: return
+            val call = waiting.removeFirstOrNull() ?: return
+            if (!call.isOver && call.markSent()) dispatch(call, leader, now)
+        }
+    }
+
+    /** Resends what was not answered in time, as long as the leader is the same. */
+    fun tick(now: MonotonicTime) {
+        forwarded.values.removeIf { it.call.isOver }
+        readers.removeAll { it.call.isOver }
+        val due = forwarded.entries.filter { now - it.value.sentAt >= configuration.resendInterval }
+        for ((correlation, forward) in due) {
+            forward.sentAt = now
+            val sameLeader = replica.leader == forward.leader && replica.term == forward.term
+            when {
+                sameLeader -> sendRequest(correlation, forward)
+                !forward.call.body.isOnce -> {
+                    forwarded.remove(correlation)
+                    waiting.addLast(forward.call)
+                }
+            }
+        }
+        dispatchWaiting(now)
+    }
+
+    fun onReply(reply: GroupMessage.Reply) {
+        if (reply.process != process) return
+        val forward = forwarded.remove(reply.correlation) ?: return
+        if (reply.body != ReplyBody.NotLeader) return finish(forward.call, reply.body)
+        // An earlier copy may have been taken by the same leader before it lost the term.
+        if (forward.call.body.isOnce) return forward.call.complete(ReplyBody.Unknown)
+        forward.call.markUnsent()
+        waiting.addLast(forward.call)
+    }
+
+    /** Answers the reads that waited for entries up to [index]. */
+    fun onApplied(index: LogIndex) {
+        if (readers.isEmpty()) return
+        val ready = readers.filter { it.index <= index }
+        ready.forEach { it.call.complete(ReplyBody.ReadAt(index)) }
+        readers.removeAll(ready)
+    }
+
+    /** Answers everything that is still open when the replica ends. */
+    fun abandonAll() {
+        val stopped = ReplyBody.Rejected(RejectReason.STOPPED)
+        waiting.forEach { it.complete(stopped) }
+        readers.forEach { it.call.complete(stopped) }
+        forwarded.values.forEach { it.call.complete(if (it.call.body.isOnce) ReplyBody.Unknown else stopped) }
+    }
+
+    private fun dispatch(call: PendingCall, leader: MemberId, now: MonotonicTime) {
+        if (replica.role == RaftRole.LEADER) return requests.execute(call.body) { finishLocal(call, it) }
+        lastCorrelation += 1
+        val forward = ForwardedCall(call, leader, replica.term, now)
+        forwarded[lastCorrelation] = forward
+        sendRequest(lastCorrelation, forward)
+    }
+
+    private fun finishLocal(call: PendingCall, reply: ReplyBody) {
+        if (reply != ReplyBody.NotLeader) return finish(call, reply)
+        // The replica itself refused, so nothing was taken.
+        call.markUnsent()
+        waiting.addLast(call)
+    }
+
+    private fun finish(call: PendingCall, reply: ReplyBody) {
+        if (reply !is ReplyBody.ReadAt) return call.complete(reply)
+        readers.add(WaitingReader(call, reply.index))
+        onApplied(appliedIndex())
+    }
+
+    private fun sendRequest(correlation: Long, forward: ForwardedCall) {
+        val request = GroupMessage.Request(configuration.id, process, correlation, forward.term, forward.call.body)
+        send(forward.leader.daemon, request)
+    }
+
+    private class ForwardedCall(val call: PendingCall, val leader: MemberId, val term: Long, var sentAt: MonotonicTime)
+
+    private class WaitingReader(val call: PendingCall, val index: LogIndex)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupActor.kt
@@ -0,0 +1,184 @@
+package org.auburnstream.daemon.replication
+
+import org.auburnstream.consensus.ConsensusMessage
+import org.auburnstream.consensus.Effect
+import org.auburnstream.consensus.EntryPayload
+import org.auburnstream.consensus.Envelope
+import org.auburnstream.consensus.LogEntry
+import org.auburnstream.consensus.MemberId
+import org.auburnstream.consensus.RaftRole
+import org.auburnstream.consensus.Replica
+import org.auburnstream.consensus.ReplicaInput
+import org.auburnstream.consensus.StateMachine
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import org.slf4j.LoggerFactory
+
+/** Owns the replica and the state machine of one group; all functions are called from one coroutine. */
+internal class GroupActor(
+    private val configuration: GroupConfiguration,
+    private val self: MemberId,
+    private val replica: Replica,
+    private val machine: StateMachine,
+    private val clock: () -> MonotonicTime,
+    process: Long,
+    private val links: GroupLinks,
+) {
+    private val requests = LeaderRequests(replica, ::feed)
+    private val taken = RequestTable(configuration.maxTimeout * 2, MAX_REMEMBERED_REQUESTS)
+    private val forwarder =
+        CallForwarder(configuration, replica, requests, process, { appliedIndex }, links.sendGroupMessage)
+    private val snapshots = SnapshotTrigger(configuration)
+
+    /** Last index that the state machine has applied. */
+    var appliedIndex = replica.commitIndex
+        private set
+    private var loggedRole = RaftRole.FOLLOWER
+
+    /** When [tick] is due. */
+    val deadline: MonotonicTime
+        get() = forwarder.deadline?.let { minOf(it, replica.nextDeadline) } ?: replica.nextDeadline
+
+    fun tick() {
+        feed(ReplicaInput.Tick)
+        forwarder.tick(clock())
+    }
+
+    fun onCall(call: PendingCall) = forwarder.accept(call, clock())
+
+    fun onEnvelope(envelope: Envelope) {
+        feed(ReplicaInput.MessageReceived(envelope))
+        forwarder.dispatchWaiting(clock())
+    }
+
+    fun onGroupMessage(from: DaemonId, message: GroupMessage) {
+        when (message) {
+            is GroupMessage.Request -> onRequest(from, message)
+            is GroupMessage.Reply -> forwarder.onReply(message)
+        }
+    }
+
+    /** Notes what the store has done; a failure is not handled here but ends the actor. */
+    fun onReport(report: StoreReport) {
+        when (report) {
+            is StoreReport.Persisted -> feed(ReplicaInput.PersistCompleted(report.sequence))
+            is StoreReport.SnapshotSaved -> {
+                snapshots.saved()
+                feed(ReplicaInput.SnapshotTaken(report.metadata, report.bytes))
+            }
+            is StoreReport.ChunkRead -> sendChunk(report)
+            is StoreReport.Failed -> Unit
+        }
+    }
+
+    /** Answers all open calls. */
+    fun close() {
+        requests.abandonAll()
+        forwarder.abandonAll()
+    }
+
+    private fun onRequest(from: DaemonId, request: GroupMessage.Request) {
+        val reply = { body: ReplyBody ->
+            links.sendGroupMessage(from, GroupMessage.Reply(request.group, request.process, request.correlation, body))
+        }
+        val key = RequestKey(from, request.process, request.correlation)
+        val known = taken.find(key)
+        if (known != null) {
+            known.reply?.let(reply)
+            return
+        }
+        val leads = replica.role == RaftRole.LEADER && replica.term == request.term
+        if (!leads) return reply(ReplyBody.NotLeader)
+        val record = taken.add(key, clock()) ?: return reply(ReplyBody.Rejected(RejectReason.OVERLOADED))
+        requests.execute(request.body) {
+            record.reply = it
+            reply(it)
+        }
+    }
+
+    private fun feed(input: ReplicaInput) {
+        replica.handle(input, clock()).forEach(::carryOut)
+        logRole()
+    }
+
+    private fun carryOut(effect: Effect) {
+        when (effect) {
+            is Effect.Send -> links.sendEnvelope(effect.to, effect.envelope)
+            is Effect.Persist -> links.store(StoreTask.Persist(effect))
+            is Effect.InstallSnapshot -> install(effect)
+            is Effect.Apply -> apply(effect.entries)
+            is Effect.SendSnapshotChunk -> links.store(StoreTask.ReadChunk(effect))
+            is Effect.CompleteProposal -> requests.onCompleted(effect)
+            is Effect.RejectProposal -> requests.onRejected(effect)
+            is Effect.AbandonProposal -> requests.onAbandoned(effect)
+            is Effect.ReadReady -> requests.onReadReady(effect)
+            is Effect.ReadRefused -> requests.onReadRefused(effect)
+            is Effect.CompleteMembership -> requests.onMembershipEnded(effect)
+        }
+    }
+
+    private fun apply(entries: List<LogEntry>) {
+        for (entry in entries) {
+            val payload = entry.payload
+            appliedIndex = entry.index
+            if (payload is EntryPayload.Command) {
+                requests.onApplied(entry.index, machine.apply(entry.index, payload.bytes))
+            }
+            if (payload is EntryPayload.Membership) logMembership(entry, payload)
+            snapshots.applied(entry)
+        }
+        links.applied(appliedIndex)
+        forwarder.onApplied(appliedIndex)
+        if (!snapshots.isDue) return
+        snapshots.started()
+        links.store(StoreTask.Save(replica.snapshotMetadata(appliedIndex), machine.snapshot()))
+    }
+
+    private fun install(effect: Effect.InstallSnapshot) {
+        machine.restore(effect.metadata.index, effect.bytes)
+        appliedIndex = effect.metadata.index
+        links.store(StoreTask.Install(effect))
+        links.applied(appliedIndex)
+        forwarder.onApplied(appliedIndex)
+        logger.info("event=snapshot_installed group={} index={}", configuration.id, appliedIndex)
+    }
+
+    private fun sendChunk(report: StoreReport.ChunkRead) {
+        val bytes = report.bytes ?: return
+        val effect = report.effect
+        val total = replica.snapshotBytes
+        val chunk = ConsensusMessage.SnapshotChunk(effect.term, effect.metadata, effect.offset, total, bytes)
+        links.sendEnvelope(effect.to.daemon, Envelope(configuration.id, self, effect.to.incarnation, chunk))
+    }
+
+    private fun logRole() {
+        val role = replica.role
+        if (role == loggedRole) return
+        loggedRole = role
+        logger.info("event=role_changed group={} role={} term={}", configuration.id, role, replica.term)
+    }
+
+    private fun logMembership(entry: LogEntry, payload: EntryPayload.Membership) {
+        logger.info(
+            "event=members_changed group={} index={} voters={} joint={}",
+            configuration.id,
+            entry.index,
+            payload.configuration.voters,
+            payload.configuration.isJoint,
+        )
+    }
+
+    private companion object {
+        val logger = LoggerFactory.getLogger(GroupActor::class.java)
+        const val MAX_REMEMBERED_REQUESTS = 16_384
+    }
+}
+
+/** What a [GroupActor] acts through. */
+internal class GroupLinks(
+    val sendEnvelope: (DaemonId, Envelope) -> Unit,
+    val sendGroupMessage: (DaemonId, GroupMessage) -> Unit,
+    val store: (StoreTask) -> Unit,
+    val applied: (LogIndex) -> Unit,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupMessage.kt
@@ -0,0 +1,106 @@
+package org.auburnstream.daemon.replication
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnstream.consensus.Configuration
+import org.auburnstream.consensus.FailureTolerance
+import org.auburnstream.consensus.MembershipChange
+import org.auburnstream.consensus.MembershipResult
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+
+/** Message between a daemon and the leader of a group, on behalf of the daemon's own callers. */
+@Serializable
+internal sealed interface GroupMessage {
+    val group: GroupId
+
+    /**
+     * Asks the leader of [term] for [body].
+     *
+     * @property process drawn at random by each process, so that [correlation] is unique.
+     */
+    @Serializable
+    @SerialName("q")
+    data class Request(
+        override val group: GroupId,
+        val process: Long,
+        val correlation: Long,
+        val term: Long,
+        val body: RequestBody,
+    ) : GroupMessage
+
+    /** Answers the request with the same [process] and [correlation]. */
+    @Serializable
+    @SerialName("a")
+    data class Reply(override val group: GroupId, val process: Long, val correlation: Long, val body: ReplyBody) :
+        GroupMessage
+}
+
+/** What a daemon wants from the leader. */
+@Serializable
+internal sealed interface RequestBody {
+    /** Whether a second execution could have a second effect. */
+    val isOnce: Boolean
+
+    @Serializable
+    @SerialName("p")
+    class Propose(val command: ByteArray) : RequestBody {
+        override val isOnce: Boolean
+            get() = true
+    }
+
+    @Serializable
+    @SerialName("r")
+    data object Read : RequestBody {
+        override val isOnce: Boolean
+            get() = false
+    }
+
+    @Serializable
+    @SerialName("m")
+    data class Change(val change: MembershipChange) : RequestBody {
+        override val isOnce: Boolean
+            get() = true
+    }
+
+    @Serializable
+    @SerialName("s")
+    data object Status : RequestBody {
+        override val isOnce: Boolean
+            get() = false
+    }
+}
+
+/** What came of a request. */
+@Serializable
+internal sealed interface ReplyBody {
+    @Serializable
+    @SerialName("c")
+    class Committed(val index: LogIndex, val response: ByteArray) : ReplyBody
+
+    @Serializable
+    @SerialName("r")
+    data class Rejected(val reason: RejectReason) : ReplyBody
+
+    /** The command may or may not be committed. */
+    @Serializable
+    @SerialName("u")
+    data object Unknown : ReplyBody
+
+    /** The asked replica does not lead in the term of the request; it did not take this copy of the request. */
+    @Serializable
+    @SerialName("n")
+    data object NotLeader : ReplyBody
+
+    @Serializable
+    @SerialName("i")
+    data class ReadAt(val index: LogIndex) : ReplyBody
+
+    @Serializable
+    @SerialName("m")
+    data class MembershipEnded(val result: MembershipResult) : ReplyBody
+
+    @Serializable
+    @SerialName("s")
+    data class Status(val configuration: Configuration, val tolerance: FailureTolerance) : ReplyBody
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/LeaderRequests.kt
@@ -0,0 +1,87 @@
+package org.auburnstream.daemon.replication
+
+import org.auburnstream.consensus.Effect
+import org.auburnstream.consensus.MembershipRequestId
+import org.auburnstream.consensus.ProposalId
+import org.auburnstream.consensus.ProposalRefusal
+import org.auburnstream.consensus.ReadId
+import org.auburnstream.consensus.Replica
+import org.auburnstream.consensus.ReplicaInput
+import org.auburnstream.model.LogIndex
+
+/**
+ * Requests that this replica carries out as the leader, for its own callers and for other daemons.
+ *
+ * @property feed passes an input to the replica.
+ */
+internal class LeaderRequests(private val replica: Replica, private val feed: (ReplicaInput) -> Unit) {
+    private var lastId = 0L
+    private val proposals = HashMap<ProposalId, (ReplyBody) -> Unit>()
+    private val committed = HashMap<LogIndex, (ReplyBody) -> Unit>()
+    private val reads = HashMap<ReadId, (ReplyBody) -> Unit>()
+    private val changes = HashMap<MembershipRequestId, (ReplyBody) -> Unit>()
+
+    fun execute(body: RequestBody, reply: (ReplyBody) -> Unit) {
+        lastId += 1
+        when (body) {
+            is RequestBody.Propose -> {
+                proposals[ProposalId(lastId)] = reply
+                feed(ReplicaInput.Propose(ProposalId(lastId), body.command))
+            }
+            RequestBody.Read -> {
+                reads[ReadId(lastId)] = reply
+                feed(ReplicaInput.ReadRequested(ReadId(lastId)))
+            }
+            is RequestBody.Change -> {
+                changes[MembershipRequestId(lastId)] = reply
+                feed(ReplicaInput.MembershipRequested(MembershipRequestId(lastId), body.change))
+            }
+            RequestBody.Status -> {
+                val tolerance = replica.failureTolerance ?: return reply(ReplyBody.NotLeader)
+                reply(ReplyBody.Status(replica.configuration, tolerance))
+            }
+        }
+    }
+
+    fun onCompleted(effect: Effect.CompleteProposal) {
+        proposals.remove(effect.id)?.let { committed[effect.index] = it }
+    }
+
+    fun onRejected(effect: Effect.RejectProposal) {
+        proposals.remove(effect.id)?.invoke(replyTo(effect.reason))
+    }
+
+    fun onAbandoned(effect: Effect.AbandonProposal) {
+        proposals.remove(effect.id)?.invoke(ReplyBody.Unknown)
+    }
+
+    fun onApplied(index: LogIndex, response: ByteArray) {
+        committed.remove(index)?.invoke(ReplyBody.Committed(index, response))
+    }
+
+    fun onReadReady(effect: Effect.ReadReady) {
+        reads.remove(effect.id)?.invoke(ReplyBody.ReadAt(effect.index))
+    }
+
+    fun onReadRefused(effect: Effect.ReadRefused) {
+        reads.remove(effect.id)?.invoke(ReplyBody.NotLeader)
+    }
+
+    fun onMembershipEnded(effect: Effect.CompleteMembership) {
+        changes.remove(effect.id)?.invoke(ReplyBody.MembershipEnded(effect.result))
+    }
+
+    /** Answers everything that is still open when the replica ends. */
+    fun abandonAll() {
+        val open = proposals.values + committed.values + changes.values
+        open.forEach { it(ReplyBody.Unknown) }
+        reads.values.forEach { it(ReplyBody.Rejected(RejectReason.STOPPED)) }
+    }
+
+    private fun replyTo(refusal: ProposalRefusal): ReplyBody = when (refusal) {
+        ProposalRefusal.NOT_LEADER -> ReplyBody.NotLeader
+        ProposalRefusal.OVERLOADED -> ReplyBody.Rejected(RejectReason.OVERLOADED)
+        ProposalRefusal.TOO_LARGE -> ReplyBody.Rejected(RejectReason.TOO_LARGE)
+        ProposalRefusal.SUPERSEDED -> ReplyBody.Rejected(RejectReason.NO_LEADER)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -0,0 +1,305 @@
+package org.auburnstream.daemon.replication
+
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withContext
+import org.auburnstream.consensus.Configuration
+import org.auburnstream.consensus.Envelope
+import org.auburnstream.consensus.FailureTolerance
+import org.auburnstream.consensus.Member
+import org.auburnstream.consensus.MemberId
+import org.auburnstream.consensus.MembershipChange
+import org.auburnstream.consensus.MembershipResult
+import org.auburnstream.consensus.RaftRole
+import org.auburnstream.consensus.Replica
+import org.auburnstream.consensus.StateMachine
+import org.auburnstream.daemon.peer.PeerChannel
+import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.storage.ReplicaStore
+import org.auburnstream.storage.StorageError
+import org.auburnstream.storage.StoreResult
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * [ReplicatedGroup] that runs a [Replica] over a [PeerTransport] and a [ReplicaStore].
+ *
+ * One coroutine owns the replica and [machine]; the store works on [storeDispatcher].
+ *
+ * @param scope life of the group's coroutines.
+ * @param clock reads the monotonic clock.
+ * @param random source of the election jitter and of the process's id.
+ * @param onApplied called on the group's coroutine after entries up to the given index were applied.
+ * @param onFailure called once if the store or the replica fails; the group takes no further part then.
+ */
+public class ReplicatedGroupRunner(
+    private val scope: CoroutineScope,
+    private val transport: PeerTransport,
+    private val machine: StateMachine,
+    private val store: ReplicaStore,
+    private val configuration: GroupConfiguration,
+    private val clock: () -> MonotonicTime,
+    private val random: Random,
+    private val storeDispatcher: CoroutineDispatcher = Dispatchers.IO,
+    private val onApplied: (LogIndex) -> Unit = {},
+    private val onFailure: (GroupFailure) -> Unit = {},
+) : ReplicatedGroup {
+    private val inbox = Channel<GroupEvent>(INBOX_CAPACITY)
+    private val member =
+        Member(
+            MemberId(transport.self, store.incarnation),
+            durable = store.durable,
+            dataCentre = configuration.dataCentre,
+        )
+    private val writer = StoreWriter(store, storeDispatcher) { inbox.send(GroupEvent.Stored(it)) }
+    private val mutableStatus =
+        MutableStateFlow(ReplicaStatus(ReplicaRole.LEARNER, 0, null, LogIndex(0), LogIndex(0)))
+    private val mutableMembers = MutableStateFlow(Configuration())
+    private var job: Job? = null
+
+    @Volatile
+    private var contactTime: MonotonicTime? = null
+
+    @Volatile
+    private var isStopped = false
+
+    override val id: GroupId
+        get() = configuration.id
+
+    override val status: StateFlow<ReplicaStatus> = mutableStatus.asStateFlow()
+
+    /** Members as this replica knows them; [membershipStatus] asks the leader. */
+    public val members: StateFlow<Configuration> = mutableMembers.asStateFlow()
+
+    /** See [Replica.quorumContactTime]; null unless this replica leads. */
+    public val quorumContactTime: MonotonicTime?
+        get() = contactTime
+
+    /**
+     * Restores the state machine from the store and takes part in the group.
+     *
+     * @return the error if the snapshot cannot be read; the group does not run then.
+     */
+    public suspend fun start(): StoreResult<Unit> {
+        check(job == null) { "group ${configuration.id} was started before" }
+        val restored = store.restored
+        restored.snapshot?.let { snapshot ->
+            when (val read = store.readSnapshot(snapshot, offset = 0, maxBytes = restored.snapshotBytes.toInt())) {
+                is StoreResult.Failed -> return read
+                is StoreResult.Done -> machine.restore(snapshot.index, checkNotNull(read.value))
+            }
+        }
+        transport.register(PeerChannel.CONSENSUS) { _, payload ->
+            ReplicationCodec.decodeEnvelope(payload)?.let { inbox.trySend(GroupEvent.Received(it)) }
+        }
+        transport.register(PeerChannel.PROPOSAL) { from, payload ->
+            ReplicationCodec.decodeGroupMessage(payload)?.let { inbox.trySend(GroupEvent.Forwarded(from, it)) }
+        }
+        val replica = Replica(
+            self = member,
+            group = configuration.id,
+            restored = restored,
+            initialVoters = configuration.initialVoters,
+            peers = transport.peers,
+            random = Random(random.nextLong()),
+            now = clock(),
+            settings = configuration.settings,
+        )
+        job = scope.launch { run(replica) }
+        return StoreResult.Done(Unit)
+    }
+
+    /** Ends the part of this daemon in the group, answers all open calls and closes the store. */
+    public suspend fun stop() {
+        isStopped = true
+        job?.cancelAndJoin()
+        store.close()
+    }
+
+    override suspend fun propose(command: ByteArray, timeout: Duration): ProposeResult =
+        when (val reply = call(RequestBody.Propose(command), timeout)) {
+            is ReplyBody.Committed -> ProposeResult.Committed(reply.index, reply.response)
+            is ReplyBody.Rejected -> ProposeResult.Rejected(reply.reason)
+            else -> ProposeResult.Unknown
+        }
+
+    override suspend fun readBarrier(timeout: Duration): ReadResult =
+        when (val reply = call(RequestBody.Read, timeout)) {
+            is ReplyBody.ReadAt -> ReadResult.Ready(reply.index)
+            is ReplyBody.Rejected -> ReadResult.Refused(reply.reason)
+            else -> ReadResult.Refused(RejectReason.NO_LEADER)
+        }
+
+    /** Asks the leader for [change] and waits until it is committed. */
+    public suspend fun changeMembership(change: MembershipChange, timeout: Duration): MembershipChangeResult =
+        when (val reply = call(RequestBody.Change(change), timeout)) {
+            is ReplyBody.MembershipEnded -> MembershipChangeResult.Ended(reply.result)
+            is ReplyBody.Rejected -> MembershipChangeResult.Rejected(reply.reason)
+            else -> MembershipChangeResult.Ended(MembershipResult.Unknown)
+        }
+
+    /** Asks the leader for the members and for how many losses the group survives; null without an answer. */
+    public suspend fun membershipStatus(timeout: Duration): MembershipStatus? =
+        (call(RequestBody.Status, timeout) as? ReplyBody.Status)?.let {
+            MembershipStatus(it.configuration, it.tolerance)
+        }
+
+    private suspend fun call(body: RequestBody, timeout: Duration): ReplyBody {
+        val call = PendingCall(body)
+        val accepted = !isStopped && inbox.trySend(GroupEvent.Called(call)).isSuccess
+        if (!accepted) {
+            val reason = if (isStopped) RejectReason.STOPPED else RejectReason.OVERLOADED
+            return ReplyBody.Rejected(reason)
+        }
+        return call.await(minOf(timeout, configuration.maxTimeout))
+    }
+
+    private suspend fun run(replica: Replica) {
+        val links = GroupLinks(
+            sendEnvelope = { to, envelope ->
+                transport.send(to, PeerChannel.CONSENSUS, ReplicationCodec.encode(envelope))
+            },
+            sendGroupMessage = { to, message ->
+                transport.send(to, PeerChannel.PROPOSAL, ReplicationCodec.encode(message))
+            },
+            store = writer::submit,
+            applied = onApplied,
+        )
+        val actor = GroupActor(configuration, member.id, replica, machine, clock, random.nextLong(), links)
+        val writing = scope.launch { writer.run() }
+        try {
+            serve(replica, actor)
+        } catch (e: IllegalStateException) {
+            fail(GroupFailure.Contradiction(e.message.orEmpty()))
+        } finally {
+            isStopped = true
+            contactTime = null
+            withContext(NonCancellable) { writing.cancelAndJoin() }
+            actor.close()
+            answerLateCalls()
+        }
+    }
+
+    private suspend fun serve(replica: Replica, actor: GroupActor) {
+        while (true) {
+            val event = nextEvent(actor.deadline)
+            if (event is GroupEvent.Stored && event.report is StoreReport.Failed) {
+                return fail(GroupFailure.Storage(event.report.error))
+            }
+            handle(actor, event)
+            publish(replica, actor)
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextEvent(deadline: MonotonicTime): GroupEvent? {
+        val wait = maxOf(deadline - clock(), MIN_WAIT)
+        return select {
+            inbox.onReceive { it }
+            onTimeout(wait) { null }
+        }
+    }
+
+    private fun handle(actor: GroupActor, event: GroupEvent?) {
+        when (event) {
+            null -> Unit
+            is GroupEvent.Received -> actor.onEnvelope(event.envelope)
+            is GroupEvent.Forwarded -> actor.onGroupMessage(event.from, event.message)
+            is GroupEvent.Called -> actor.onCall(event.call)
+            is GroupEvent.Stored -> actor.onReport(event.report)
+        }
+        if (clock() >= actor.deadline) actor.tick()
+    }
+
+    private fun publish(replica: Replica, actor: GroupActor) {
+        contactTime = replica.quorumContactTime
+        mutableMembers.value = replica.configuration
+        mutableStatus.value = ReplicaStatus(
+            role = roleOf(replica),
+            term = replica.term,
+            leader = replica.leader?.daemon,
+            commitIndex = replica.commitIndex,
+            appliedIndex = actor.appliedIndex,
+        )
+    }
+
+    private fun roleOf(replica: Replica): ReplicaRole = when {
+        replica.role == RaftRole.LEADER -> ReplicaRole.LEADER
+        !replica.configuration.isVoter(member.id) -> ReplicaRole.LEARNER
+        replica.role == RaftRole.FOLLOWER -> ReplicaRole.FOLLOWER
+        else -> ReplicaRole.CANDIDATE
+    }
+
+    private fun fail(failure: GroupFailure) {
+        logger.error("event=group_failed group={} failure=\"{}\"", configuration.id, failure.message)
+        onFailure(failure)
+    }
+
+    private fun answerLateCalls() {
+        while (true) {
+            val event = inbox.tryReceive().getOrNull() ?: return
+            if (event is GroupEvent.Called) event.call.complete(ReplyBody.Rejected(RejectReason.STOPPED))
+        }
+    }
+
+    private companion object {
+        val logger = LoggerFactory.getLogger(ReplicatedGroupRunner::class.java)
+        val MIN_WAIT = 1.milliseconds
+        const val INBOX_CAPACITY = 4096
+    }
+}
+
+/** Why a group ended by itself. */
+public sealed interface GroupFailure {
+    /** Text for the operator. */
+    public val message: String
+
+    /** The store failed. */
+    public data class Storage(val error: StorageError) : GroupFailure {
+        override val message: String
+            get() = error.message
+    }
+
+    /** The replica found that its log contradicts itself or another replica. */
+    public data class Contradiction(override val message: String) : GroupFailure
+}
+
+/** Members of a group and its tolerance of failures, as the leader sees them. */
+public data class MembershipStatus(val configuration: Configuration, val tolerance: FailureTolerance)
+
+/** Result of a change of the members asked for at any daemon. */
+public sealed interface MembershipChangeResult {
+    /** The leader answered. */
+    public data class Ended(val result: MembershipResult) : MembershipChangeResult
+
+    /** The request did not reach a leader. */
+    public data class Rejected(val reason: RejectReason) : MembershipChangeResult
+}
+
+private sealed interface GroupEvent {
+    class Received(val envelope: Envelope) : GroupEvent
+
+    class Forwarded(val from: DaemonId, val message: GroupMessage) : GroupEvent
+
+    class Called(val call: PendingCall) : GroupEvent
+
+    class Stored(val report: StoreReport) : GroupEvent
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/SnapshotTrigger.kt
@@ -0,0 +1,28 @@
+package org.auburnstream.daemon.replication
+
+import org.auburnstream.consensus.LogEntry
+
+/** Decides when the state machine is due for a snapshot. */
+internal class SnapshotTrigger(private val configuration: GroupConfiguration) {
+    private var entries = 0L
+    private var bytes = 0L
+    private var inProgress = false
+
+    val isDue: Boolean
+        get() = !inProgress && (entries >= configuration.snapshotEntries || bytes >= configuration.snapshotBytes)
+
+    fun applied(entry: LogEntry) {
+        entries += 1
+        bytes += entry.approximateBytes
+    }
+
+    fun started() {
+        inProgress = true
+        entries = 0
+        bytes = 0
+    }
+
+    fun saved() {
+        inProgress = false
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
@@ -0,0 +1,164 @@
+package org.auburnstream.daemon.replication
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.auburnstream.consensus.Incarnation
+import org.auburnstream.consensus.ReplicaSettings
+import org.auburnstream.consensus.StateMachine
+import org.auburnstream.daemon.peer.PeerChannel
+import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.storage.DiskFolder
+import org.auburnstream.storage.FileReplicaStore
+import org.auburnstream.storage.MemoryReplicaStore
+import org.auburnstream.storage.ReplicaStore
+import org.auburnstream.storage.StoreResult
+import java.nio.file.Path
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Daemons on virtual time whose links lose, delay and double messages. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class GroupFixture(
+    private val test: TestScope,
+    private val folder: Path,
+    seed: Int = 1,
+    private val voters: Int = 3,
+    learners: Int = 2,
+    private val snapshotEntries: Long = 10_000,
+) {
+    val random = Random(seed)
+    var loss = 0.0
+    var doubling = 0.0
+    var maxDelay = 2.milliseconds
+    val names = (1..voters + learners).map { DaemonId("d$it") }
+    private val down = HashSet<DaemonId>()
+    private val daemons = names.associateWith { DaemonUnderTest(it) }.toMutableMap()
+
+    operator fun get(name: DaemonId) = daemons.getValue(name)
+
+    suspend fun start() = daemons.values.forEach { it.start() }
+
+    fun running() = names.filter { it !in down }.map { get(it) }
+
+    suspend fun awaitLeader(): DaemonUnderTest {
+        repeat(200) {
+            running().firstOrNull { it.group.quorumContactTime != null }?.let { return it }
+            delay(50.milliseconds)
+        }
+        error("no leader: ${running().map { it.group.status.value }}")
+    }
+
+    suspend fun awaitApplied(count: Int) {
+        repeat(200) {
+            if (running().all { it.machine.commands.size >= count }) return
+            delay(50.milliseconds)
+        }
+        error("not applied: ${running().map { it.machine.commands.size }}")
+    }
+
+    suspend fun stop(name: DaemonId) {
+        down.add(name)
+        get(name).group.stop()
+    }
+
+    suspend fun restart(name: DaemonId) {
+        down.remove(name)
+        daemons[name] = DaemonUnderTest(name).also { it.start() }
+    }
+
+    fun wipe(name: DaemonId) {
+        folder.resolve(name.value).toFile().deleteRecursively()
+    }
+
+    inner class DaemonUnderTest(private val name: DaemonId) : PeerTransport {
+        private val handlers = HashMap<PeerChannel, suspend (DaemonId, ByteArray) -> Unit>()
+        val machine = RecordingMachine()
+        val failures = ArrayList<GroupFailure>()
+        val group = ReplicatedGroupRunner(
+            scope = test.backgroundScope,
+            transport = this,
+            machine = machine,
+            store = openStore(),
+            configuration = GroupConfiguration(
+                id = GroupId("control"),
+                initialVoters = names.take(voters).toSet(),
+                settings = ReplicaSettings.Default.copy(replacementDelay = 3.seconds, snapshotChunkBytes = 512),
+                snapshotEntries = snapshotEntries,
+            ),
+            clock = { MonotonicTime(test.currentTime * 1_000_000) },
+            random = Random(random.nextInt()),
+            storeDispatcher = StandardTestDispatcher(test.testScheduler),
+            onFailure = { failures.add(it) },
+        )
+
+        override val self get() = name
+        override val peers get() = names.toSet() - name
+
+        suspend fun start() = check(group.start() is StoreResult.Done)
+
+        override fun send(to: DaemonId, channel: PeerChannel, payload: ByteArray): Boolean {
+            val copies = if (random.nextDouble() < doubling) 2 else 1
+            repeat(copies) {
+                if (random.nextDouble() >= loss) test.backgroundScope.launch { deliver(to, channel, payload) }
+            }
+            return true
+        }
+
+        override fun register(channel: PeerChannel, handler: suspend (from: DaemonId, payload: ByteArray) -> Unit) {
+            handlers[channel] = handler
+        }
+
+        private suspend fun deliver(to: DaemonId, channel: PeerChannel, payload: ByteArray) {
+            delay(random.nextLong(maxDelay.inWholeMilliseconds + 1).milliseconds)
+            if (to !in down && name !in down) get(to).handlers[channel]?.invoke(name, payload)
+        }
+
+        private fun openStore(): ReplicaStore {
+            val durable = names.indexOf(name) < voters + 1
+            if (!durable) return MemoryReplicaStore(Incarnation(random.nextLong()))
+            val disk = DiskFolder.open(folder.resolve(name.value)) as StoreResult.Done
+            val opened = FileReplicaStore.open(disk.value, random, segmentBytes = 4096)
+            check(opened is StoreResult.Done) { "$opened" }
+            return opened.value
+        }
+    }
+}
+
+/** Remembers the commands; the answer is the number of the command. */
+internal class RecordingMachine : StateMachine {
+    val commands = ArrayList<String>()
+
+    override fun apply(index: LogIndex, command: ByteArray): ByteArray {
+        commands.add(command.decodeToString())
+        return commands.size.toString().encodeToByteArray()
+    }
+
+    override fun snapshot(): ByteArray = commands.joinToString(",").encodeToByteArray()
+
+    override fun restore(index: LogIndex, snapshot: ByteArray) {
+        commands.clear()
+        commands.addAll(snapshot.decodeToString().split(',').filter { it.isNotEmpty() })
+    }
+}
+
+/** Proposes until the command is surely committed; for commands that may run twice. */
+internal suspend fun ReplicatedGroup.proposeUntilCommitted(
+    command: String,
+    timeout: Duration = 2.seconds,
+): ProposeResult {
+    repeat(50) {
+        val result = propose(command.encodeToByteArray(), timeout)
+        if (result is ProposeResult.Committed) return result
+    }
+    error("$command was not committed")
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -0,0 +1,125 @@
+package org.auburnstream.daemon.replication
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ReplicatedGroupRunnerTest {
+    @TempDir
+    lateinit var folder: Path
+
+    private fun group(seed: Int = 1, snapshotEntries: Long = 10_000, test: suspend TestScope.(GroupFixture) -> Unit) =
+        runTest {
+            val group = GroupFixture(this, folder, seed, snapshotEntries = snapshotEntries)
+            group.start()
+            group.awaitLeader()
+            test(group)
+        }
+
+    @Test
+    fun aProposalOfAnyDaemonIsAppliedEverywhereAndAnsweredByTheStateMachine() = group { group ->
+        group.names.forEachIndexed { i, name ->
+            val result =
+                assertIs<ProposeResult.Committed>(group[name].group.propose("c$i".encodeToByteArray(), 5.seconds))
+            assertEquals("${i + 1}", result.response.decodeToString())
+        }
+        group.awaitApplied(group.names.size)
+        assertEquals(1, group.running().map { it.machine.commands }.toSet().size)
+    }
+
+    @Test
+    fun doubledAndLostRequestsAreExecutedAtMostOnce() = group { group ->
+        group.doubling = 0.5
+        group.loss = 0.2
+        val results = (1..60).map { i ->
+            async { group[group.names.random(group.random)].group.propose("c$i".encodeToByteArray(), 5.seconds) }
+        }.awaitAll()
+        group.loss = 0.0
+        delay(2.seconds)
+        val commands = group.awaitLeader().machine.commands
+        assertEquals(commands.distinct(), commands)
+        results.forEachIndexed { i, result ->
+            if (result is ProposeResult.Committed) assertTrue("c${i + 1}" in commands)
+            if (result is ProposeResult.Rejected) assertTrue("c${i + 1}" !in commands)
+        }
+        assertTrue(results.count { it is ProposeResult.Committed } > 30, "$results")
+    }
+
+    @Test
+    fun aReadSeesEverythingThatWasCommittedBefore() = group { group ->
+        repeat(10) { i ->
+            group[group.names[i % 5]].group.proposeUntilCommitted("c$i")
+            val reader = group[group.names[(i + 1) % 5]]
+            assertIs<ReadResult.Ready>(reader.group.readBarrier(5.seconds))
+            assertEquals("c$i", reader.machine.commands.last())
+        }
+    }
+
+    @Test
+    fun withoutAQuorumNothingIsAcceptedOrRead() = group { group ->
+        val leader = group.awaitLeader()
+        group.names.take(3).filter { it != leader.self }.forEach { group.stop(it) }
+        delay(3.seconds)
+        assertNull(leader.group.quorumContactTime)
+        assertEquals(ProposeResult.Rejected(RejectReason.NO_LEADER), leader.group.propose(ByteArray(1), 1.seconds))
+        assertIs<ReadResult.Refused>(leader.group.readBarrier(1.seconds))
+    }
+
+    @Test
+    fun acceptedCommandsSurviveTheLossOfTheLeaderAndTheRestartOfAll() = group(snapshotEntries = 20) { group ->
+        repeat(3) { round ->
+            repeat(30) { group[group.names[it % 3]].group.proposeUntilCommitted("r$round-$it") }
+            val leader = group.awaitLeader()
+            group.stop(leader.self)
+            group.awaitLeader().group.proposeUntilCommitted("after-$round")
+            group.restart(leader.self)
+        }
+        val accepted = group.awaitLeader().machine.commands.toList()
+        group.names.forEach { group.stop(it) }
+        group.names.forEach { group.restart(it) }
+        group.awaitLeader().group.proposeUntilCommitted("last")
+        group.awaitApplied(accepted.size + 1)
+        group.running().forEach { assertEquals(accepted + "last", it.machine.commands) }
+    }
+
+    @Test
+    fun aVoterWhoseDiskWasLostComesBackAsAnotherMemberAndIsPromoted() = group(snapshotEntries = 20) { group ->
+        repeat(50) { group.awaitLeader().group.proposeUntilCommitted("c$it") }
+        val lost = group.names.take(3).first { it != group.awaitLeader().self }
+        group.stop(lost)
+        group.wipe(lost)
+        group.restart(lost)
+        delay(8.seconds)
+        val status = group.awaitLeader().group.membershipStatus(2.seconds)!!
+        assertTrue(status.tolerance.isSafeAgainstNextLoss, "$status")
+        assertEquals(3, status.configuration.voters.size)
+        group.awaitApplied(50)
+        assertEquals(1, group.running().map { it.machine.commands }.toSet().size)
+    }
+
+    @Test
+    fun callsEndWhenTheGroupStops() = group { group ->
+        val stopped = group[group.names.last()].group
+        stopped.stop()
+        assertEquals(ProposeResult.Rejected(RejectReason.STOPPED), stopped.propose(ByteArray(1), 1.seconds))
+    }
+
+    @Test
+    fun slowLinksDelayButDoNotBreakTheGroup() = group(seed = 7) { group ->
+        group.maxDelay = 60.milliseconds
+        group.loss = 0.05
+        repeat(20) { group[group.names[it % 5]].group.proposeUntilCommitted("c$it") }
+        group.awaitApplied(20)
+    }
+}
