Carry a caller's request to an announced target and back

Cause: no request path existed. Ruled out: Ktor's server engine and client for the path itself. The engine goes on with a request whose caller closed the connection and ends a truncated chunked answer like a whole one; the client hides whether a byte of a request was written. Both sides use Ktor's sockets and HTTP parser instead; announcements use the server engine.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RequestReader.kt
@@ -0,0 +1,212 @@
+package org.auburnstream.daemon.caller
+
+import io.ktor.http.cio.HttpHeadersMap
+import io.ktor.http.cio.ParserException
+import io.ktor.http.cio.Request
+import io.ktor.http.cio.decodeChunked
+import io.ktor.http.cio.parseRequest
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.cancel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readRemaining
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.readByteArray
+import org.auburnstream.daemon.http.HeadTooLargeException
+import org.auburnstream.daemon.http.HeadTruncatedException
+import org.auburnstream.daemon.http.awaitHead
+import org.auburnstream.daemon.target.RequestHeaders
+import org.auburnstream.model.IdempotencyKey
+import org.auburnstream.model.MAX_ID_LENGTH
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.RequestId
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.TeamId
+import org.auburnstream.model.Urgency
+import org.auburnstream.model.isValidId
+import org.auburnstream.routing.RoutingInput
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Reads the requests of one caller's connection, within the bounds of [settings]. */
+internal class RequestReader(
+    private val settings: CallerSettings,
+    private val input: ByteReadChannel,
+    private val output: ByteWriteChannel,
+    private val clock: () -> MonotonicTime,
+    private val nextId: () -> RequestId,
+) {
+    /** Waits for the next request. */
+    suspend fun read(): ReadResult {
+        val begun = withTimeoutOrNull(settings.idleTimeout) { input.awaitContent() } ?: return ReadResult.Ended
+        if (!begun) return ReadResult.Ended
+        return withTimeoutOrNull(settings.readTimeout) { readBegun() } ?: ReadResult.Invalid(RequestFault.READ_TIMEOUT)
+    }
+
+    private suspend fun readBegun(): ReadResult {
+        try {
+            if (!awaitHead(input, settings.headBytes)) return ReadResult.Ended
+            val head = parseRequest(input) ?: return ReadResult.Ended
+            return head.use { read(it) }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: HeadTooLargeException) {
+            return ReadResult.Invalid(RequestFault.HEAD_TOO_LARGE)
+        } catch (e: HeadTruncatedException) {
+            return ReadResult.Ended
+        } catch (e: ParserException) {
+            return ReadResult.Invalid(RequestFault.MALFORMED_HEAD)
+        } catch (e: Exception) {
+            return ReadResult.Invalid(RequestFault.MALFORMED_HEAD)
+        }
+    }
+
+    private suspend fun read(head: Request): ReadResult {
+        val arrived = clock()
+        val headers = head.headers
+        val target = ServicePath.parse(head.uri.toString()) ?: return ReadResult.Invalid(RequestFault.INVALID_PATH)
+        val deadline =
+            deadline(headers[RequestHeaders.DEADLINE_MS]) ?: return ReadResult.Invalid(RequestFault.INVALID_DEADLINE)
+        val urgency =
+            urgency(headers[RequestHeaders.URGENCY]) ?: return ReadResult.Invalid(RequestFault.INVALID_URGENCY)
+        val team = team(headers[RequestHeaders.TEAM]) ?: return ReadResult.Invalid(RequestFault.INVALID_TEAM)
+        val key = headers[RequestHeaders.IDEMPOTENCY_KEY]?.toString()
+        if (key != null && !isValidKey(key)) return ReadResult.Invalid(RequestFault.INVALID_KEY)
+        val body =
+            when (val read = readBody(headers)) {
+                is BodyResult.Read -> read.bytes
+                is BodyResult.Failed -> return ReadResult.Invalid(read.fault)
+            }
+        val request =
+            CallerRequest(
+                id = nextId(),
+                service = target.service,
+                method = head.method,
+                path = target.path,
+                arrived = arrived,
+                deadline = arrived + deadline,
+                team = team,
+                urgency = urgency,
+                key = key?.let(::IdempotencyKey),
+                traceparent = headers[RequestHeaders.TRACEPARENT]?.toString(),
+                headers = RequestHeaders.endToEnd(headers),
+                body = body,
+            )
+        return ReadResult.Complete(request, keepAlive(head))
+    }
+
+    private suspend fun readBody(headers: HttpHeadersMap): BodyResult {
+        val lengths = headers.getAll("Content-Length").map { it.toString() }.toSet()
+        val encodings = headers.getAll("Transfer-Encoding").map { it.toString() }.toList()
+        if (lengths.size > 1 || lengths.isNotEmpty() && encodings.isNotEmpty()) {
+            return BodyResult.Failed(RequestFault.MALFORMED_BODY)
+        }
+        if (lengths.isEmpty() && encodings.isEmpty()) return BodyResult.Read(ByteArray(0))
+        if (headers["Expect"]?.contains("100-continue", ignoreCase = true) == true) sendContinue()
+        if (encodings.isEmpty()) return readLength(lengths.single())
+        val chunked = encodings.singleOrNull().equals("chunked", ignoreCase = true)
+        return if (chunked) readChunked() else BodyResult.Failed(RequestFault.MALFORMED_BODY)
+    }
+
+    private suspend fun readLength(text: String): BodyResult {
+        val length = if (text.all { it in '0'..'9' }) text.toLongOrNull() else null
+        return when {
+            length == null -> BodyResult.Failed(RequestFault.MALFORMED_BODY)
+            length > settings.bodyBytes -> BodyResult.Failed(RequestFault.BODY_TOO_LARGE)
+            else -> readOrTruncated { input.readByteArray(length.toInt()) }
+        }
+    }
+
+    private suspend fun readChunked(): BodyResult = readOrTruncated {
+        coroutineScope {
+            val decoded = decodeChunked(input, UNKNOWN_LENGTH).channel
+            val bytes = decoded.readRemaining(settings.bodyBytes + 1L).readByteArray()
+            if (bytes.size > settings.bodyBytes) decoded.cancel()
+            bytes
+        }
+    }
+
+    private suspend fun readOrTruncated(read: suspend () -> ByteArray): BodyResult = try {
+        val bytes = read()
+        if (bytes.size >
+            settings.bodyBytes
+        ) {
+            BodyResult.Failed(RequestFault.BODY_TOO_LARGE)
+        } else {
+            BodyResult.Read(bytes)
+        }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        BodyResult.Failed(RequestFault.MALFORMED_BODY)
+    }
+
+    private suspend fun sendContinue() {
+        output.writeFully("HTTP/1.1 100 Continue\r\n\r\n".toByteArray())
+        output.flush()
+    }
+
+    private fun deadline(text: CharSequence?): Duration? {
+        if (text == null) return settings.defaultDeadline
+        val millis = text.toString().toLongOrNull() ?: return null
+        return if (millis > 0) minOf(millis.milliseconds, settings.longestDeadline) else null
+    }
+
+    private fun urgency(text: CharSequence?): Urgency? {
+        if (text == null) return Urgency.NORMAL
+        return Urgency.entries.firstOrNull { it.name.equals(text.toString(), ignoreCase = true) }
+    }
+
+    private fun team(text: CharSequence?): TeamId? {
+        if (text == null) return RoutingInput.DefaultTeam
+        return if (isValidId(text.toString())) TeamId(text.toString()) else null
+    }
+
+    private fun isValidKey(key: String): Boolean =
+        key.length in 1..MAX_ID_LENGTH && key.all { it.code in PrintableAscii }
+
+    private fun keepAlive(head: Request): Boolean {
+        val connection = head.headers["Connection"]?.toString().orEmpty()
+        return head.version.toString() == "HTTP/1.1" && !connection.contains("close", ignoreCase = true)
+    }
+
+    private companion object {
+        const val UNKNOWN_LENGTH = -1L
+        val PrintableAscii = 0x21..0x7e
+    }
+}
+
+/** What a caller's connection brought. */
+internal sealed interface ReadResult {
+    class Complete(val request: CallerRequest, val keepAlive: Boolean) : ReadResult
+
+    /** The request was not understood; the connection is closed after the refusal. */
+    data class Invalid(val fault: RequestFault) : ReadResult
+
+    /** The caller closed the connection or left it idle. */
+    data object Ended : ReadResult
+}
+
+private sealed interface BodyResult {
+    class Read(val bytes: ByteArray) : BodyResult
+
+    class Failed(val fault: RequestFault) : BodyResult
+}
+
+/** Service and remaining path of a request's URI. */
+internal class ServicePath(val service: ServiceId, val path: String) {
+    companion object {
+        /** Splits `/service/rest?query`, or returns null if it does not begin with a valid service id. */
+        fun parse(uri: String): ServicePath? {
+            if (!uri.startsWith('/')) return null
+            val end = uri.indexOfAny(charArrayOf('/', '?'), startIndex = 1).let { if (it < 0) uri.length else it }
+            val service = uri.substring(1, end)
+            if (!isValidId(service)) return null
+            val rest = uri.substring(end)
+            return ServicePath(ServiceId(service), if (rest.startsWith('/')) rest else "/$rest")
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/org/auburnstream/routing/ServiceState.kt
@@ -0,0 +1,37 @@
+package org.auburnstream.routing
+
+import org.auburnstream.model.MonotonicTime
+import kotlin.time.Duration
+
+/** Queue, budget and observed run times of one service on this daemon. */
+internal class ServiceState(val policy: ServicePolicy) {
+    val queue: ServiceQueue = ServiceQueue(policy)
+    val retries: RetryBudget = RetryBudget(policy.retryShare, policy.retryBurst)
+    val runTime: RunTimeEstimate = RunTimeEstimate()
+
+    /** Requests of the service that are running. */
+    var running: Int = 0
+
+    /** Returns this service under another [policy], with its waiting and running requests. */
+    fun with(policy: ServicePolicy): ServiceState {
+        val next = ServiceState(policy)
+        next.running = running
+        queue.all().toList().asReversed().forEach(next.queue::putBack)
+        if (runTime.known) next.runTime.observe(runTime.typical)
+        return next
+    }
+
+    /**
+     * Returns whether a request that starts after [wait] can be answered by [deadline].
+     *
+     * While nothing runs there is no fresh run time to judge by, so a request is let through to observe one.
+     */
+    fun canAnswer(deadline: MonotonicTime, wait: Duration, now: MonotonicTime): Boolean {
+        if (now >= deadline) return false
+        if (running == 0 && queue.size == 0) return true
+        return now + wait + runTime.typical <= deadline
+    }
+
+    /** Time in which [requests] are started on [slots] slots, by observed run times. */
+    fun waitFor(requests: Int, slots: Int): Duration = runTime.typical * requests / slots.coerceAtLeast(1)
+}
--- /dev/null
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Ticket.kt
@@ -0,0 +1,21 @@
+package org.auburnstream.routing
+
+import kotlin.jvm.JvmInline
+
+/** Identifies one request inside one daemon's life. */
+@JvmInline
+public value class Ticket(public val value: Long) {
+    override fun toString(): String = value.toString()
+}
+
+/** Number of a send of one request; the first send is attempt 1. */
+@JvmInline
+public value class Attempt(public val value: Int) {
+    override fun toString(): String = value.toString()
+
+    internal fun next(): Attempt = Attempt(value + 1)
+
+    internal companion object {
+        val None: Attempt = Attempt(0)
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditAllocator.kt
@@ -0,0 +1,109 @@
+package org.auburnstream.routing.credit
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.VmId
+import org.auburnstream.routing.CreditSettings
+
+/**
+ * Grants the slots of the targets that this daemon allocates under the current [DaemonView].
+ *
+ * Each configured daemon owns a static share of every target. The slots left over by the division, and the shares
+ * of daemons that have long been without a settings lease, are granted as leases. A new allocator grants nothing
+ * until every configured daemon has reported what it holds, or until everything that its predecessor may have
+ * granted, and every exchange sent under it, has ended.
+ */
+internal class CreditAllocator(
+    private val self: DaemonId,
+    private val settings: CreditSettings,
+    view: DaemonView,
+    start: MonotonicTime,
+) {
+    private var view = view
+    private val absentSince = HashMap<DaemonId, MonotonicTime>()
+    private val targets = HashMap<VmId, TargetCredits>()
+    private val epochs = HashMap<DaemonId, Long>()
+    private val sequences = HashMap<DaemonId, Long>()
+    private var viewSince = start
+    private val settling = settings.lease + settings.longestExchange
+
+    fun viewChanged(next: DaemonView, now: MonotonicTime) {
+        if (next.version <= view.version) return
+        view = next
+        viewSince = now
+        targets.keys.retainAll { next.allocator(it) == self }
+        for (target in targets.values) {
+            target.reported.retainAll(next.live)
+            target.sharing.retainAll(next.live)
+        }
+        for (daemon in next.configured) {
+            if (daemon in next.live) absentSince.remove(daemon) else absentSince.getOrPut(daemon) { now }
+        }
+    }
+
+    /** Answers [request] of [from], or returns null if it is outdated. */
+    fun request(from: DaemonId, request: CreditMessage.Request, now: MonotonicTime): CreditMessage.Grants? {
+        if (request.view != view.version || from !in view.live || !isNewer(from, request)) return null
+        val grants = request.demands.filter { view.allocator(it.vm) == self }.map { grant(from, it, now) }
+        return CreditMessage.Grants(view.version, request.epoch, request.sequence, grants)
+    }
+
+    /** Forgets the targets that are not [known] any more once nothing granted of them can be in use. */
+    fun purge(now: MonotonicTime, known: (VmId) -> Boolean) {
+        targets.entries.removeIf { !known(it.key) && it.value.committedToOthers(daemon = null, now) == 0 }
+    }
+
+    private fun isNewer(from: DaemonId, request: CreditMessage.Request): Boolean {
+        val epoch = epochs[from]
+        if (epoch != null && request.epoch < epoch) return false
+        if (request.epoch == epoch && request.sequence <= sequences.getValue(from)) return false
+        epochs[from] = request.epoch
+        sequences[from] = request.sequence
+        return true
+    }
+
+    private fun grant(from: DaemonId, demand: CreditDemand, now: MonotonicTime): CreditGrant {
+        val target = targets.getOrPut(demand.vm) { TargetCredits(since = now) }
+        target.reported += from
+        target.wanting[from] = demand.wanted
+        val settled = isSettled(target, now)
+        val pool = pool(target, demand.slots, settled, now)
+        val free = pool - target.committedToOthers(from, now)
+        if (free >= 0 && target.reported.containsAll(view.live)) target.sharing += from
+        val allowed = if (settled) minOf(free, target.fairPart(pool)) else demand.held
+        val slots = minOf(demand.wanted, allowed).coerceAtLeast(0)
+        target.commit(from, maxOf(slots, demand.held), until = now + settling)
+        return CreditGrant(demand.vm, slots, share = !view.leased || from in target.sharing)
+    }
+
+    private fun isSettled(target: TargetCredits, now: MonotonicTime): Boolean =
+        target.reported.containsAll(view.configured) || now - maxOf(target.since, viewSince) >= settling
+
+    /** Slots of a target that can be leased: the rest of the division and the shares of long absent daemons. */
+    private fun pool(target: TargetCredits, slots: Int, settled: Boolean, now: MonotonicTime): Int {
+        val share = view.share(slots)
+        val rest = slots - share * view.configured.size
+        if (!settled || !view.leased) return rest
+        val lenders = absentSince.values.count { now - maxOf(it, target.since) >= settling }
+        return rest + lenders * share
+    }
+}
+
+/** What the holders of one target's slots may have in use beyond their static shares. */
+private class TargetCredits(val since: MonotonicTime) {
+    val reported = HashSet<DaemonId>()
+    val wanting = HashMap<DaemonId, Int>()
+    val sharing = HashSet<DaemonId>()
+    private val commitments = HashMap<DaemonId, Commitment>()
+
+    fun commit(daemon: DaemonId, slots: Int, until: MonotonicTime) {
+        commitments[daemon] = Commitment(slots, until)
+    }
+
+    fun committedToOthers(daemon: DaemonId?, now: MonotonicTime): Int =
+        commitments.entries.sumOf { if (it.key != daemon && it.value.until > now) it.value.slots else 0 }
+
+    fun fairPart(pool: Int): Int = maxOf(1, pool / wanting.values.count { it > 0 }.coerceAtLeast(1))
+}
+
+private class Commitment(val slots: Int, val until: MonotonicTime)
