--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/CallerSettings.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/CallerSettings.kt
@@ -19,10 +19,13 @@
     val host: String = "127.0.0.1",
     val port: Int = 0,
     val connections: Int = 4096,
-    val headBytes: Int = 16 * 1024,
-    val bodyBytes: Int = 1024 * 1024,
+    val headBytes: Int = DEFAULT_HEAD_BYTES,
+    val bodyBytes: Int = DEFAULT_BODY_BYTES,
     val defaultDeadline: Duration = 10.seconds,
     val longestDeadline: Duration = 30.seconds,
     val readTimeout: Duration = 10.seconds,
     val idleTimeout: Duration = 60.seconds,
 )
+
+private const val DEFAULT_HEAD_BYTES = 16 * 1024
+private const val DEFAULT_BODY_BYTES = 1024 * 1024
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.caller
 
+import io.ktor.http.HttpStatusCode
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.auburnstream.model.NotRunReason
@@ -40,7 +41,7 @@
         public fun notRun(reason: NotRunReason, retryAfter: Duration, id: RequestId): Problem = Problem(
             type = TYPE_PREFIX + reason.name.kebab(),
             title = reason.title(),
-            status = reason.status(),
+            status = reason.status().value,
             outcome = NOT_RUN,
             request = id.value,
             retryAfterMs = retryAfter.inWholeMilliseconds,
@@ -50,7 +51,7 @@
         public fun unknown(reason: UnknownReason, id: RequestId): Problem = Problem(
             type = TYPE_PREFIX + OUTCOME_UNKNOWN,
             title = "The request may have run; its answer is lost (${reason.name.kebab()}).",
-            status = if (reason == UnknownReason.DEADLINE_EXCEEDED) GATEWAY_TIMEOUT else BAD_GATEWAY,
+            status = unknownStatus(reason).value,
             outcome = OUTCOME_UNKNOWN,
             request = id.value,
         )
@@ -59,54 +60,63 @@
         public fun invalid(fault: RequestFault): Problem = Problem(
             type = TYPE_PREFIX + fault.name.kebab(),
             title = fault.title,
-            status = fault.status,
+            status = fault.status.value,
             outcome = NOT_RUN,
         )
     }
 }
 
 /** Why a request was not understood. */
-public enum class RequestFault(internal val status: Int, internal val title: String) {
+public enum class RequestFault(internal val status: HttpStatusCode, internal val title: String) {
     /** The head broke HTTP/1.1. */
-    MALFORMED_HEAD(400, "The request line or a header field is malformed."),
+    MALFORMED_HEAD(HttpStatusCode.BadRequest, "The request line or a header field is malformed."),
 
     /** The body was cut short or broke HTTP/1.1. */
-    MALFORMED_BODY(400, "The body is cut short, or its length is given twice or wrongly."),
+    MALFORMED_BODY(HttpStatusCode.BadRequest, "The body is cut short, or its length is given twice or wrongly."),
 
     /** The head exceeds the bound. */
-    HEAD_TOO_LARGE(431, "The head of the request is too large; send fewer or shorter header fields."),
+    HEAD_TOO_LARGE(
+        HttpStatusCode.RequestHeaderFieldTooLarge,
+        "The head of the request is too large; send fewer or shorter header fields.",
+    ),
 
     /** The body exceeds the bound. */
-    BODY_TOO_LARGE(413, "The body of the request is too large."),
+    BODY_TOO_LARGE(HttpStatusCode.PayloadTooLarge, "The body of the request is too large."),
 
     /** The request was not read in time. */
-    READ_TIMEOUT(408, "The request did not arrive in time."),
+    READ_TIMEOUT(HttpStatusCode.RequestTimeout, "The request did not arrive in time."),
 
     /** The path does not begin with a service id. */
-    INVALID_PATH(404, "The path must begin with the id of a service, as in /orders/42."),
+    INVALID_PATH(HttpStatusCode.NotFound, "The path must begin with the id of a service, as in /orders/42."),
 
     /** The deadline is not a number of milliseconds above zero. */
-    INVALID_DEADLINE(400, "X-Request-Deadline-Ms must be a whole number of milliseconds above zero."),
+    INVALID_DEADLINE(
+        HttpStatusCode.BadRequest,
+        "X-Request-Deadline-Ms must be a whole number of milliseconds above zero.",
+    ),
 
     /** The urgency class is unknown. */
-    INVALID_URGENCY(400, "X-Urgency must be batch, normal or urgent."),
+    INVALID_URGENCY(HttpStatusCode.BadRequest, "X-Urgency must be batch, normal or urgent."),
 
     /** The team is not an id. */
-    INVALID_TEAM(400, "X-Team must be 1 to 128 letters, digits, '.', '_' or '-'."),
+    INVALID_TEAM(HttpStatusCode.BadRequest, "X-Team must be 1 to 128 letters, digits, '.', '_' or '-'."),
 
     /** The idempotency key is not valid. */
-    INVALID_KEY(400, "Idempotency-Key must be 1 to 128 printable characters without spaces."),
+    INVALID_KEY(HttpStatusCode.BadRequest, "Idempotency-Key must be 1 to 128 printable characters without spaces."),
 
     /** Too many connections are open. */
-    TOO_MANY_CONNECTIONS(503, "Too many connections are open; come back later."),
+    TOO_MANY_CONNECTIONS(HttpStatusCode.ServiceUnavailable, "Too many connections are open; come back later."),
 }
 
-private fun NotRunReason.status(): Int = when (this) {
-    NotRunReason.OVERLOADED, NotRunReason.DISPLACED -> TOO_MANY_REQUESTS
-    NotRunReason.UNKNOWN_SERVICE -> NOT_FOUND
-    NotRunReason.KEY_IN_PROGRESS -> CONFLICT
-    NotRunReason.KEY_REUSED -> UNPROCESSABLE
-    else -> UNAVAILABLE
+private fun unknownStatus(reason: UnknownReason): HttpStatusCode =
+    if (reason == UnknownReason.DEADLINE_EXCEEDED) HttpStatusCode.GatewayTimeout else HttpStatusCode.BadGateway
+
+private fun NotRunReason.status(): HttpStatusCode = when (this) {
+    NotRunReason.OVERLOADED, NotRunReason.DISPLACED -> HttpStatusCode.TooManyRequests
+    NotRunReason.UNKNOWN_SERVICE -> HttpStatusCode.NotFound
+    NotRunReason.KEY_IN_PROGRESS -> HttpStatusCode.Conflict
+    NotRunReason.KEY_REUSED -> HttpStatusCode.UnprocessableEntity
+    else -> HttpStatusCode.ServiceUnavailable
 }
 
 private fun NotRunReason.title(): String = when (this) {
@@ -125,11 +135,3 @@
 }
 
 private fun String.kebab(): String = lowercase().replace('_', '-')
-
-private const val TOO_MANY_REQUESTS = 429
-private const val NOT_FOUND = 404
-private const val CONFLICT = 409
-private const val UNPROCESSABLE = 422
-private const val BAD_GATEWAY = 502
-private const val UNAVAILABLE = 503
-private const val GATEWAY_TIMEOUT = 504
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RequestReader.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RequestReader.kt
@@ -1,7 +1,6 @@
 package org.auburnstream.daemon.caller
 
 import io.ktor.http.cio.HttpHeadersMap
-import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.Request
 import io.ktor.http.cio.decodeChunked
 import io.ktor.http.cio.parseRequest
@@ -46,40 +45,25 @@
         return withTimeoutOrNull(settings.readTimeout) { readBegun() } ?: ReadResult.Invalid(RequestFault.READ_TIMEOUT)
     }
 
-    private suspend fun readBegun(): ReadResult {
-        try {
-            if (!awaitHead(input, settings.headBytes)) return ReadResult.Ended
-            val head = parseRequest(input) ?: return ReadResult.Ended
-            return head.use { read(it) }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: HeadTooLargeException) {
-            return ReadResult.Invalid(RequestFault.HEAD_TOO_LARGE)
-        } catch (e: HeadTruncatedException) {
-            return ReadResult.Ended
-        } catch (e: ParserException) {
-            return ReadResult.Invalid(RequestFault.MALFORMED_HEAD)
-        } catch (e: Exception) {
-            return ReadResult.Invalid(RequestFault.MALFORMED_HEAD)
-        }
+    private suspend fun readBegun(): ReadResult = try {
+        val head = if (awaitHead(input, settings.headBytes)) parseRequest(input) else null
+        head?.use { read(it) } ?: ReadResult.Ended
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: InvalidRequestException) {
+        ReadResult.Invalid(e.fault)
+    } catch (e: HeadTooLargeException) {
+        ReadResult.Invalid(RequestFault.HEAD_TOO_LARGE)
+    } catch (e: HeadTruncatedException) {
+        ReadResult.Ended
+    } catch (e: Exception) {
+        ReadResult.Invalid(RequestFault.MALFORMED_HEAD)
     }
 
     private suspend fun read(head: Request): ReadResult {
         val arrived = clock()
         val headers = head.headers
-        val target = ServicePath.parse(head.uri.toString()) ?: return ReadResult.Invalid(RequestFault.INVALID_PATH)
-        val deadline =
-            deadline(headers[RequestHeaders.DEADLINE_MS]) ?: return ReadResult.Invalid(RequestFault.INVALID_DEADLINE)
-        val urgency =
-            urgency(headers[RequestHeaders.URGENCY]) ?: return ReadResult.Invalid(RequestFault.INVALID_URGENCY)
-        val team = team(headers[RequestHeaders.TEAM]) ?: return ReadResult.Invalid(RequestFault.INVALID_TEAM)
-        val key = headers[RequestHeaders.IDEMPOTENCY_KEY]?.toString()
-        if (key != null && !isValidKey(key)) return ReadResult.Invalid(RequestFault.INVALID_KEY)
-        val body =
-            when (val read = readBody(headers)) {
-                is BodyResult.Read -> read.bytes
-                is BodyResult.Failed -> return ReadResult.Invalid(read.fault)
-            }
+        val target = ServicePath.parse(head.uri.toString()) ?: invalid(RequestFault.INVALID_PATH)
         val request =
             CallerRequest(
                 id = nextId(),
@@ -87,61 +71,56 @@
                 method = head.method,
                 path = target.path,
                 arrived = arrived,
-                deadline = arrived + deadline,
-                team = team,
-                urgency = urgency,
-                key = key?.let(::IdempotencyKey),
+                deadline = arrived + deadline(headers[RequestHeaders.DEADLINE_MS]),
+                team = team(headers[RequestHeaders.TEAM]),
+                urgency = urgency(headers[RequestHeaders.URGENCY]),
+                key = key(headers[RequestHeaders.IDEMPOTENCY_KEY]),
                 traceparent = headers[RequestHeaders.TRACEPARENT]?.toString(),
                 headers = RequestHeaders.endToEnd(headers),
-                body = body,
+                body = readBody(headers),
             )
         return ReadResult.Complete(request, keepAlive(head))
     }
 
-    private suspend fun readBody(headers: HttpHeadersMap): BodyResult {
+    private suspend fun readBody(headers: HttpHeadersMap): ByteArray {
         val lengths = headers.getAll("Content-Length").map { it.toString() }.toSet()
         val encodings = headers.getAll("Transfer-Encoding").map { it.toString() }.toList()
-        if (lengths.size > 1 || lengths.isNotEmpty() && encodings.isNotEmpty()) {
-            return BodyResult.Failed(RequestFault.MALFORMED_BODY)
-        }
-        if (lengths.isEmpty() && encodings.isEmpty()) return BodyResult.Read(ByteArray(0))
+        val ambiguous = lengths.size > 1 || lengths.isNotEmpty() && encodings.isNotEmpty()
+        if (ambiguous) invalid(RequestFault.MALFORMED_BODY)
+        if (lengths.isEmpty() && encodings.isEmpty()) return ByteArray(0)
         if (headers["Expect"]?.contains("100-continue", ignoreCase = true) == true) sendContinue()
         if (encodings.isEmpty()) return readLength(lengths.single())
-        val chunked = encodings.singleOrNull().equals("chunked", ignoreCase = true)
-        return if (chunked) readChunked() else BodyResult.Failed(RequestFault.MALFORMED_BODY)
+        if (!encodings.singleOrNull().equals("chunked", ignoreCase = true)) invalid(RequestFault.MALFORMED_BODY)
+        return readChunked()
     }
 
-    private suspend fun readLength(text: String): BodyResult {
+    private suspend fun readLength(text: String): ByteArray {
         val length = if (text.all { it in '0'..'9' }) text.toLongOrNull() else null
-        return when {
-            length == null -> BodyResult.Failed(RequestFault.MALFORMED_BODY)
-            length > settings.bodyBytes -> BodyResult.Failed(RequestFault.BODY_TOO_LARGE)
-            else -> readOrTruncated { input.readByteArray(length.toInt()) }
-        }
+        if (length == null) invalid(RequestFault.MALFORMED_BODY)
+        if (length > settings.bodyBytes) invalid(RequestFault.BODY_TOO_LARGE)
+        return malformedOnFailure { input.readByteArray(length.toInt()) }
     }
 
-    private suspend fun readChunked(): BodyResult = readOrTruncated {
-        coroutineScope {
-            val decoded = decodeChunked(input, UNKNOWN_LENGTH).channel
-            val bytes = decoded.readRemaining(settings.bodyBytes + 1L).readByteArray()
-            if (bytes.size > settings.bodyBytes) decoded.cancel()
-            bytes
-        }
+    private suspend fun readChunked(): ByteArray {
+        val body =
+            malformedOnFailure {
+                coroutineScope {
+                    val decoded = decodeChunked(input, UNKNOWN_LENGTH).channel
+                    val bytes = decoded.readRemaining(settings.bodyBytes + 1L).readByteArray()
+                    if (bytes.size > settings.bodyBytes) decoded.cancel()
+                    bytes
+                }
+            }
+        if (body.size > settings.bodyBytes) invalid(RequestFault.BODY_TOO_LARGE)
+        return body
     }
 
-    private suspend fun readOrTruncated(read: suspend () -> ByteArray): BodyResult = try {
-        val bytes = read()
-        if (bytes.size >
-            settings.bodyBytes
-        ) {
-            BodyResult.Failed(RequestFault.BODY_TOO_LARGE)
-        } else {
-            BodyResult.Read(bytes)
-        }
+    private suspend fun malformedOnFailure(read: suspend () -> ByteArray): ByteArray = try {
+        read()
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        BodyResult.Failed(RequestFault.MALFORMED_BODY)
+        invalid(RequestFault.MALFORMED_BODY)
     }
 
     private suspend fun sendContinue() {
@@ -149,24 +128,33 @@
         output.flush()
     }
 
-    private fun deadline(text: CharSequence?): Duration? {
+    private fun deadline(text: CharSequence?): Duration {
         if (text == null) return settings.defaultDeadline
-        val millis = text.toString().toLongOrNull() ?: return null
-        return if (millis > 0) minOf(millis.milliseconds, settings.longestDeadline) else null
+        val millis = text.toString().toLongOrNull() ?: 0
+        if (millis <= 0) invalid(RequestFault.INVALID_DEADLINE)
+        return minOf(millis.milliseconds, settings.longestDeadline)
     }
 
-    private fun urgency(text: CharSequence?): Urgency? {
+    private fun urgency(text: CharSequence?): Urgency {
         if (text == null) return Urgency.NORMAL
         return Urgency.entries.firstOrNull { it.name.equals(text.toString(), ignoreCase = true) }
+            ?: invalid(RequestFault.INVALID_URGENCY)
     }
 
-    private fun team(text: CharSequence?): TeamId? {
+    private fun team(text: CharSequence?): TeamId {
         if (text == null) return RoutingInput.DefaultTeam
-        return if (isValidId(text.toString())) TeamId(text.toString()) else null
+        if (!isValidId(text.toString())) invalid(RequestFault.INVALID_TEAM)
+        return TeamId(text.toString())
     }
 
-    private fun isValidKey(key: String): Boolean =
-        key.length in 1..MAX_ID_LENGTH && key.all { it.code in PrintableAscii }
+    private fun key(text: CharSequence?): IdempotencyKey? {
+        if (text == null) return null
+        val valid = text.length in 1..MAX_ID_LENGTH && text.all { it.code in PrintableAscii }
+        if (!valid) invalid(RequestFault.INVALID_KEY)
+        return IdempotencyKey(text.toString())
+    }
+
+    private fun invalid(fault: RequestFault): Nothing = throw InvalidRequestException(fault)
 
     private fun keepAlive(head: Request): Boolean {
         val connection = head.headers["Connection"]?.toString().orEmpty()
@@ -190,11 +178,7 @@
     data object Ended : ReadResult
 }
 
-private sealed interface BodyResult {
-    class Read(val bytes: ByteArray) : BodyResult
-
-    class Failed(val fault: RequestFault) : BodyResult
-}
+private class InvalidRequestException(val fault: RequestFault) : Exception("request refused: $fault")
 
 /** Service and remaining path of a request's URI. */
 internal class ServicePath(val service: ServiceId, val path: String) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
@@ -81,37 +81,52 @@
     public suspend fun handle(request: CallerRequest, stream: suspend (TargetAnswer) -> Unit): Outcome<TargetAnswer> {
         val inbox = Channel<RoutingEffect>(Channel.UNLIMITED)
         val ticket = enter(request, inbox)
-        var answer: TargetAnswer? = null
-        var finished = false
         val whole = hops.start(Hop.CALLER, request.id, request.traceparent)
         val parent = whole.traceparent ?: request.traceparent
-        val queued = hops.start(Hop.QUEUE, request.id, parent)
+        var finished = false
         try {
-            while (true) {
-                when (val effect = inbox.receive()) {
-                    is RoutingEffect.Send -> {
-                        queued.end()
-                        val report = exchange(request, effect, parent, stream)
-                        if (report is ExchangeReport.Answered) answer = report.answer
-                        input(RoutingInput.ExchangeEnded(ticket, effect.attempt, report.result()))
-                    }
-
-                    is RoutingEffect.Complete -> {
-                        finished = true
-                        return outcome(effect.result, answer)
-                    }
-
-                    else -> Unit
-                }
-            }
+            val outcome = outcome(request, ticket, inbox, parent, stream)
+            finished = true
+            return outcome
         } finally {
-            queued.end()
             whole.end()
             if (!finished) leave(ticket)
             synchronized(lock) { waiting.remove(ticket) }
         }
     }
 
+    private suspend fun outcome(
+        request: CallerRequest,
+        ticket: Ticket,
+        inbox: Channel<RoutingEffect>,
+        parent: String?,
+        stream: suspend (TargetAnswer) -> Unit,
+    ): Outcome<TargetAnswer> {
+        var answer: TargetAnswer? = null
+        while (true) {
+            val effect = awaitEffect(request, inbox, parent)
+            if (effect is RoutingEffect.Complete) return outcome(effect.result, answer)
+            if (effect !is RoutingEffect.Send) continue
+            val report = exchange(request, effect, parent, stream)
+            if (report is ExchangeReport.Answered) answer = report.answer
+            input(RoutingInput.ExchangeEnded(ticket, effect.attempt, report.result()))
+        }
+    }
+
+    private suspend fun awaitEffect(
+        request: CallerRequest,
+        inbox: Channel<RoutingEffect>,
+        parent: String?,
+    ): RoutingEffect {
+        inbox.tryReceive().getOrNull()?.let { return it }
+        val span = hops.start(Hop.QUEUE, request.id, parent)
+        try {
+            return inbox.receive()
+        } finally {
+            span.end()
+        }
+    }
+
     private fun enter(request: CallerRequest, inbox: Channel<RoutingEffect>): Ticket = synchronized(lock) {
         val ticket = Ticket(++lastTicket)
         waiting[ticket] = inbox
