Add the replicated state of the fleet

Pools, services with availability budgets, VM registry, drains, permits, moves and maintenance waves are one deterministic state machine. Every safety rule is checked when a command is applied, so that a planner acting on an old state can propose an act but never have it done.

Ruled out: checking budgets at the proposer alone, since two leaders or two operators may propose from states that both permit their own act.

--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/BudgetLedger.kt
@@ -0,0 +1,124 @@
+package org.auburnstream.fleet
+
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Shortfall that one service has spent of its availability budget, split into planned and unplanned VM-time.
+ *
+ * Spending is kept in [BUCKETS] equal parts of the window and leaves only when its whole part is outside, so that
+ * the sum never understates what the window holds and the ledger stays bounded.
+ *
+ * @property live false until the service has reached its target once; nothing is spent before.
+ */
+@Serializable
+internal data class BudgetLedger(
+    val spec: ServiceSpec,
+    val live: Boolean = false,
+    val since: Instant,
+    val capacity: ServiceCapacity = ServiceCapacity(),
+    val buckets: List<SpentBucket> = emptyList(),
+) {
+    /** Returns the ledger with everything up to [at] spent and [capacity] holding from then on. */
+    fun record(capacity: ServiceCapacity, at: Instant): BudgetLedger {
+        val settled = settle(at)
+        return settled.copy(live = live || capacity.available >= spec.target, capacity = capacity)
+    }
+
+    /** Returns the ledger under a changed [spec]. */
+    fun respecify(spec: ServiceSpec, at: Instant): BudgetLedger = settle(at).copy(spec = spec)
+
+    /** Returns what has been spent inside the window that ends at [at]. */
+    fun spent(at: Instant): BudgetSpent {
+        val inWindow = settle(at).buckets
+        return BudgetSpent(
+            planned = inWindow.fold(Duration.ZERO) { sum, bucket -> sum + bucket.planned },
+            unplanned = inWindow.fold(Duration.ZERO) { sum, bucket -> sum + bucket.unplanned },
+        )
+    }
+
+    /** Returns the limit that one VM fewer could exceed, or null if it is within the budget. */
+    fun limitOf(available: Int, at: Instant): BudgetLimit? {
+        val budget = spec.budget
+        val shortfall = (spec.target - available).coerceAtLeast(0)
+        if (shortfall > budget.maxShortfall) return BudgetLimit.SHORTFALL
+        if (shortfall == 0) return null
+        val projected = spent(at).total + budget.maxOutage * shortfall
+        return if (projected > budget.allowance) BudgetLimit.ALLOWANCE else null
+    }
+
+    private fun settle(at: Instant): BudgetLedger {
+        if (at <= since) return this
+        if (!live) return copy(since = at)
+        val builder = SpentBuilder(spec.budget.window / BUCKETS, buckets)
+        var from = since
+        val turns = capacity.plannedSince.map { it + spec.budget.maxOutage }.filter { it > since && it < at }.sorted()
+        for (until in turns + at) {
+            val planned = capacity.plannedSince.count { it + spec.budget.maxOutage > from }
+            builder.add(from, until, shortfallOf(planned))
+            from = until
+        }
+        return copy(since = at, buckets = builder.build(at - spec.budget.window))
+    }
+
+    /** Splits the shortfall; planned acts answer for it first. */
+    private fun shortfallOf(planned: Int): Shortfall {
+        val missing = (spec.target - capacity.available).coerceAtLeast(0)
+        val explained = missing.coerceAtMost(planned)
+        return Shortfall(planned = explained, unplanned = missing - explained)
+    }
+}
+
+/** Parts that the window of a budget is divided into. */
+internal const val BUCKETS: Int = 64
+
+/**
+ * VMs that count for a service.
+ *
+ * @property plannedSince starts of the planned outages that are in progress.
+ */
+@Serializable
+internal data class ServiceCapacity(val available: Int = 0, val plannedSince: List<Instant> = emptyList())
+
+/** VM-time spent between [start] and the start of the next bucket. */
+@Serializable
+internal data class SpentBucket(val start: Instant, val planned: Duration, val unplanned: Duration)
+
+/** VM-time of shortfall that a service has spent inside its window. */
+@Serializable
+public data class BudgetSpent(val planned: Duration, val unplanned: Duration) {
+    /** Planned and unplanned together. */
+    public val total: Duration get() = planned + unplanned
+}
+
+private class Shortfall(val planned: Int, val unplanned: Int)
+
+private class SpentBuilder(private val width: Duration, buckets: List<SpentBucket>) {
+    private val buckets = buckets.toMutableList()
+
+    fun add(from: Instant, until: Instant, shortfall: Shortfall) {
+        if (shortfall.planned == 0 && shortfall.unplanned == 0) return
+        var start = from
+        while (start < until) {
+            val bucket = startOfBucket(start)
+            val end = minOf(until, bucket + width)
+            spend(bucket, end - start, shortfall)
+            start = end
+        }
+    }
+
+    fun build(oldest: Instant): List<SpentBucket> = buckets.filter { it.start + width > oldest }
+
+    private fun spend(start: Instant, time: Duration, shortfall: Shortfall) {
+        val last = buckets.lastOrNull()?.takeIf { it.start == start }
+        val old = last ?: SpentBucket(start, Duration.ZERO, Duration.ZERO)
+        val new = SpentBucket(start, old.planned + time * shortfall.planned, old.unplanned + time * shortfall.unplanned)
+        if (last == null) buckets += new else buckets[buckets.lastIndex] = new
+    }
+
+    private fun startOfBucket(at: Instant): Instant {
+        val widthMillis = width.inWholeMilliseconds.coerceAtLeast(1)
+        return Instant.fromEpochMilliseconds(at.toEpochMilliseconds().floorDiv(widthMillis) * widthMillis)
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetSnapshot.kt
@@ -0,0 +1,46 @@
+package org.auburnstream.fleet
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.DaemonId
+import kotlin.time.Instant
+
+/** Encoded form of [FleetTables]; indexes are rebuilt on reading. */
+@Serializable
+internal data class FleetSnapshot(
+    val revision: FleetRevision,
+    val clock: Instant,
+    val daemons: List<DaemonId>,
+    val services: List<BudgetLedger>,
+    val pools: List<Pool>,
+    val windows: List<MaintenanceWindow>,
+    val vms: List<Vm>,
+    val waves: List<Wave>,
+    val operations: List<OperationRecord>,
+)
+
+internal fun FleetTables.toSnapshot(): FleetSnapshot = FleetSnapshot(
+    revision = revision,
+    clock = clock,
+    daemons = daemons.toList(),
+    services = services.values.toList(),
+    pools = pools.values.toList(),
+    windows = windows.values.flatten(),
+    vms = vms.values.toList(),
+    waves = waves.values.toList(),
+    operations = operations.values.toList(),
+)
+
+internal fun FleetSnapshot.toTables(): FleetTables {
+    val tables = FleetTables()
+    tables.revision = revision
+    tables.clock = clock
+    tables.daemons.addAll(daemons)
+    pools.forEach(tables::putPool)
+    windows.groupBy { it.pool }.forEach { (pool, list) -> tables.windows[pool] = list }
+    vms.forEach(tables::putVm)
+    waves.forEach { tables.waves[it.spec.id] = it }
+    operations.forEach { tables.operations[it.operation] = it }
+    // Last, so that rebuilding the indexes has not settled the ledgers.
+    services.forEach { tables.services[it.spec.id] = it }
+    return tables
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
@@ -0,0 +1,165 @@
+package org.auburnstream.fleet
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.PoolId
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.VmId
+import org.auburnstream.model.WaveId
+import kotlin.time.Instant
+
+/**
+ * Replicated state of the fleet: pools, VMs, waves and budgets.
+ *
+ * Deterministic: the state depends on nothing but the commands and the times that [apply] was given. All functions
+ * are called from one coroutine at a time.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+public class FleetState {
+    private var tables = FleetTables()
+    private var handlers = Handlers(tables)
+
+    /** Number of commands applied so far. */
+    public val revision: FleetRevision get() = tables.revision
+
+    /** Latest time of any command; never goes back. */
+    public val clock: Instant get() = tables.clock
+
+    /** Daemons that may route requests. */
+    public val daemons: Set<DaemonId> get() = tables.daemons
+
+    /** All pools by id. */
+    public val pools: Map<PoolId, Pool> get() = tables.pools
+
+    /** All VMs by id, including those given up. */
+    public val vms: Map<VmId, Vm> get() = tables.vms
+
+    /** Open waves and the latest ended ones, in order of their start. */
+    public val waves: Map<WaveId, Wave> get() = tables.waves
+
+    /** Ids of the services. */
+    public val services: Set<ServiceId> get() = tables.services.keys
+
+    /**
+     * Applies [command], stamped by its proposer with [at].
+     *
+     * A clock that goes back between two proposers is held still, so durations are never negative.
+     */
+    public fun apply(command: FleetCommand, at: Instant): FleetResult {
+        tables.advance(at)
+        if (command !is FleetCommand.Operator) return handlers.execute(command)
+        val digest = digestOf(command)
+        val first = tables.operations[command.operation]
+        if (first != null) {
+            return if (first.digest == digest) first.result else FleetResult.Refused(FleetRefusal.OperationReused)
+        }
+        val result = handlers.execute(command)
+        tables.operations[command.operation] = OperationRecord(command.operation, digest, result)
+        if (tables.operations.size > MAX_OPERATIONS) tables.operations.remove(tables.operations.keys.first())
+        return result
+    }
+
+    /** Returns what [apply] would return for [command] at [at], without changing this state. */
+    public fun preview(command: FleetCommand, at: Instant): FleetResult = copy().apply(command, at)
+
+    /** Returns an independent copy of this state. */
+    public fun copy(): FleetState = FleetState().also { it.restore(snapshot()) }
+
+    /** Returns the encoded state. */
+    public fun snapshot(): ByteArray = Cbor.encodeToByteArray(FleetSnapshot.serializer(), tables.toSnapshot())
+
+    /**
+     * Replaces the state by [snapshot].
+     *
+     * @throws kotlinx.serialization.SerializationException if [snapshot] was not written by [snapshot].
+     */
+    public fun restore(snapshot: ByteArray) {
+        tables = Cbor.decodeFromByteArray(FleetSnapshot.serializer(), snapshot).toTables()
+        handlers = Handlers(tables)
+    }
+
+    /** VMs that [pool] owns. */
+    public fun membersOf(pool: PoolId): Set<VmId> = tables.membersOf(pool)
+
+    /** Pools that carry [service]. */
+    public fun poolsOf(service: ServiceId): Set<PoolId> = tables.poolsOf(service)
+
+    /** Maintenance windows of [pool]. */
+    public fun windowsOf(pool: PoolId): List<MaintenanceWindow> = tables.windows[pool].orEmpty()
+
+    /** Returns the budget of [service] as of [at], or null if there is no such service. */
+    public fun budgetOf(service: ServiceId, at: Instant): BudgetStatus? {
+        val ledger = tables.services[service] ?: return null
+        return BudgetStatus(ledger.spec, ledger.capacity.available, ledger.spent(maxOf(at, clock)))
+    }
+
+    /** Returns why maintenance of [pool] is held as a whole, or null if it is not. */
+    public fun holdOf(pool: PoolId): FleetRefusal? =
+        tables.correlatedLoss() ?: tables.overdueIn(pool)?.let { FleetRefusal.PoolHeld(pool, it) }
+
+    /** Returns the VMs that changed since the last call; used to keep read models up to date. */
+    public fun takeChanges(): Set<VmId> {
+        val changes = tables.changed.toSet()
+        tables.changed.clear()
+        return changes
+    }
+
+    private fun digestOf(command: FleetCommand): Long =
+        Cbor.encodeToByteArray(FleetCommand.serializer(), command).fold(FNV_OFFSET) { hash, byte ->
+            (hash xor (byte.toLong() and BYTE_MASK)) * FNV_PRIME
+        }
+
+    private companion object {
+        const val MAX_OPERATIONS = 4096
+        const val BYTE_MASK = 0xffL
+        const val FNV_OFFSET = -0x340d631b7bdddcdbL
+        const val FNV_PRIME = 0x100000001b3L
+    }
+}
+
+/** Availability budget of a service and what is left of it. */
+@Serializable
+public data class BudgetStatus(val spec: ServiceSpec, val available: Int, val spent: BudgetSpent) {
+    /** VMs missing from the target now. */
+    public val shortfall: Int get() = (spec.target - available).coerceAtLeast(0)
+}
+
+private class Handlers(private val tables: FleetTables) {
+    private val pools = PoolCommands(tables)
+    private val waves = WaveCommands(tables)
+    private val vms = VmCommands(tables, waves)
+    private val drains = DrainCommands(tables)
+
+    fun execute(command: FleetCommand): FleetResult {
+        val refusal =
+            when (command) {
+                is FleetCommand.Operator -> executeOperator(command)
+                is FleetCommand.RegisterDaemon -> null.also { tables.daemons.add(command.daemon) }
+                is FleetCommand.RegisterVm -> vms.register(command.announcement)
+                is FleetCommand.ReportLost -> vms.reportLost(command.vm, command.incarnation)
+                is FleetCommand.ReportOverdue -> vms.reportOverdue(command.vm, command.permit)
+                is FleetCommand.StartDrain -> drains.start(command.vm, command.purpose)
+                is FleetCommand.CancelDrain -> drains.cancel(command.vm, command.drain)
+                is FleetCommand.Permit -> drains.permit(command.vm, command.drain, command.evidence)
+                is FleetCommand.ConfirmRestart -> vms.confirmRestart(command.vm, command.permit)
+                is FleetCommand.Quarantine -> vms.quarantine(command.vm, command.reason)
+            }
+        return if (refusal == null) FleetResult.Applied(tables.revision) else FleetResult.Refused(refusal)
+    }
+
+    private fun executeOperator(command: FleetCommand.Operator): FleetRefusal? = when (command) {
+        is FleetCommand.DefineService -> pools.define(command.service)
+        is FleetCommand.DefinePool -> pools.define(command.pool)
+        is FleetCommand.RemovePool -> pools.remove(command.pool)
+        is FleetCommand.DeclareWindows -> pools.declare(command.pool, command.windows)
+        is FleetCommand.StartWave -> waves.start(command.wave)
+        is FleetCommand.ChangeWave -> waves.change(command.wave, command.change)
+        is FleetCommand.StartRepair -> vms.startRepair(command.vm)
+        is FleetCommand.GiveUpVm -> vms.giveUp(command.vm)
+        is FleetCommand.ReadmitVm -> vms.readmit(command.vm)
+        is FleetCommand.MoveVm -> drains.start(command.vm, DrainPurpose.Move(command.to))
+        is FleetCommand.RetireDaemon -> null.also { tables.daemons.remove(command.daemon) }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetTables.kt
@@ -0,0 +1,131 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.OperationId
+import org.auburnstream.model.PoolId
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.VmId
+import org.auburnstream.model.WaveId
+import java.util.SortedMap
+import java.util.SortedSet
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** Mutable tables of [FleetState] with the indexes that keep each command cheap. */
+internal class FleetTables {
+    var revision: FleetRevision = FleetRevision.Zero
+    var clock: Instant = Instant.DISTANT_PAST
+    val daemons: SortedSet<DaemonId> = sortedSetOf()
+    val services: SortedMap<ServiceId, BudgetLedger> = sortedMapOf()
+    val pools: SortedMap<PoolId, Pool> = sortedMapOf()
+    val windows: SortedMap<PoolId, List<MaintenanceWindow>> = sortedMapOf()
+    val vms: SortedMap<VmId, Vm> = sortedMapOf()
+    val waves: MutableMap<WaveId, Wave> = linkedMapOf()
+    val operations: MutableMap<OperationId, OperationRecord> = linkedMapOf()
+    val changed: MutableSet<VmId> = linkedSetOf()
+    private val members: MutableMap<PoolId, SortedSet<VmId>> = hashMapOf()
+    private val carriers: MutableMap<ServiceId, SortedSet<PoolId>> = hashMapOf()
+    private val lost: SortedSet<VmId> = sortedSetOf()
+    private val overdue: SortedSet<VmId> = sortedSetOf()
+
+    fun advance(at: Instant) {
+        revision = FleetRevision(revision.value + 1)
+        clock = maxOf(clock, at)
+    }
+
+    fun membersOf(pool: PoolId): Set<VmId> = members[pool].orEmpty()
+
+    fun poolsOf(service: ServiceId): Set<PoolId> = carriers[service].orEmpty()
+
+    fun servicesOf(pool: PoolId): List<ServiceId> = pools[pool]?.services.orEmpty()
+
+    fun putPool(pool: Pool) {
+        val old = pools.put(pool.id, pool)
+        old?.services.orEmpty().forEach { carriers[it]?.remove(pool.id) }
+        pool.services.forEach { service -> carriers.getOrPut(service) { sortedSetOf() }.add(pool.id) }
+        (old?.services.orEmpty() + pool.services).distinct().forEach(::recordCapacity)
+    }
+
+    fun removePool(pool: PoolId) {
+        pools.remove(pool)?.services.orEmpty().forEach { carriers[it]?.remove(pool) }
+        windows.remove(pool)
+    }
+
+    fun putService(service: ServiceSpec) {
+        val ledger = services[service.id]?.respecify(service, clock) ?: BudgetLedger(service, since = clock)
+        services[service.id] = ledger
+        recordCapacity(service.id)
+    }
+
+    /** Stores [vm] and settles the ledgers of the services that it counts or counted for. */
+    fun putVm(vm: Vm) {
+        val old = vms.put(vm.id, vm)
+        if (old?.pool != vm.pool) {
+            old?.let { members[it.pool]?.remove(vm.id) }
+            members.getOrPut(vm.pool) { sortedSetOf() }.add(vm.id)
+        }
+        lost.toggle(vm.id, vm.phase is VmPhase.Lost)
+        overdue.toggle(vm.id, vm.phase.isOverdue)
+        changed += vm.id
+        val pools = listOfNotNull(old?.pool, vm.pool).distinct()
+        pools.flatMap(::servicesOf).distinct().forEach(::recordCapacity)
+    }
+
+    fun capacityOf(service: ServiceId): ServiceCapacity {
+        val phases = poolsOf(service).flatMap(::membersOf).map { vms.getValue(it).phase }
+        return ServiceCapacity(
+            available = phases.count { it.isAvailable },
+            plannedSince = phases.mapNotNull { it.plannedSince },
+        )
+    }
+
+    /** Longest planned outage that every service of [pool] accepts. */
+    fun maxOutageOf(pool: PoolId): Duration =
+        servicesOf(pool).minOfOrNull { services.getValue(it).spec.budget.maxOutage }
+            ?: AvailabilityBudget.Default.maxOutage
+
+    fun overdueIn(pool: PoolId): VmId? = overdue.firstOrNull { vms.getValue(it).pool == pool }
+
+    /** Returns the failure domain with so many lost VMs that they share a cause, or null. */
+    fun correlatedLoss(): FleetRefusal.CorrelatedLoss? {
+        if (lost.size < RACK_LOSS_THRESHOLD) return null
+        val gone = lost.map(vms::getValue)
+        gone.groupingBy { it.domain }.eachCount().forEach { (domain, count) ->
+            if (count >= RACK_LOSS_THRESHOLD) return FleetRefusal.CorrelatedLoss(domain, count)
+        }
+        gone.groupingBy { it.dataCentre }.eachCount().forEach { (dataCentre, count) ->
+            val share = vms.values.count { it.dataCentre == dataCentre } / DATA_CENTRE_LOSS_DIVISOR
+            val threshold = share.coerceAtLeast(DATA_CENTRE_LOSS_MINIMUM)
+            if (count >= threshold) return FleetRefusal.CorrelatedLoss(FailureDomain(dataCentre), count)
+        }
+        return null
+    }
+
+    fun isInProgress(wave: WaveId, vm: VmId): Boolean = vms[vm]?.phase?.waveOf() == wave
+
+    private fun recordCapacity(service: ServiceId) {
+        val ledger = services[service] ?: return
+        services[service] = ledger.record(capacityOf(service), clock)
+    }
+
+    private companion object {
+        const val RACK_LOSS_THRESHOLD = 2
+        const val DATA_CENTRE_LOSS_MINIMUM = 3
+        const val DATA_CENTRE_LOSS_DIVISOR = 10
+    }
+}
+
+/** First result of an operator's change, with a digest that tells a resend from a reuse of the id. */
+@kotlinx.serialization.Serializable
+internal data class OperationRecord(val operation: OperationId, val digest: Long, val result: FleetResult)
+
+/** The wave that keeps the VM away, or null. */
+internal fun VmPhase.waveOf(): WaveId? = when (this) {
+    is VmPhase.Draining -> (purpose as? DrainPurpose.Maintenance)?.wave
+    is VmPhase.Stopped -> wave
+    else -> null
+}
+
+private fun <E> MutableSet<E>.toggle(element: E, present: Boolean) {
+    if (present) add(element) else remove(element)
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/VmCommands.kt
@@ -0,0 +1,154 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.Announcement
+import org.auburnstream.model.VmId
+import org.auburnstream.model.isValidId
+import kotlin.time.Instant
+
+/** Applies what VMs announce and what happens to them outside of planned acts. */
+internal class VmCommands(private val tables: FleetTables, private val waves: WaveCommands) {
+    fun register(announcement: Announcement): FleetRefusal? {
+        val known = tables.vms[announcement.vm] ?: return registerNew(announcement)
+        return refuse(known, announcement) ?: welcome(known, announcement)
+    }
+
+    fun reportLost(id: VmId, incarnation: Long): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        if (incarnation != vm.incarnation) return FleetRefusal.StaleIncarnation(id, vm.incarnation)
+        return when (vm.phase) {
+            is VmPhase.Active, is VmPhase.Draining, is VmPhase.Quarantined -> become(vm, VmPhase.Lost(tables.clock))
+            else -> FleetRefusal.WrongPhase(id, vm.phase)
+        }
+    }
+
+    fun reportOverdue(id: VmId, permit: FleetRevision): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        val phase = vm.phase
+        return when {
+            phase is VmPhase.Stopped && phase.isDue(permit, phase.permit, phase.returnBy) ->
+                become(vm, phase.copy(overdue = true))
+            phase is VmPhase.Moving && phase.isDue(permit, phase.permit, phase.returnBy) ->
+                become(vm, phase.copy(overdue = true))
+            else -> FleetRefusal.WrongPhase(id, phase)
+        }
+    }
+
+    fun confirmRestart(id: VmId, permit: FleetRevision): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        val phase = vm.phase as? VmPhase.Stopped ?: return FleetRefusal.WrongPhase(id, vm.phase)
+        if (phase.permit != permit) return FleetRefusal.Superseded(id, permit)
+        return become(vm, phase.copy(confirmed = true))
+    }
+
+    fun quarantine(id: VmId, reason: QuarantineReason): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        if (vm.phase !is VmPhase.Active) return FleetRefusal.WrongPhase(id, vm.phase)
+        return become(vm, VmPhase.Quarantined(tables.clock, reason))
+    }
+
+    fun startRepair(id: VmId): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        if (!vm.phase.isOutOfService) return FleetRefusal.WrongPhase(id, vm.phase)
+        return become(vm, VmPhase.InRepair(tables.clock))
+    }
+
+    fun giveUp(id: VmId): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        val writable = vm.phase.isOutOfService || vm.phase is VmPhase.InRepair
+        if (!writable) return FleetRefusal.WrongPhase(id, vm.phase)
+        become(vm, VmPhase.GivenUp(tables.clock))
+        waves.drop(id)
+        return null
+    }
+
+    /**
+     * Brings a VM back. One that an unconfirmed permit may still exist for is restarted under a new permit, which
+     * makes the platform refuse the old one.
+     */
+    fun readmit(id: VmId): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        return when (val phase = vm.phase) {
+            is VmPhase.Quarantined -> become(vm, VmPhase.Active)
+            is VmPhase.InRepair -> restart(vm, phase.since)
+            is VmPhase.GivenUp -> restart(vm, phase.since)
+            else -> FleetRefusal.WrongPhase(id, phase)
+        }
+    }
+
+    private fun restart(vm: Vm, since: Instant): FleetRefusal? {
+        val idleAt = since + LONGEST_REQUEST
+        if (tables.clock < idleAt) return FleetRefusal.TooSoon(vm.id, idleAt)
+        val returnBy = tables.clock + tables.maxOutageOf(vm.pool)
+        return become(vm, VmPhase.Stopped(tables.revision, since = tables.clock, returnBy = returnBy))
+    }
+
+    private fun VmPhase.isDue(named: FleetRevision, current: FleetRevision, returnBy: Instant): Boolean =
+        !isOverdue && named == current && tables.clock >= returnBy
+
+    private fun registerNew(announcement: Announcement): FleetRefusal? {
+        if (!isValidId(announcement.vm.value)) return FleetRefusal.InvalidValue(CommandField.ID)
+        val pool = tables.pools[announcement.pool] ?: return FleetRefusal.UnknownPool(announcement.pool)
+        val service = announcement.service
+        if (service != null && service !in pool.services) return FleetRefusal.UnknownService(service)
+        tables.putVm(announcement.toVm(maintainedAt = tables.clock, phase = VmPhase.Active))
+        return null
+    }
+
+    private fun refuse(known: Vm, announcement: Announcement): FleetRefusal? {
+        val phase = known.phase
+        return when {
+            phase is VmPhase.GivenUp -> FleetRefusal.GivenUp(known.id)
+            phase is VmPhase.InRepair -> FleetRefusal.InRepair(known.id)
+            announcement.incarnation < known.incarnation ->
+                FleetRefusal.StaleIncarnation(known.id, known.incarnation)
+            known.isAnotherHost(announcement) -> FleetRefusal.DuplicateId(known.id, known.address)
+            announcement.pool != known.pool -> FleetRefusal.WrongPool(known.id, known.pool)
+            phase is VmPhase.Stopped && !(phase.confirmed && announcement.incarnation > known.incarnation) ->
+                FleetRefusal.RestartPending(known.id, phase.permit)
+            else -> null
+        }
+    }
+
+    private fun welcome(known: Vm, announcement: Announcement): FleetRefusal? {
+        val phase = known.phase
+        val maintained = phase is VmPhase.Stopped
+        val next = if (phase is VmPhase.Draining || phase is VmPhase.Quarantined) phase else VmPhase.Active
+        val maintainedAt = if (maintained) tables.clock else known.maintainedAt
+        val vm = announcement.toVm(maintainedAt, next)
+        if (vm != known) tables.putVm(vm)
+        if (phase is VmPhase.Stopped && phase.wave != null) waves.complete(phase.wave, known.id)
+        return null
+    }
+
+    private fun become(vm: Vm, phase: VmPhase): FleetRefusal? {
+        tables.putVm(vm.copy(phase = phase))
+        return null
+    }
+}
+
+/** Whether the VM is away for a reason that an operator may resolve by repair or by giving it up. */
+private val VmPhase.isOutOfService: Boolean
+    get() = this is VmPhase.Lost || this is VmPhase.Quarantined || isOverdue
+
+/** A live VM cannot change its address within one boot, nor its rack while it takes work. */
+private fun Vm.isAnotherHost(announcement: Announcement): Boolean {
+    val sameRack = dataCentre == announcement.dataCentre && rack == announcement.rack
+    val sameAddress = address == announcement.address && port == announcement.port
+    if (announcement.incarnation == incarnation) return !(sameRack && sameAddress)
+    val live = phase is VmPhase.Active || phase is VmPhase.Draining
+    return live && !sameRack
+}
+
+private fun Announcement.toVm(maintainedAt: Instant, phase: VmPhase): Vm = Vm(
+    id = vm,
+    pool = pool,
+    incarnation = incarnation,
+    dataCentre = dataCentre,
+    rack = rack,
+    address = address,
+    port = port,
+    service = service,
+    size = VmSize(slots, connections, processors, memoryMegabytes, accelerators),
+    phase = phase,
+    maintainedAt = maintainedAt,
+)
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/Wave.kt
@@ -0,0 +1,57 @@
+package org.auburnstream.fleet
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.VmId
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Speed of a wave.
+ *
+ * @property maxInProgress most VMs that the wave keeps away at once, 1 or more.
+ * @property gap least time between the starts of two drains.
+ */
+@Serializable
+public data class WavePace(val maxInProgress: Int = 1, val gap: Duration = Duration.ZERO) {
+    internal val isValid: Boolean get() = maxInProgress >= 1 && gap >= Duration.ZERO
+
+    public companion object {
+        /** One VM at a time, without a gap. */
+        public val Default: WavePace = WavePace()
+    }
+}
+
+/**
+ * Replicated state of a maintenance wave.
+ *
+ * @property pending VMs that are not yet maintained, including those in progress.
+ * @property lastDrainAt start of the latest drain.
+ */
+@Serializable
+public data class Wave(
+    val spec: WaveSpec,
+    val startedAt: Instant,
+    val status: WaveStatus = WaveStatus.RUNNING,
+    val pending: Set<VmId>,
+    val done: Set<VmId> = emptySet(),
+    val lastDrainAt: Instant? = null,
+    val endedAt: Instant? = null,
+)
+
+/** Whether a wave goes on. */
+@Serializable
+public enum class WaveStatus {
+    /** Drains VMs as windows, pace and budgets permit. */
+    RUNNING,
+
+    /** Starts nothing until it is resumed. */
+    PAUSED,
+
+    /** Ended by an operator. */
+    CANCELLED,
+
+    /** Nothing is pending. */
+    DONE,
+}
+
+internal val Wave.isOpen: Boolean get() = status == WaveStatus.RUNNING || status == WaveStatus.PAUSED
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/WaveCommands.kt
@@ -0,0 +1,81 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.VmId
+import org.auburnstream.model.WaveId
+import org.auburnstream.model.isValidId
+
+/** Applies the operators' commands on waves and keeps their progress. */
+internal class WaveCommands(private val tables: FleetTables) {
+    fun start(spec: WaveSpec): FleetRefusal? {
+        if (!isValidId(spec.id.value) || spec.id in tables.waves) return FleetRefusal.InvalidValue(CommandField.ID)
+        if (!spec.pace.isValid) return FleetRefusal.InvalidValue(CommandField.PACE)
+        val unknown = spec.pools.firstOrNull { it !in tables.pools }
+        if (unknown != null) return FleetRefusal.UnknownPool(unknown)
+        val covered = covered(spec)
+        if (covered.isEmpty()) return FleetRefusal.WaveEmpty(spec.id)
+        val other = tables.waves.values.firstOrNull { it.isOpen && it.pending.any(covered::contains) }
+        if (other != null) return FleetRefusal.WaveOverlaps(spec.id, other.spec.id)
+        tables.waves[spec.id] = Wave(spec, startedAt = tables.clock, pending = covered)
+        forgetOldest()
+        return null
+    }
+
+    fun change(id: WaveId, change: WaveChange): FleetRefusal? {
+        val wave = tables.waves[id] ?: return FleetRefusal.UnknownWave(id)
+        if (!wave.isOpen) return FleetRefusal.WaveNotRunning(id, wave.status)
+        val status =
+            when (change) {
+                WaveChange.PAUSE -> WaveStatus.PAUSED
+                WaveChange.RESUME -> WaveStatus.RUNNING
+                WaveChange.CANCEL -> WaveStatus.CANCELLED
+            }
+        val endedAt = tables.clock.takeIf { status == WaveStatus.CANCELLED }
+        tables.waves[id] = wave.copy(status = status, endedAt = endedAt)
+        if (status != WaveStatus.RUNNING) releaseDrains(wave)
+        return null
+    }
+
+    /** Notes that [vm] is back from its restart. */
+    fun complete(id: WaveId, vm: VmId) {
+        val wave = tables.waves[id] ?: return
+        tables.waves[id] = finish(wave.copy(pending = wave.pending - vm, done = wave.done + vm))
+    }
+
+    /** Notes that [vm] will not be maintained. */
+    fun drop(vm: VmId) {
+        for (wave in tables.waves.values.filter { vm in it.pending }) {
+            tables.waves[wave.spec.id] = finish(wave.copy(pending = wave.pending - vm))
+        }
+    }
+
+    private fun covered(spec: WaveSpec): Set<VmId> = spec.pools
+        .flatMap(tables::membersOf)
+        .map(tables.vms::getValue)
+        .filter { it.phase !is VmPhase.GivenUp }
+        .filter { spec.dataCentres.isEmpty() || it.dataCentre in spec.dataCentres }
+        .filter { spec.vms.isEmpty() || it.id in spec.vms }
+        .mapTo(sortedSetOf()) { it.id }
+
+    private fun finish(wave: Wave): Wave = if (wave.pending.isEmpty() && wave.isOpen) {
+        wave.copy(status = WaveStatus.DONE, endedAt = tables.clock)
+    } else {
+        wave
+    }
+
+    /** VMs that have no permit yet go back to work at once. */
+    private fun releaseDrains(wave: Wave) {
+        wave.pending
+            .map(tables.vms::getValue)
+            .filter { it.phase is VmPhase.Draining && tables.isInProgress(wave.spec.id, it.id) }
+            .forEach { tables.putVm(it.copy(phase = VmPhase.Active)) }
+    }
+
+    private fun forgetOldest() {
+        val ended = tables.waves.values.filter { !it.isOpen }
+        ended.dropLast(MAX_ENDED_WAVES).forEach { tables.waves.remove(it.spec.id) }
+    }
+
+    private companion object {
+        const val MAX_ENDED_WAVES = 64
+    }
+}
