Add key=value logs, metrics, health, traces and the graceful stop

Typed log keys and a registry of metrics keep names in one place; the operators' page is generated from the latter. Gauges are read from their owners at each scrape, so they cost nothing in between.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettingDefinitions.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.DataCentreId
 import org.auburnstream.model.RegionId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -129,10 +130,19 @@
         parse = intParser(CONNECTIONS),
     )
 
+    internal val unreadyPeriod = SettingDefinition(
+        name = "unready-period",
+        unit = "duration",
+        range = UNREADY_PERIOD.describe(),
+        default = "5s",
+        help = "Time for the balancer to notice a stop before new requests are refused.",
+        parse = durationParser(UNREADY_PERIOD),
+    )
+
     internal val drainTimeout = SettingDefinition(
         name = "drain-timeout",
         unit = "duration",
-        range = "${DRAIN_TIMEOUT.start} to ${DRAIN_TIMEOUT.endInclusive}",
+        range = DRAIN_TIMEOUT.describe(),
         default = "30s",
         help = "Longest time for which a stop waits for requests in progress.",
         parse = durationParser(DRAIN_TIMEOUT),
@@ -161,7 +171,7 @@
         id, region, dataCentre,
         bindAddress, callerPort, operatorPort, targetPort, peerPort, healthPort, portsFile,
         peers, voters, dataFolder, operatorTokenFile, seed,
-        maxHeaderBytes, maxBodyBytes, maxConnections, drainTimeout,
+        maxHeaderBytes, maxBodyBytes, maxConnections, unreadyPeriod, drainTimeout,
         logLevel, traceExport,
     )
 
@@ -180,6 +190,9 @@
 private val HEADER_BYTES = 1024..1024 * 1024
 private val BODY_BYTES = 0..64 * 1024 * 1024
 private val CONNECTIONS = 1..65_536
+private val UNREADY_PERIOD = 0.seconds..1.minutes
 private val DRAIN_TIMEOUT = 0.seconds..10.minutes
 
 private fun IntRange.describe(): String = "$first to $last"
+
+private fun ClosedRange<Duration>.describe(): String = "$start to $endInclusive"
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettings.kt
@@ -18,6 +18,7 @@
  * @property dataFolder folder for the state that must survive, or null for a learner that keeps its state in memory.
  * @property operatorTokenFile file whose first line is the token that operators present.
  * @property seed seed of every pseudorandom generator of the daemon.
+ * @property unreadyPeriod time between turning unready and refusing new requests, in which the balancer notices.
  * @property drainTimeout longest time for which a stop waits for requests in progress.
  */
 public data class DaemonSettings(
@@ -33,6 +34,7 @@
     val dataFolder: Path? = null,
     val seed: Long = 0,
     val limits: ListenerLimits = ListenerLimits(),
+    val unreadyPeriod: Duration = 5.seconds,
     val drainTimeout: Duration = 30.seconds,
     val logLevel: LogLevel = LogLevel.INFO,
     val traceExport: TraceExport = TraceExport.Off,
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingsLoader.kt
@@ -65,6 +65,7 @@
         dataFolder = values.optional(dataFolder),
         seed = values.required(seed).takeIf { it != 0L } ?: self.value.hashCode().toLong(),
         limits = readLimits(values),
+        unreadyPeriod = values.required(unreadyPeriod),
         drainTimeout = values.required(drainTimeout),
         logLevel = values.required(logLevel),
         traceExport = values.required(traceExport),
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/observability/KeyValueLayout.kt
@@ -0,0 +1,90 @@
+package org.auburnstream.daemon.observability
+
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.classic.spi.IThrowableProxy
+import ch.qos.logback.core.LayoutBase
+import kotlin.time.Duration
+
+/**
+ * Renders a logging event as one line of key=value pairs.
+ *
+ * The line opens with `time` in UTC, `level`, `daemon` and `data_centre`, then `event` and its fields. An event of a
+ * library, which has no fields, becomes `event=message` with the text as `detail`. A value that holds a space, quote,
+ * `=` or control character is quoted; control characters are escaped, so that no value can start a line of its own.
+ */
+public class KeyValueLayout : LayoutBase<ILoggingEvent>() {
+    override fun doLayout(event: ILoggingEvent): String = buildString {
+        pair("time", event.instant)
+        pair("level", event.level.levelStr.lowercase())
+        context?.getProperty(DAEMON_PROPERTY)?.let { pair("daemon", it) }
+        context?.getProperty(DATA_CENTRE_PROPERTY)?.let { pair("data_centre", it) }
+        if (isEventName(event.message)) {
+            pair("event", event.message)
+            event.keyValuePairs.orEmpty().forEach { pair(it.key, it.value) }
+        } else {
+            pair("event", "message")
+            pair("logger", event.loggerName)
+            pair("detail", event.formattedMessage)
+        }
+        event.throwableProxy?.let { appendCause(it) }
+        setLength(length - 1)
+        append('\n')
+    }
+
+    private fun StringBuilder.appendCause(cause: IThrowableProxy) {
+        pair("cause", cause.className)
+        cause.message?.let { pair("cause_detail", it) }
+        cause.stackTraceElementProxyArray
+            .take(MAX_FRAMES)
+            .joinToString(" < ") { it.stackTraceElement.run { "$fileName:$lineNumber" } }
+            .takeIf { it.isNotEmpty() }
+            ?.let { pair("cause_at", it) }
+    }
+
+    internal companion object {
+        const val DAEMON_PROPERTY = "daemon"
+        const val DATA_CENTRE_PROPERTY = "data_centre"
+    }
+}
+
+private const val MAX_VALUE_CHARS = 1024
+private const val MAX_FRAMES = 6
+
+private fun isEventName(message: String): Boolean =
+    message.isNotEmpty() && message.all { it in 'a'..'z' || it in '0'..'9' || it == '_' }
+
+private fun StringBuilder.pair(key: String, value: Any?) {
+    append(key).append('=')
+    appendValue(render(value))
+    append(' ')
+}
+
+private fun render(value: Any?): String = when (value) {
+    is Enum<*> -> value.name.lowercase()
+    is Duration -> "${value.inWholeMicroseconds}us"
+    else -> value.toString()
+}
+
+private fun StringBuilder.appendValue(text: String) {
+    val bounded = if (text.length > MAX_VALUE_CHARS) text.take(MAX_VALUE_CHARS) + "..." else text
+    val plain =
+        bounded.isNotEmpty() && bounded.none { it == ' ' || it == '"' || it == '=' || it == '\\' || isBreak(it) }
+    if (plain) {
+        append(bounded)
+        return
+    }
+    append('"')
+    bounded.forEach { appendEscaped(it) }
+    append('"')
+}
+
+private fun StringBuilder.appendEscaped(char: Char) {
+    when {
+        char == '\n' -> append("\\n")
+        char == '"' || char == '\\' -> append('\\').append(char)
+        isBreak(char) -> append("\\u").append(char.code.toString(radix = 16).padStart(length = 4, '0'))
+        else -> append(char)
+    }
+}
+
+private fun isBreak(char: Char): Boolean = char.isISOControl() || char == '\u2028' || char == '\u2029'
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/observability/ProcessMetrics.kt
@@ -0,0 +1,44 @@
+package org.auburnstream.daemon.observability
+
+import java.io.IOException
+import java.lang.management.ManagementFactory
+import java.lang.management.MemoryType
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Registers the metrics of the process itself. */
+internal fun registerProcessMetrics(metrics: DaemonMetrics) {
+    with(DaemonMetricDefinitions) {
+        metrics.counter(ProcessorSeconds) { processorNanoseconds() / NANOSECONDS_PER_SECOND }
+        metrics.gauge(ResidentMemory) { residentBytes() }
+        metrics.gauge(HeapUsed) { ManagementFactory.getMemoryMXBean().heapMemoryUsage.used }
+        metrics.gauge(HeapLive) { liveHeapBytes() }
+        metrics.gauge(Threads) { ManagementFactory.getThreadMXBean().threadCount }
+    }
+}
+
+private const val NANOSECONDS_PER_SECOND = 1e9
+private const val BYTES_PER_KIBIBYTE = 1024L
+
+private val statusFile = Path.of("/proc/self/status")
+
+private fun processorNanoseconds(): Long {
+    val bean = ManagementFactory.getOperatingSystemMXBean()
+    return (bean as? com.sun.management.OperatingSystemMXBean)?.processCpuTime ?: 0
+}
+
+private fun liveHeapBytes(): Long = ManagementFactory.getMemoryPoolMXBeans()
+    .filter { it.type == MemoryType.HEAP }
+    .sumOf { it.collectionUsage?.used ?: 0 }
+
+/** Resident memory as the kernel reports it, or 0 where it reports none. */
+private fun residentBytes(): Long = try {
+    Files.readAllLines(statusFile)
+        .firstOrNull { it.startsWith("VmRSS:") }
+        ?.filter { it.isDigit() }
+        ?.toLongOrNull()
+        ?.times(BYTES_PER_KIBIBYTE)
+        ?: 0
+} catch (_: IOException) {
+    0
+}
