--- /dev/null
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/DaemonPlan.kt
@@ -0,0 +1,68 @@
+package org.auburnstream.testkit.process
+
+import org.auburnstream.model.DaemonId
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+
+/**
+ * How one daemon of a test deployment is started.
+ *
+ * @property peerPort port for the other daemons; fixed, since they must know it beforehand.
+ * @property voters ids of the voters; empty [dataFolder] and no entry here make a learner.
+ */
+public data class DaemonPlan(
+    val id: DaemonId,
+    val dataCentre: String,
+    val peerPort: Int,
+    val peers: String,
+    val voters: String,
+    val tokenFile: Path,
+    val dataFolder: Path?,
+    val logFile: Path,
+    val portsFile: Path,
+    val extraFlags: List<String> = emptyList(),
+) {
+    /** Command line of the daemon. */
+    public fun toFlags(): List<String> = buildList {
+        addAll(listOf("--id", id.value, "--region", "region-1", "--data-centre", dataCentre))
+        addAll(listOf("--peer-port", peerPort.toString(), "--peers", peers, "--voters", voters))
+        addAll(listOf("--operator-token-file", tokenFile.toString(), "--ports-file", portsFile.toString()))
+        if (dataFolder != null) addAll(listOf("--data-folder", dataFolder.toString()))
+        addAll(extraFlags)
+    }
+
+    public companion object {
+        /** Token of the operators of a test deployment. */
+        public const val TOKEN: String = "test-token"
+
+        /** Plans [count] voters `d1`, `d2`, ... in a data centre each, with their files below [folder]. */
+        public fun deployment(folder: Path, count: Int, extraFlags: List<String> = emptyList()): List<DaemonPlan> {
+            val tokenFile = Files.writeString(folder.resolve("token"), "$TOKEN\n")
+            val ports = freePorts(count)
+            val peers = ports.withIndex().joinToString(",") { (i, port) -> "d${i + 1}=127.0.0.1:$port" }
+            val voters = ports.indices.joinToString(",") { "d${it + 1}" }
+            return ports.mapIndexed { i, port ->
+                DaemonPlan(
+                    id = DaemonId("d${i + 1}"),
+                    dataCentre = "dc-${i + 1}",
+                    peerPort = port,
+                    peers = peers,
+                    voters = voters,
+                    tokenFile = tokenFile,
+                    dataFolder = folder.resolve("data-d${i + 1}"),
+                    logFile = folder.resolve("d${i + 1}.log"),
+                    portsFile = folder.resolve("d${i + 1}.ports"),
+                    extraFlags = extraFlags,
+                )
+            }
+        }
+
+        /** Returns [count] distinct ports that were free a moment ago. */
+        private fun freePorts(count: Int): List<Int> {
+            val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+            return sockets.map { socket -> socket.use { it.localPort } }
+        }
+    }
+}
