--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettingDefinitions.kt
@@ -45,11 +45,11 @@
         parse = ::parseAddress,
     )
 
-    internal val callerPort = port("caller-port", "Port for callers' requests, HTTP.")
-    internal val operatorPort = port("operator-port", "Port for operators, HTTP with a token.")
-    internal val targetPort = port("target-port", "Port for the announcements of targets, HTTP.")
-    internal val peerPort = port("peer-port", "Port for the other daemons.")
-    internal val healthPort = port("health-port", "Port for health checks and metrics, HTTP.")
+    internal val callerPort = port("caller-port", default = 7401, help = "Port for callers' requests, HTTP.")
+    internal val operatorPort = port("operator-port", default = 7402, help = "Port for operators, HTTP with a token.")
+    internal val targetPort = port("target-port", default = 7403, help = "Port for the announcements of targets, HTTP.")
+    internal val peerPort = port("peer-port", default = 7404, help = "Port for the other daemons.")
+    internal val healthPort = port("health-port", default = 7405, help = "Port for health checks and metrics, HTTP.")
 
     internal val portsFile = SettingDefinition(
         name = "ports-file",
@@ -90,7 +90,7 @@
         unit = "path",
         range = "readable file",
         required = true,
-        help = "File whose first line is the token that operators present.",
+        help = "File with a line operator:token for each operator.",
         parse = ::parsePath,
     )
 
@@ -175,11 +175,11 @@
         logLevel, traceExport,
     )
 
-    private fun port(name: String, help: String): SettingDefinition<Int> = SettingDefinition(
+    private fun port(name: String, default: Int, help: String): SettingDefinition<Int> = SettingDefinition(
         name = name,
         unit = "TCP port",
         range = portRange.describe() + ", 0 for any free one",
-        default = "0",
+        default = default.toString(),
         help = help,
         parse = intParser(portRange),
     )
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettings.kt
@@ -16,7 +16,7 @@
  * @property peers the other daemons; never holds this one.
  * @property voters daemons that vote in the control group when it is first started.
  * @property dataFolder folder for the state that must survive, or null for a learner that keeps its state in memory.
- * @property operatorTokenFile file whose first line is the token that operators present.
+ * @property operatorTokenFile file with a line `operator:token` for each operator.
  * @property seed seed of every pseudorandom generator of the daemon.
  * @property unreadyPeriod time between turning unready and refusing new requests, in which the balancer notices.
  * @property drainTimeout longest time for which a stop waits for requests in progress.
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingFiles.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingFiles.kt
@@ -12,7 +12,7 @@
     }
     settings.portsFile?.let { file -> checkParent(definitions.portsFile, file) }
     (settings.traceExport as? TraceExport.ToFile)?.let { checkParent(definitions.traceExport, it.path) }
-    if (firstLine(settings.operatorTokenFile).isNullOrBlank()) {
+    if (!hasText(settings.operatorTokenFile)) {
         fail(SettingsError.UnreadableFile(definitions.operatorTokenFile.flag, settings.operatorTokenFile.toString()))
     }
 }
@@ -30,8 +30,8 @@
     return existing != null && Files.isDirectory(existing) && Files.isWritable(existing)
 }
 
-private fun firstLine(file: Path): String? = try {
-    Files.newBufferedReader(file).use { it.readLine() }
+private fun hasText(file: Path): Boolean = try {
+    Files.newBufferedReader(file).useLines { lines -> lines.any { it.isNotBlank() } }
 } catch (_: IOException) {
-    null
+    false
 }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingsError.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingsError.kt
@@ -61,9 +61,9 @@
         override val remedy: String get() = "name a folder that this user may write to"
     }
 
-    /** A file cannot be read or is empty. */
+    /** A file cannot be read or holds nothing. */
     public data class UnreadableFile(override val setting: String, val value: String) : SettingsError {
-        override val problem: String get() = "cannot read a first line from '${value.printable()}'"
+        override val problem: String get() = "cannot read anything from '${value.printable()}'"
         override val remedy: String get() = "name a readable file that is not empty"
     }
 
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/config/SettingsLoaderTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/config/SettingsLoaderTest.kt
@@ -21,7 +21,7 @@
 
     @BeforeTest
     fun writeToken() {
-        val token = Files.writeString(folder.resolve("token"), "secret\n")
+        val token = Files.writeString(folder.resolve("token"), "operator-1:secret\n")
         minimum = listOf(
             "--id", "d1", "--region", "r1", "--data-centre", "dc1", "--data-folder", "${folder.resolve("data")}",
             "--operator-token-file", "$token", "--voters", "d1,d2,d3",
@@ -35,7 +35,7 @@
 
         assertEquals(listOf("d2", "d3"), settings.peers.map { it.id.value })
         assertEquals(PeerAddress(DaemonId("d3"), "fd00::3", 7000), settings.peers.last())
-        assertEquals(ListenerPorts(), settings.ports)
+        assertEquals(ListenerPorts(7401, 7402, 7403, 7404, 7405), settings.ports)
         assertEquals(30.seconds, settings.drainTimeout)
         assertTrue(settings.isInitialVoter)
         assertFalse(Files.exists(settings.dataFolder!!), "reading the settings must change no file")
@@ -79,7 +79,7 @@
             ),
             Fault(
                 listOf("--operator-token-file", "/none"),
-                "--operator-token-file: cannot read a first line from '/none'",
+                "--operator-token-file: cannot read anything from '/none'",
             ),
             Fault(listOf("--ports-file", "/none/ports"), "--ports-file: cannot write to folder '/none'"),
             Fault(listOf("--trace-export", "loud"), "--trace-export: wrong value 'loud'; give off, log or path"),
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/process/DaemonPlan.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/DaemonPlan.kt
@@ -28,18 +28,19 @@
     public fun toFlags(): List<String> = buildList {
         addAll(listOf("--id", id.value, "--region", "region-1", "--data-centre", dataCentre))
         addAll(listOf("--peer-port", peerPort.toString(), "--peers", peers, "--voters", voters))
+        addAll(listOf("--caller-port", "0", "--operator-port", "0", "--target-port", "0", "--health-port", "0"))
         addAll(listOf("--operator-token-file", tokenFile.toString(), "--ports-file", portsFile.toString()))
         if (dataFolder != null) addAll(listOf("--data-folder", dataFolder.toString()))
         addAll(extraFlags)
     }
 
     public companion object {
-        /** Token of the operators of a test deployment. */
-        public const val TOKEN: String = "test-token"
+        /** Token of the operator of a test deployment. */
+        public const val TOKEN: String = "test-token-0123456789"
 
         /** Plans [count] voters `d1`, `d2`, ... in a data centre each, with their files below [folder]. */
         public fun deployment(folder: Path, count: Int, extraFlags: List<String> = emptyList()): List<DaemonPlan> {
-            val tokenFile = Files.writeString(folder.resolve("token"), "$TOKEN\n")
+            val tokenFile = Files.writeString(folder.resolve("tokens"), "operator-1:$TOKEN\n")
             val ports = freePorts(count)
             val peers = ports.withIndex().joinToString(",") { (i, port) -> "d${i + 1}=127.0.0.1:$port" }
             val voters = ports.indices.joinToString(",") { "d${it + 1}" }
