--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettingDefinitions.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettingDefinitions.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.DataCentreId
 import org.auburnstream.model.RegionId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -44,11 +45,11 @@
         parse = ::parseAddress,
     )
 
-    internal val callerPort = port("caller-port", "Port for callers' requests, HTTP.")
-    internal val operatorPort = port("operator-port", "Port for operators, HTTP with a token.")
-    internal val targetPort = port("target-port", "Port for the announcements of targets, HTTP.")
-    internal val peerPort = port("peer-port", "Port for the other daemons.")
-    internal val healthPort = port("health-port", "Port for health checks and metrics, HTTP.")
+    internal val callerPort = port("caller-port", default = 7401, help = "Port for callers' requests, HTTP.")
+    internal val operatorPort = port("operator-port", default = 7402, help = "Port for operators, HTTP with a token.")
+    internal val targetPort = port("target-port", default = 7403, help = "Port for the announcements of targets, HTTP.")
+    internal val peerPort = port("peer-port", default = 7404, help = "Port for the other daemons.")
+    internal val healthPort = port("health-port", default = 7405, help = "Port for health checks and metrics, HTTP.")
 
     internal val portsFile = SettingDefinition(
         name = "ports-file",
@@ -89,7 +90,7 @@
         unit = "path",
         range = "readable file",
         required = true,
-        help = "File whose first line is the token that operators present.",
+        help = "File with a line operator:token for each operator.",
         parse = ::parsePath,
     )
 
@@ -129,10 +130,19 @@
         parse = intParser(CONNECTIONS),
     )
 
+    internal val unreadyPeriod = SettingDefinition(
+        name = "unready-period",
+        unit = "duration",
+        range = UNREADY_PERIOD.describe(),
+        default = "5s",
+        help = "Time for the balancer to notice a stop before new requests are refused.",
+        parse = durationParser(UNREADY_PERIOD),
+    )
+
     internal val drainTimeout = SettingDefinition(
         name = "drain-timeout",
         unit = "duration",
-        range = "${DRAIN_TIMEOUT.start} to ${DRAIN_TIMEOUT.endInclusive}",
+        range = DRAIN_TIMEOUT.describe(),
         default = "30s",
         help = "Longest time for which a stop waits for requests in progress.",
         parse = durationParser(DRAIN_TIMEOUT),
@@ -161,15 +171,15 @@
         id, region, dataCentre,
         bindAddress, callerPort, operatorPort, targetPort, peerPort, healthPort, portsFile,
         peers, voters, dataFolder, operatorTokenFile, seed,
-        maxHeaderBytes, maxBodyBytes, maxConnections, drainTimeout,
+        maxHeaderBytes, maxBodyBytes, maxConnections, unreadyPeriod, drainTimeout,
         logLevel, traceExport,
     )
 
-    private fun port(name: String, help: String): SettingDefinition<Int> = SettingDefinition(
+    private fun port(name: String, default: Int, help: String): SettingDefinition<Int> = SettingDefinition(
         name = name,
         unit = "TCP port",
         range = portRange.describe() + ", 0 for any free one",
-        default = "0",
+        default = default.toString(),
         help = help,
         parse = intParser(portRange),
     )
@@ -180,6 +190,9 @@
 private val HEADER_BYTES = 1024..1024 * 1024
 private val BODY_BYTES = 0..64 * 1024 * 1024
 private val CONNECTIONS = 1..65_536
+private val UNREADY_PERIOD = 0.seconds..1.minutes
 private val DRAIN_TIMEOUT = 0.seconds..10.minutes
 
 private fun IntRange.describe(): String = "$first to $last"
+
+private fun ClosedRange<Duration>.describe(): String = "$start to $endInclusive"
