--- /dev/null
+++ b/testkit/src/test/kotlin/org/auburnstream/testkit/docs/OperatingPageTest.kt
@@ -0,0 +1,35 @@
+package org.auburnstream.testkit.docs
+
+import org.auburnstream.daemon.config.DaemonSettingDefinitions
+import org.auburnstream.daemon.observability.DaemonMetricDefinitions
+import org.auburnstream.testkit.golden.GoldenFile
+import kotlin.test.Test
+
+class OperatingPageTest {
+    @Test
+    fun startSettingsAreThoseOfTheRegistry() = assertTable(
+        section = "start settings",
+        header = listOf("Flag", "Variable", "Unit", "Range", "Default", "Meaning"),
+        rows = DaemonSettingDefinitions.all.map {
+            val default = if (it.required) "required" else it.default?.ifEmpty { null } ?: "none"
+            listOf("`${it.flag}`", "`${it.variable}`", it.unit, it.range, default, it.help)
+        },
+    )
+
+    @Test
+    fun metricsAreThoseOfTheRegistry() = assertTable(
+        section = "metrics",
+        header = listOf("Metric", "Labels", "Meaning", "Alarm"),
+        rows = DaemonMetricDefinitions.all.map {
+            listOf("`${it.name}`", it.labels.joinToString().ifEmpty { "-" }, it.help, it.alarm ?: "-")
+        },
+    )
+
+    private fun assertTable(section: String, header: List<String>, rows: List<List<String>>) {
+        val lines = listOf(header, header.map { "---" }) + rows
+        val text = lines.joinToString("") { cells ->
+            cells.joinToString(" | ", "| ", " |\n") { it.replace("|", "\\|") }
+        }
+        GoldenFile.assertSectionMatches("docs/OPERATING.md", section, text)
+    }
+}
