--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Leader.kt
@@ -50,6 +50,7 @@
         val refusal = when {
             command.size > core.settings.maxCommandBytes -> ProposalRefusal.TOO_LARGE
             core.proposals.size >= core.settings.maxPendingProposals -> ProposalRefusal.OVERLOADED
+            core.proposals.bytes + command.size > core.settings.maxPendingBytes -> ProposalRefusal.OVERLOADED
             else -> null
         }
         if (refusal != null) return core.outbox.emit(Effect.RejectProposal(id, refusal))
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/PendingProposals.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/PendingProposals.kt
@@ -9,13 +9,19 @@
     val size: Int
         get() = byIndex.size
 
+    /** Bytes of the commands together. */
+    var bytes: Int = 0
+        private set
+
     fun add(id: ProposalId, entry: LogEntry) {
-        byIndex.put(entry.index, PendingProposal(id, entry.term))?.let { outbox.emit(Effect.AbandonProposal(it.id)) }
+        remove(entry.index)?.let { outbox.emit(Effect.AbandonProposal(it.id)) }
+        byIndex[entry.index] = PendingProposal(id, entry.term, entry.payload.approximateBytes)
+        bytes += entry.payload.approximateBytes
     }
 
     /** Ends the proposal at the index of the committed [entry]. */
     fun committed(entry: LogEntry) {
-        val proposal = byIndex.remove(entry.index) ?: return
+        val proposal = remove(entry.index) ?: return
         val sameEntry = proposal.term == entry.term
         outbox.emit(
             if (sameEntry) {
@@ -28,10 +34,11 @@
 
     /** Gives up on the proposals up to [index], whose entries are hidden in a snapshot. */
     fun skippedTo(index: LogIndex) {
-        val skipped = byIndex.filterKeys { it <= index }
-        skipped.values.forEach { outbox.emit(Effect.AbandonProposal(it.id)) }
-        byIndex.keys.removeAll(skipped.keys)
+        val skipped = byIndex.keys.filter { it <= index }
+        skipped.mapNotNull(::remove).forEach { outbox.emit(Effect.AbandonProposal(it.id)) }
     }
 
-    private class PendingProposal(val id: ProposalId, val term: Long)
+    private fun remove(index: LogIndex): PendingProposal? = byIndex.remove(index)?.also { bytes -= it.bytes }
+
+    private class PendingProposal(val id: ProposalId, val term: Long, val bytes: Int)
 }
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
@@ -18,6 +18,7 @@
  * @property maxInFlightBatches messages with entries sent to one member ahead of its answers.
  * @property maxCommandBytes largest command.
  * @property maxPendingProposals proposals in progress at a leader.
+ * @property maxPendingBytes bound of the commands of these proposals together.
  * @property snapshotChunkBytes bound of one part of a snapshot.
  * @property maxSnapshotBytes largest snapshot that is accepted.
  * @property joinInterval time between two requests to be admitted.
@@ -37,6 +38,7 @@
     val maxInFlightBatches: Int = 4,
     val maxCommandBytes: Int = DEFAULT_COMMAND_BYTES,
     val maxPendingProposals: Int = DEFAULT_PENDING_PROPOSALS,
+    val maxPendingBytes: Int = DEFAULT_PENDING_BYTES,
     val snapshotChunkBytes: Int = DEFAULT_MESSAGE_BYTES,
     val maxSnapshotBytes: Long = DEFAULT_SNAPSHOT_BYTES,
     val joinInterval: Duration = 1.seconds,
@@ -68,3 +70,4 @@
 private const val DEFAULT_COMMAND_BYTES = KIBIBYTE * KIBIBYTE
 private const val DEFAULT_SNAPSHOT_BYTES = 64L * KIBIBYTE * KIBIBYTE
 private const val DEFAULT_PENDING_PROPOSALS = 4096
+private const val DEFAULT_PENDING_BYTES = 4 * KIBIBYTE * KIBIBYTE
