--- a/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
@@ -106,7 +106,7 @@
             runUntil(30.seconds) {
                 if (answer == null && leader?.replica?.quorumContactTime != null) answer = ""
                 if (answer == "") answer = leader?.propose("end${order++} end 0") { answer = it ?: "" }.let { "sent" }
-                last = committed.lastKey()
+                last = committed.keys.lastOrNull() ?: 0
                 answer?.startsWith("conflict") == true || answer?.startsWith("accepted") == true
             },
         ) { "no progress after the faults ended: ${describe()}" }
--- /dev/null
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/MembershipTest.kt
@@ -0,0 +1,175 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.model.DaemonId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class MembershipTest {
+    private val fast = ReplicaSettings.Default.copy(replacementDelay = 3.seconds, snapshotChunkBytes = 100)
+
+    private fun ready(seed: Int, settings: ReplicaSettings = fast, spares: Int = 2): Cluster {
+        val cluster = Cluster(seed, voters = 3, spares = spares, diskless = 1, settings = settings)
+        cluster.awaitLeader()
+        val full = 3 + spares + 1
+        check(cluster.runUntil(10.seconds) { cluster.leader?.replica?.configuration?.members?.size == full })
+        write(cluster, 60)
+        return cluster
+    }
+
+    private fun write(cluster: Cluster, count: Int) {
+        repeat(count) { i ->
+            var answer: String? = null
+            check(
+                cluster.runUntil(15.seconds) {
+                    if (answer == null) {
+                        answer = "sent"
+                        val leader = cluster.leader
+                        if (leader == null) answer = null
+                        leader?.propose("w${cluster.time.nanoseconds}-$i k 0") { answer = it }
+                    }
+                    answer != null && answer != "sent"
+                },
+            ) { "no write: ${cluster.describe()}" }
+        }
+    }
+
+    private fun voters(cluster: Cluster) = cluster.leader!!.replica!!.configuration.voters.map { it.daemon.value }.toSet()
+
+    private fun tolerance(cluster: Cluster) = cluster.leader?.replica?.failureTolerance
+
+    private fun Cluster.awaitSafe() =
+        check(runUntil(15.seconds) { tolerance(this)?.isSafeAgainstNextLoss == true }) { describe() }
+
+    @Test
+    fun aSpareTakesTheVoteOfALostVoterAndASecondLossIsSurvived() {
+        repeat(30) { seed ->
+            val cluster = ready(seed)
+            val lost = cluster.nodes.take(3).filter { it != cluster.leader }.random(cluster.random)
+            lost.crash()
+            cluster.run(2.seconds)
+            assertFalse(tolerance(cluster)!!.isSafeAgainstNextLoss, "one more loss would end the quorum, seed $seed")
+            cluster.awaitSafe()
+            assertFalse(lost.daemon.value in voters(cluster))
+            cluster.leader!!.crash()
+            write(cluster, 5)
+            cluster.settle()
+        }
+    }
+
+    @Test
+    fun aVoterThatLostItsDiskReturnsWithoutAVoteAndIsPromotedOnceCaughtUp() {
+        repeat(30) { seed ->
+            val cluster = ready(seed, fast.copy(promotionLag = 2), spares = 0)
+            val lost = cluster.nodes.take(3).filter { it != cluster.leader }.random(cluster.random)
+            val old = lost.id
+            lost.wipe()
+            lost.start()
+            assertFalse(cluster.leader!!.replica!!.configuration.isVoter(lost.id))
+            cluster.runUntil(10.seconds) { cluster.leader?.replica?.configuration?.isVoter(lost.id) == true }
+            assertTrue(lost.replica!!.lastIndex + 3 >= cluster.leader!!.replica!!.lastIndex, "promoted too early")
+            cluster.awaitSafe()
+            val configuration = cluster.leader!!.replica!!.configuration
+            assertTrue(lost.id in configuration.voters && configuration.member(old) == null, "$configuration")
+            cluster.settle()
+        }
+    }
+
+    @Test
+    fun theLeaderMayBeKilledAtAnyStepOfAChange() {
+        val steps = (0..40).map { it.milliseconds } + listOf(60, 90, 150, 250).map { it.milliseconds }
+        for ((seed, step) in steps.withIndex()) {
+            val cluster = ready(seed, ReplicaSettings.Default.copy(automaticReplacement = false))
+            val old = voters(cluster)
+            val leader = cluster.leader!!
+            val lost = cluster.nodes.take(3).first { it != leader }
+            leader.change(MembershipChange.Replace(lost.id, cluster.nodes[3].id))
+            cluster.run(step)
+            leader.crash()
+            write(cluster, 3)
+            val new = old - lost.daemon.value + "d4"
+            assertTrue(voters(cluster).let { it == old || it == new }, "seed $seed: ${voters(cluster)}")
+            assertFalse(cluster.leader!!.replica!!.configuration.isJoint, "seed $seed")
+            if (leader.membershipResults.any { it is MembershipResult.Committed }) assertEquals(new, voters(cluster))
+            cluster.settle()
+        }
+    }
+
+    @Test
+    fun aMemberIsReplacedWhileAnotherDiesAndComesBack() {
+        repeat(40) { seed ->
+            val cluster = ready(seed, ReplicaSettings.Default.copy(automaticReplacement = false))
+            val leader = cluster.leader!!
+            val (lost, other) = cluster.nodes.take(3).filter { it != leader }.shuffled(cluster.random)
+            leader.change(MembershipChange.Replace(lost.id, cluster.nodes[3].id))
+            cluster.run((seed / 4).milliseconds)
+            other.crash()
+            cluster.run((seed * 97 % 3000).milliseconds)
+            other.start()
+            write(cluster, 3)
+            cluster.settle()
+        }
+    }
+
+    @Test
+    fun aRemovedMemberDoesNotDisturb() {
+        repeat(20) { seed ->
+            val cluster = ready(seed)
+            val removed = cluster.nodes.take(3).first { it != cluster.leader }
+            cluster.cut(cluster.leader!!, removed)
+            cluster.leader!!.change(MembershipChange.Remove(removed.daemon))
+            cluster.run(1.seconds)
+            val term = cluster.leader!!.replica!!.term
+            cluster.heal()
+            cluster.run(20.seconds)
+            assertEquals(term, cluster.leader!!.replica!!.term, "seed $seed: ${cluster.describe()}")
+            assertFalse(cluster.leader!!.replica!!.configuration.recipients.any { it.daemon == removed.daemon })
+        }
+    }
+
+    @Test
+    fun aRemovedLeaderHandsOver() {
+        repeat(20) { seed ->
+            val cluster = ready(seed)
+            val leader = cluster.leader!!
+            leader.change(MembershipChange.Remove(leader.daemon))
+            cluster.run(3.seconds)
+            assertFalse(leader.daemon.value in voters(cluster), "seed $seed")
+            assertTrue(leader.membershipResults.any { it is MembershipResult.Committed }, "seed $seed")
+            write(cluster, 3)
+        }
+    }
+
+    @Test
+    fun changesThatCannotBeMadeAreRefused() {
+        val cluster = ready(1, ReplicaSettings.Default.copy(automaticReplacement = false))
+        val leader = cluster.leader!!
+        val behind = cluster.nodes[4]
+        behind.crash()
+        cluster.run(2.seconds)
+        write(cluster, 70)
+        val refusals = listOf(
+            MembershipChange.Promote(DaemonId("d9")) to MembershipRefusal.NO_SUCH_MEMBER,
+            MembershipChange.Promote(DaemonId("d6")) to MembershipRefusal.NOT_DURABLE,
+            MembershipChange.Promote(behind.daemon) to MembershipRefusal.NOT_CAUGHT_UP,
+            MembershipChange.Remove(DaemonId("d9")) to MembershipRefusal.NO_SUCH_MEMBER,
+            MembershipChange.Demote(DaemonId("d4")) to MembershipRefusal.NO_SUCH_MEMBER,
+            MembershipChange.Replace(behind.id, cluster.nodes[3].id) to MembershipRefusal.NO_SUCH_MEMBER,
+        )
+        for ((change, refusal) in refusals) {
+            leader.change(change)
+            assertEquals(MembershipResult.Refused(refusal), leader.membershipResults.last(), "$change")
+        }
+        leader.change(MembershipChange.Promote(DaemonId("d4")))
+        leader.change(MembershipChange.Promote(DaemonId("d4")))
+        assertEquals(MembershipResult.Refused(MembershipRefusal.CHANGE_IN_PROGRESS), leader.membershipResults.last())
+        cluster.nodes.first { it != leader }.change(MembershipChange.Promote(DaemonId("d5")))
+        assertEquals(
+            listOf<MembershipResult>(MembershipResult.Refused(MembershipRefusal.NOT_LEADER)),
+            cluster.nodes.first { it != leader }.membershipResults.toList(),
+        )
+    }
+}
