--- a/fleet/src/main/kotlin/org/auburnstream/fleet/DrainCommands.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/DrainCommands.kt
@@ -22,14 +22,8 @@
  */
 internal class DrainCommands(private val tables: FleetTables) {
     fun start(id: VmId, purpose: DrainPurpose): FleetRefusal? {
-        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
-        if (vm.phase !is VmPhase.Active) return FleetRefusal.WrongPhase(id, vm.phase)
-        val refusal =
-            when (purpose) {
-                is DrainPurpose.Maintenance -> refuseMaintenance(vm, purpose.wave)
-                is DrainPurpose.Move -> refuseMove(vm, purpose)
-            }
-        if (refusal != null) return refusal
+        refuseStart(id, purpose)?.let { return it }
+        val vm = tables.vms.getValue(id)
         tables.putVm(vm.copy(phase = VmPhase.Draining(tables.revision, purpose, tables.clock)))
         if (purpose is DrainPurpose.Maintenance) {
             tables.waves.computeIfPresent(purpose.wave) { _, wave -> wave.copy(lastDrainAt = tables.clock) }
@@ -45,40 +39,57 @@
         return null
     }
 
-    fun permit(id: VmId, drain: FleetRevision, evidence: List<DrainEvidence>): FleetRefusal? {
+    /** Returns why [start] would change nothing now, or null if it would start the drain. */
+    fun refuseStart(id: VmId, purpose: DrainPurpose): FleetRefusal? {
         val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
-        val phase = vm.phase as? VmPhase.Draining ?: return FleetRefusal.WrongPhase(id, vm.phase)
-        if (phase.drain != drain) return FleetRefusal.Superseded(id, drain)
-        val missing = tables.daemons - evidence.map { it.daemon }.toSet()
-        if (missing.isNotEmpty()) return FleetRefusal.EvidenceMissing(id, missing.toList())
-        return when (val purpose = phase.purpose) {
-            is DrainPurpose.Maintenance -> permitRestart(vm, phase, purpose.wave)
-            is DrainPurpose.Move -> permitMove(vm, purpose)
+        if (vm.phase !is VmPhase.Active) return FleetRefusal.WrongPhase(id, vm.phase)
+        return when (purpose) {
+            is DrainPurpose.Maintenance -> refuseMaintenance(vm, purpose.wave)
+            is DrainPurpose.Move -> refuseMove(vm, purpose)
         }
     }
 
-    private fun permitRestart(vm: Vm, phase: VmPhase.Draining, wave: WaveId): FleetRefusal? {
-        val maxOutage = tables.maxOutageOf(vm.pool)
-        val refusal =
-            refuseWave(wave)
+    /** Returns why no evidence would lead to a permit now, or null if complete evidence would. */
+    fun refusePermit(vm: Vm, phase: VmPhase.Draining): FleetRefusal? = when (val purpose = phase.purpose) {
+        is DrainPurpose.Maintenance ->
+            refuseWave(purpose.wave)
                 ?: refuseHold(vm)
                 ?: refuseBudget(vm, leaving = 0)
-                ?: refuseSlowDrain(vm, phase.since, maxOutage)
-        if (refusal != null) return refusal
-        val stopped = VmPhase.Stopped(tables.revision, wave, phase.since, returnBy = phase.since + maxOutage)
-        tables.putVm(vm.copy(phase = stopped))
-        return null
+                ?: refuseSlowDrain(vm, phase.since)
+        is DrainPurpose.Move ->
+            if (purpose.to !in tables.pools) {
+                FleetRefusal.UnknownPool(purpose.to)
+            } else {
+                shortService(vm, leaving = 0)?.let { FleetRefusal.NotSpare(vm.id, it) }
+            }
     }
 
-    private fun permitMove(vm: Vm, purpose: DrainPurpose.Move): FleetRefusal? {
-        if (purpose.to !in tables.pools) return FleetRefusal.UnknownPool(purpose.to)
-        val short = shortService(vm, leaving = 0)
-        if (short != null) return FleetRefusal.NotSpare(vm.id, short)
-        val moving = VmPhase.Moving(tables.revision, vm.pool, tables.clock, returnBy = tables.clock + MOVE_TIMEOUT)
-        tables.putVm(vm.copy(pool = purpose.to, service = null, phase = moving))
+    fun permit(id: VmId, drain: FleetRevision, evidence: List<DrainEvidence>): FleetRefusal? {
+        val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
+        val phase = vm.phase as? VmPhase.Draining ?: return FleetRefusal.WrongPhase(id, vm.phase)
+        if (phase.drain != drain) return FleetRefusal.Superseded(id, drain)
+        val missing = tables.daemons - evidence.map { it.daemon }.toSet()
+        if (missing.isNotEmpty()) return FleetRefusal.EvidenceMissing(id, missing.toList())
+        refusePermit(vm, phase)?.let { return it }
+        val running = tables.jobs.jobsOn(id).size
+        if (running > 0) return JobRefusal.JobsRunning(id, running)
+        tables.putVm(permitted(vm, phase))
         return null
     }
 
+    private fun permitted(vm: Vm, phase: VmPhase.Draining): Vm = when (val purpose = phase.purpose) {
+        is DrainPurpose.Maintenance -> {
+            val returnBy = phase.since + tables.maxOutageOf(vm.pool)
+            vm.copy(phase = VmPhase.Stopped(tables.revision, purpose.wave, phase.since, returnBy))
+        }
+        is DrainPurpose.Move -> {
+            val returnBy = tables.clock + MOVE_TIMEOUT
+            val moving = VmPhase.Moving(tables.revision, vm.pool, tables.clock, returnBy)
+            val record = MoveRecord(vm.pool, purpose.to, purpose.reason, tables.clock)
+            vm.copy(pool = purpose.to, service = null, phase = moving, lastMove = record)
+        }
+    }
+
     private fun refuseMaintenance(vm: Vm, id: WaveId): FleetRefusal? = refuseWave(id)
         ?: refuseHold(vm)
         ?: refuseOrder(vm, tables.waves.getValue(id))
@@ -96,12 +107,12 @@
     private fun refuseOrder(vm: Vm, wave: Wave): FleetRefusal? {
         val id = wave.spec.id
         if (vm.id !in wave.pending) return FleetRefusal.NotPending(id, vm.id)
-        val inProgress = wave.pending.filter { tables.isInProgress(id, it) }
+        val inProgress = tables.inProgress(id)
         val early = wave.lastDrainAt?.let { tables.clock < it + wave.spec.pace.gap } ?: false
         if (early || inProgress.size >= wave.spec.pace.maxInProgress) {
             return FleetRefusal.PaceReached(id, inProgress.size)
         }
-        val elsewhere = inProgress.map(tables.vms::getValue).firstOrNull { it.dataCentre != vm.dataCentre }
+        val elsewhere = inProgress.firstOrNull { it.dataCentre != vm.dataCentre }
         return elsewhere?.let { FleetRefusal.OtherDomainInProgress(id, FailureDomain(it.dataCentre)) }
     }
 
@@ -112,17 +123,11 @@
         return FleetRefusal.WindowClosed(vm.pool, next)
     }
 
-    private fun refuseBudget(vm: Vm, leaving: Int): FleetRefusal? {
-        for (id in tables.servicesOf(vm.pool)) {
-            val ledger = tables.services.getValue(id)
-            val limit = ledger.limitOf(ledger.capacity.available - leaving, tables.clock) ?: continue
-            return FleetRefusal.BudgetExceeded(BudgetBlock(id, limit))
-        }
-        return null
-    }
+    private fun refuseBudget(vm: Vm, leaving: Int): FleetRefusal? =
+        tables.budgetBlock(vm.pool, leaving)?.let { FleetRefusal.BudgetExceeded(it) }
 
-    private fun refuseSlowDrain(vm: Vm, since: Instant, maxOutage: Duration): FleetRefusal? {
-        val tooSlow = tables.clock - since > maxOutage / DRAIN_SHARE_DIVISOR
+    private fun refuseSlowDrain(vm: Vm, since: Instant): FleetRefusal? {
+        val tooSlow = tables.clock - since > tables.maxOutageOf(vm.pool) / DRAIN_SHARE_DIVISOR
         return if (tooSlow) FleetRefusal.DrainTooSlow(vm.id, since) else null
     }
 
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetAudit.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetAudit.kt
@@ -21,7 +21,7 @@
         buildList {
             addAll(checkOwnership(state))
             addAll(checkPhases(state, command))
-            addAll(checkBudgets(state, if (result is FleetResult.Applied) state.planned(command) else null))
+            if (result is FleetResult.Applied) addAll(checkBudgets(state, state.planned(command)))
         }
 
     private fun checkOwnership(state: FleetState): List<FleetViolation> = state.vms.values.mapNotNull { vm ->
@@ -67,6 +67,7 @@
         fun check(spec: ServiceSpec, act: PlannedAct?, at: Instant): List<FleetViolation> {
             val from = at - spec.budget.window
             while (segments.isNotEmpty() && segments.first().until <= from) segments.removeFirst()
+            if (act == null && planned.isEmpty()) return emptyList()
             val plannedSpent = segments.sum(from) { it.planned }
             val spent = segments.sum(from) { it.planned + it.unplanned }
             val shortfall = (spec.target - available).coerceAtLeast(0)
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetCommand.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetCommand.kt
@@ -121,10 +121,10 @@
     @SerialName("confirm_restart")
     public data class ConfirmRestart(val vm: VmId, val permit: FleetRevision) : FleetCommand
 
-    /** Keeps work away from a VM that fails what it is given. */
+    /** Keeps work away from a VM that an operator distrusts. */
     @Serializable
     @SerialName("quarantine")
-    public data class Quarantine(val vm: VmId, val reason: QuarantineReason) : FleetCommand
+    public data class QuarantineVm(override val operation: OperationId, val vm: VmId) : Operator
 }
 
 /** Why [daemon] has no request in progress on a draining VM and will start none. */
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetResult.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetResult.kt
@@ -179,4 +179,4 @@
 
 /** Field of a command that can be out of range. */
 @Serializable
-public enum class CommandField { TARGET, BUDGET, WINDOW, PACE, ID, POOL }
+public enum class CommandField { TARGET, BUDGET, WINDOW, PACE, ID, POOL, QUOTA }
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetSnapshot.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetSnapshot.kt
@@ -16,6 +16,7 @@
     val vms: List<Vm>,
     val waves: List<Wave>,
     val operations: List<OperationRecord>,
+    val jobs: JobSnapshot = JobSnapshot(),
 )
 
 internal fun FleetTables.toSnapshot(): FleetSnapshot = FleetSnapshot(
@@ -40,6 +41,7 @@
     vms.forEach(tables::putVm)
     waves.forEach { tables.waves[it.spec.id] = it }
     operations.forEach { tables.operations[it.operation] = it }
+    tables.jobs.fill(jobs)
     // Last, so that rebuilding the indexes has not settled the ledgers.
     services.forEach { tables.services[it.spec.id] = it }
     return tables
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
@@ -3,9 +3,12 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
+import org.auburnstream.model.Announcement
 import org.auburnstream.model.DaemonId
+import org.auburnstream.model.JobId
 import org.auburnstream.model.PoolId
 import org.auburnstream.model.ServiceId
+import org.auburnstream.model.TeamId
 import org.auburnstream.model.VmId
 import org.auburnstream.model.WaveId
 import kotlin.time.Instant
@@ -95,10 +98,67 @@
         return BudgetStatus(ledger.spec, ledger.capacity.available, ledger.spent(maxOf(at, clock)))
     }
 
+    /** VMs that [service] needs for full service, 0 if there is no such service. */
+    public fun targetOf(service: ServiceId): Int = tables.services[service]?.spec?.target ?: 0
+
     /** Returns why maintenance of [pool] is held as a whole, or null if it is not. */
     public fun holdOf(pool: PoolId): FleetRefusal? =
         tables.correlatedLoss() ?: tables.overdueIn(pool)?.let { FleetRefusal.PoolHeld(pool, it) }
 
+    /** VMs that are draining, stopped or moving. */
+    public fun vmsInPlannedActs(): List<Vm> = tables.away.map(tables.vms::getValue)
+
+    /** VMs that [wave] keeps away. */
+    public fun vmsInProgress(wave: WaveId): List<Vm> = tables.inProgress(wave)
+
+    /** Returns whether registering [announcement] would change anything. */
+    public fun review(announcement: Announcement): AnnouncementReview = handlers.vms.review(announcement)
+
+    /**
+     * Returns why a drain of [vm] for [purpose] would not start at [at], or null if it would.
+     *
+     * Brings the clock of this replica forward to [at] for the question only.
+     */
+    public fun refusalOfDrain(vm: VmId, purpose: DrainPurpose, at: Instant): FleetRefusal? =
+        askAt(at) { handlers.drains.refuseStart(vm, purpose) }
+
+    /** Returns why the drain that [vm] is in would not lead to a permit at [at] whatever the daemons report. */
+    public fun refusalOfPermit(vm: Vm, at: Instant): FleetRefusal? {
+        val phase = vm.phase as? VmPhase.Draining ?: return FleetRefusal.WrongPhase(vm.id, vm.phase)
+        return askAt(at) { handlers.drains.refusePermit(vm, phase) }
+    }
+
+    /** Jobs that are not over, by id. */
+    public val jobs: Map<JobId, Job> get() = tables.jobs.jobs
+
+    /** The latest jobs that are over, in order of their end. */
+    public val finishedJobs: Map<JobId, FinishedJob> get() = tables.jobs.finished
+
+    /** Quotas by team. */
+    public val quotas: Map<TeamId, TeamQuota> get() = tables.jobs.quotas
+
+    /** Returns what the running jobs of [team] have declared together. */
+    public fun usedBy(team: TeamId): Resources = tables.jobs.usedBy(team)
+
+    /** Queued jobs, most urgent and then oldest first. */
+    public fun queuedJobs(): Sequence<Job> = tables.jobs.queue()
+
+    /** Jobs that run on [vm]. */
+    public fun jobsOn(vm: VmId): List<Job> = tables.jobs.jobsOn(vm).map(tables.jobs.jobs::getValue)
+
+    /** Returns whether the team of [job] has enough of its quota left for it. */
+    public fun isQuotaFree(job: Job): Boolean = tables.jobs.isQuotaFree(job)
+
+    /** Returns how far [vm] may be trusted with jobs. */
+    public fun trustOf(vm: VmId): WorkerTrust {
+        val record = tables.jobs.worker(vm)
+        return when {
+            record.quarantinedSince != null -> WorkerTrust.QUARANTINED
+            record.isOnProbation -> WorkerTrust.PROBATION
+            else -> WorkerTrust.FULL
+        }
+    }
+
     /** Returns the VMs that changed since the last call; used to keep read models up to date. */
     public fun takeChanges(): Set<VmId> {
         val changes = tables.changed.toSet()
@@ -106,6 +166,16 @@
         return changes
     }
 
+    private fun <T> askAt(at: Instant, question: () -> T): T {
+        val before = tables.clock
+        tables.clock = maxOf(before, at)
+        try {
+            return question()
+        } finally {
+            tables.clock = before
+        }
+    }
+
     private fun digestOf(command: FleetCommand): Long =
         Cbor.encodeToByteArray(FleetCommand.serializer(), command).fold(FNV_OFFSET) { hash, byte ->
             (hash xor (byte.toLong() and BYTE_MASK)) * FNV_PRIME
@@ -119,6 +189,19 @@
     }
 }
 
+/** How far a worker may be trusted with jobs. */
+@Serializable
+public enum class WorkerTrust {
+    /** Nothing is held against the worker. */
+    FULL,
+
+    /** Several jobs failed here; it runs one at a time until it is clear whose fault that is. */
+    PROBATION,
+
+    /** Jobs that failed here succeeded elsewhere; it runs none until an operator readmits it or it is restarted. */
+    QUARANTINED,
+}
+
 /** Availability budget of a service and what is left of it. */
 @Serializable
 public data class BudgetStatus(val spec: ServiceSpec, val available: Int, val spent: BudgetSpent) {
@@ -129,8 +212,9 @@
 private class Handlers(private val tables: FleetTables) {
     private val pools = PoolCommands(tables)
     private val waves = WaveCommands(tables)
-    private val vms = VmCommands(tables, waves)
-    private val drains = DrainCommands(tables)
+    val vms = VmCommands(tables, waves)
+    val drains = DrainCommands(tables)
+    private val jobs = JobCommands(tables)
 
     fun execute(command: FleetCommand): FleetResult {
         val refusal =
@@ -144,7 +228,9 @@
                 is FleetCommand.CancelDrain -> drains.cancel(command.vm, command.drain)
                 is FleetCommand.Permit -> drains.permit(command.vm, command.drain, command.evidence)
                 is FleetCommand.ConfirmRestart -> vms.confirmRestart(command.vm, command.permit)
-                is FleetCommand.Quarantine -> vms.quarantine(command.vm, command.reason)
+                is JobCommand.PlaceJob -> jobs.place(command.job, command.vm)
+                is JobCommand.MeasureJob -> jobs.measure(command.job, command.lease, command.measure)
+                is JobCommand.EndJob -> jobs.end(command.job, command.lease, command.end)
             }
         return if (refusal == null) FleetResult.Applied(tables.revision) else FleetResult.Refused(refusal)
     }
@@ -159,6 +245,10 @@
         is FleetCommand.StartRepair -> vms.startRepair(command.vm)
         is FleetCommand.GiveUpVm -> vms.giveUp(command.vm)
         is FleetCommand.ReadmitVm -> vms.readmit(command.vm)
+        is FleetCommand.QuarantineVm -> vms.quarantine(command.vm)
+        is JobCommand.SubmitJob -> jobs.submit(command.job)
+        is JobCommand.CancelJobs -> jobs.cancel(command.team, command.jobs)
+        is JobCommand.SetQuota -> jobs.setQuota(command.quota)
         is FleetCommand.MoveVm -> drains.start(command.vm, DrainPurpose.Move(command.to))
         is FleetCommand.RetireDaemon -> null.also { tables.daemons.remove(command.daemon) }
     }
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetTables.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetTables.kt
@@ -22,12 +22,16 @@
     val vms: SortedMap<VmId, Vm> = sortedMapOf()
     val waves: MutableMap<WaveId, Wave> = linkedMapOf()
     val operations: MutableMap<OperationId, OperationRecord> = linkedMapOf()
+    val jobs: JobTables = JobTables()
     val changed: MutableSet<VmId> = linkedSetOf()
     private val members: MutableMap<PoolId, SortedSet<VmId>> = hashMapOf()
     private val carriers: MutableMap<ServiceId, SortedSet<PoolId>> = hashMapOf()
     private val lost: SortedSet<VmId> = sortedSetOf()
     private val overdue: SortedSet<VmId> = sortedSetOf()
 
+    /** VMs that are draining, stopped or moving. */
+    val away: SortedSet<VmId> = sortedSetOf()
+
     fun advance(at: Instant) {
         revision = FleetRevision(revision.value + 1)
         clock = maxOf(clock, at)
@@ -41,6 +45,7 @@
 
     fun putPool(pool: Pool) {
         val old = pools.put(pool.id, pool)
+        changed += membersOf(pool.id)
         old?.services.orEmpty().forEach { carriers[it]?.remove(pool.id) }
         pool.services.forEach { service -> carriers.getOrPut(service) { sortedSetOf() }.add(pool.id) }
         (old?.services.orEmpty() + pool.services).distinct().forEach(::recordCapacity)
@@ -65,6 +70,7 @@
             members.getOrPut(vm.pool) { sortedSetOf() }.add(vm.id)
         }
         lost.toggle(vm.id, vm.phase is VmPhase.Lost)
+        away.toggle(vm.id, vm.phase.isPlannedAct)
         overdue.toggle(vm.id, vm.phase.isOverdue)
         changed += vm.id
         val pools = listOfNotNull(old?.pool, vm.pool).distinct()
@@ -84,6 +90,16 @@
         servicesOf(pool).minOfOrNull { services.getValue(it).spec.budget.maxOutage }
             ?: AvailabilityBudget.Default.maxOutage
 
+    /** Returns the budget that [leaving] VMs fewer in [pool] could exceed, or null if they are within all budgets. */
+    fun budgetBlock(pool: PoolId, leaving: Int): BudgetBlock? {
+        for (id in servicesOf(pool)) {
+            val ledger = services.getValue(id)
+            val limit = ledger.limitOf(ledger.capacity.available - leaving, clock) ?: continue
+            return BudgetBlock(id, limit)
+        }
+        return null
+    }
+
     fun overdueIn(pool: PoolId): VmId? = overdue.firstOrNull { vms.getValue(it).pool == pool }
 
     /** Returns the failure domain with so many lost VMs that they share a cause, or null. */
@@ -101,7 +117,8 @@
         return null
     }
 
-    fun isInProgress(wave: WaveId, vm: VmId): Boolean = vms[vm]?.phase?.waveOf() == wave
+    /** VMs that [wave] keeps away, in order of their ids. */
+    fun inProgress(wave: WaveId): List<Vm> = away.map(vms::getValue).filter { it.phase.waveOf() == wave }
 
     private fun recordCapacity(service: ServiceId) {
         val ledger = services[service] ?: return
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobCommands.kt
@@ -0,0 +1,170 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.TeamId
+import org.auburnstream.model.VmId
+import org.auburnstream.model.isValidId
+
+/** Applies what happens to jobs. */
+internal class JobCommands(private val tables: FleetTables) {
+    private val jobs get() = tables.jobs
+    private val blame = WorkerBlame(tables)
+
+    fun submit(spec: JobSpec): FleetRefusal? {
+        refuseSubmission(spec)?.let { return it }
+        jobs.put(Job(spec, tables.revision, tables.clock))
+        return null
+    }
+
+    fun setQuota(quota: TeamQuota): FleetRefusal? {
+        if (!quota.isValid) return FleetRefusal.InvalidValue(CommandField.QUOTA)
+        jobs.quotas[quota.team] = quota
+        return null
+    }
+
+    fun cancel(team: TeamId, selected: List<JobId>): FleetRefusal? {
+        val ids = selected.ifEmpty { jobs.jobsOf(team).toList() }
+        val foreign = ids.firstOrNull { jobs.jobs[it]?.spec?.team != team }
+        if (foreign != null) return JobRefusal.UnknownJob(foreign)
+        ids.forEach { cancelOne(jobs.jobs.getValue(it)) }
+        return null
+    }
+
+    fun place(id: JobId, worker: VmId): FleetRefusal? {
+        val job = jobs.jobs[id] ?: return JobRefusal.UnknownJob(id)
+        val vm = tables.vms[worker] ?: return FleetRefusal.UnknownVm(worker)
+        val fits = vm.pool == job.spec.pool && job.spec.declared.accelerators <= vm.size.accelerators
+        val unfit = vm.phase !is VmPhase.Active || !fits || jobs.worker(worker).quarantinedSince != null
+        if (unfit || job.phase !is JobPhase.Queued || worker in job.failedOn) return JobRefusal.WorkerUnfit(id, worker)
+        if (!jobs.isQuotaFree(job)) return JobRefusal.QuotaUsed(job.spec.team)
+        jobs.put(job.copy(phase = JobPhase.Running(worker, tables.revision, tables.clock)))
+        return null
+    }
+
+    fun measure(id: JobId, lease: FleetRevision, measure: JobMeasure): FleetRefusal? {
+        val job = jobs.jobs[id] ?: return JobRefusal.UnknownJob(id)
+        val phase = job.phase as? JobPhase.Running ?: return JobRefusal.LeaseSuperseded(id)
+        if (phase.lease != lease) return JobRefusal.LeaseSuperseded(id)
+        val strongest = maxOf(measure, phase.measure ?: measure)
+        jobs.put(job.copy(phase = phase.copy(measure = strongest)))
+        return null
+    }
+
+    fun end(id: JobId, lease: FleetRevision, end: JobEnd): FleetRefusal? {
+        val job = jobs.jobs[id] ?: return JobRefusal.UnknownJob(id)
+        val phase = job.phase as? JobPhase.Running ?: return JobRefusal.LeaseSuperseded(id)
+        if (phase.lease != lease) return JobRefusal.LeaseSuperseded(id)
+        when {
+            end == JobEnd.SUCCEEDED -> succeed(job, phase.vm)
+            phase.cancelled -> jobs.finish(job, JobResult.CANCELLED, tables.clock)
+            end == JobEnd.FAILED -> fail(job, phase.vm)
+            else -> jobs.put(requeued(job, end))
+        }
+        return null
+    }
+
+    private fun refuseSubmission(spec: JobSpec): FleetRefusal? {
+        val quota = jobs.quotas[spec.team]
+        return when {
+            !isValidId(spec.id.value) || !spec.declared.isValid -> FleetRefusal.InvalidValue(CommandField.ID)
+            spec.id in jobs.jobs || spec.id in jobs.finished -> JobRefusal.JobExists(spec.id)
+            spec.pool !in tables.pools -> FleetRefusal.UnknownPool(spec.pool)
+            quota == null -> JobRefusal.NoQuota(spec.team)
+            !spec.declared.fitsIn(quota.limit) -> JobRefusal.ExceedsQuota(spec.team, quota.limit)
+            jobs.queuedOf(spec.team) >= quota.maxQueued -> JobRefusal.QueueFull(spec.team, quota.maxQueued)
+            else -> refuseSize(spec)
+        }
+    }
+
+    /** Declared sizes are estimates, but no placement would be proposed beyond the largest worker. */
+    private fun refuseSize(spec: JobSpec): FleetRefusal? {
+        val sizes = tables.membersOf(spec.pool).map { tables.vms.getValue(it) }
+        val live = sizes.filter { it.phase !is VmPhase.GivenUp }.map { it.size.resources }
+        if (live.any { spec.declared.fitsIn(it) }) return null
+        val largest =
+            Resources(
+                millicores = live.maxOfOrNull { it.millicores } ?: 0,
+                memoryMegabytes = live.maxOfOrNull { it.memoryMegabytes } ?: 0,
+                accelerators = live.maxOfOrNull { it.accelerators } ?: 0,
+            )
+        return JobRefusal.ExceedsWorkers(spec.pool, largest)
+    }
+
+    private fun cancelOne(job: Job) {
+        when (val phase = job.phase) {
+            is JobPhase.Queued -> jobs.finish(job, JobResult.CANCELLED, tables.clock)
+            is JobPhase.Running ->
+                jobs.put(job.copy(phase = phase.copy(measure = JobMeasure.STOP, cancelled = true)))
+        }
+    }
+
+    private fun succeed(job: Job, worker: VmId) {
+        blame.acquit(worker)
+        jobs.finish(job, JobResult.SUCCEEDED, tables.clock)
+        job.failedOn.forEach { blame.prove(it, job) }
+    }
+
+    private fun fail(job: Job, worker: VmId) {
+        val failed = requeued(job, JobEnd.FAILED).copy(failedOn = job.failedOn + worker)
+        if (failed.failedOn.size >= MAX_FAILED_WORKERS) {
+            failed.failedOn.forEach { blame.withdraw(it, job.spec.id) }
+            jobs.finish(failed, JobResult.FAILS_EVERYWHERE, tables.clock)
+        } else {
+            blame.suspect(worker, job.spec.id)
+            jobs.put(failed)
+        }
+    }
+
+    private fun requeued(job: Job, end: JobEnd): Job =
+        job.copy(phase = JobPhase.Queued, hasCheckpoint = job.hasCheckpoint || end == JobEnd.CHECKPOINTED)
+
+    private companion object {
+        const val MAX_FAILED_WORKERS = 3
+    }
+}
+
+/**
+ * Decides whether failures are the worker's or the jobs'.
+ *
+ * A failure counts against the worker only once the same job has succeeded elsewhere; a job that fails everywhere
+ * clears the workers that it failed on.
+ */
+internal class WorkerBlame(private val tables: FleetTables) {
+    private val jobs get() = tables.jobs
+
+    fun suspect(vm: VmId, job: JobId) = change(vm) { it.copy(unproven = it.unproven + job) }
+
+    fun withdraw(vm: VmId, job: JobId) = change(vm) { it.copy(unproven = it.unproven - job) }
+
+    fun acquit(vm: VmId) = change(vm) { it.copy(unproven = emptySet(), proven = emptySet()) }
+
+    fun forgive(vm: VmId) = change(vm) { WorkerRecord(vm) }
+
+    fun prove(vm: VmId, job: Job) {
+        // A success of the worker in the meantime has cleared it.
+        if (job.spec.id !in jobs.worker(vm).unproven) return
+        change(vm) { it.copy(unproven = it.unproven - job.spec.id, proven = it.proven + job.spec.id) }
+        val record = jobs.worker(vm)
+        val quarantine = record.proven.size >= QUARANTINE_PROOFS && isQuarantineBounded(job.spec)
+        if (quarantine) change(vm) { it.copy(quarantinedSince = it.quarantinedSince ?: tables.clock) }
+    }
+
+    private fun isQuarantineBounded(spec: JobSpec): Boolean {
+        val members = tables.membersOf(spec.pool)
+        val quarantined = members.count { jobs.worker(it).quarantinedSince != null }
+        return quarantined < (members.size / QUARANTINED_SHARE_DIVISOR).coerceAtLeast(1)
+    }
+
+    private fun change(vm: VmId, edit: (WorkerRecord) -> WorkerRecord) = jobs.putWorker(edit(jobs.worker(vm)))
+
+    private companion object {
+        const val QUARANTINE_PROOFS = 2
+        const val QUARANTINED_SHARE_DIVISOR = 5
+    }
+}
+
+/** What the VM declares to have. */
+internal val VmSize.resources: Resources
+    get() = Resources(processors * MILLICORES, memoryMegabytes, accelerators)
+
+private const val MILLICORES = 1000L
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
@@ -0,0 +1,217 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.PoolId
+import org.auburnstream.model.TeamId
+import org.auburnstream.model.Urgency
+import org.auburnstream.model.VmId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Time after which a worker that hears nothing has ended its jobs by itself. */
+public val JOB_LEASE: Duration = 30.seconds
+
+/**
+ * Places jobs by estimated use, keeps workers from overload and gets jobs off workers that are to stop.
+ *
+ * Measures go from the mildest to the strongest and from the least urgent job upwards.
+ */
+internal class JobPlanner(private val usage: UsageBook) {
+    private val measuredAt = hashMapOf<FleetRevision, MonotonicTime>()
+    private val actedAt = hashMapOf<VmId, Long>()
+
+    fun plan(state: FleetState, at: Instant, now: MonotonicTime, plan: PlanBuilder) {
+        val running = state.jobs.values.filter { it.phase is JobPhase.Running }
+        measuredAt.keys.retainAll(running.mapNotNullTo(hashSetOf()) { it.leaseOrNull })
+        for (job in running) {
+            planRunning(state, job, job.phase as JobPhase.Running, at, now, plan)
+        }
+        planOverloads(state, plan)
+        if (state.queuedJobs().any()) planPlacements(WorkerTable(state, usage), state, plan)
+    }
+
+    private fun planRunning(
+        state: FleetState,
+        job: Job,
+        phase: JobPhase.Running,
+        at: Instant,
+        now: MonotonicTime,
+        plan: PlanBuilder,
+    ) {
+        val id = job.spec.id
+        val report = usage.reportOf(phase.vm)?.jobs?.firstOrNull { it.lease == phase.lease }
+        val end = report?.end ?: JobEnd.WORKER_LOST.takeIf { isLeaseOver(state, phase, at) }
+        if (end != null) {
+            plan.commands += JobCommand.EndJob(id, phase.lease, end)
+            return
+        }
+        val measure = dueMeasure(state, phase, now)
+        if (measure != phase.measure && measure != null) {
+            plan.commands += JobCommand.MeasureJob(id, phase.lease, measure)
+        }
+        if (phase.measure != null) {
+            plan.wanted += PlatformRequest.MeasureJob(phase.vm, phase.lease, id, phase.measure)
+        } else if (report == null) {
+            plan.wanted += PlatformRequest.RunJob(phase.vm, phase.lease, job.spec, job.hasCheckpoint)
+        }
+    }
+
+    /** A lost worker ends its jobs by itself once their lease has run out, so they may run elsewhere. */
+    private fun isLeaseOver(state: FleetState, phase: JobPhase.Running, at: Instant): Boolean {
+        val since =
+            when (val vm = state.vms.getValue(phase.vm).phase) {
+                is VmPhase.Lost -> vm.since
+                is VmPhase.InRepair -> vm.since
+                is VmPhase.GivenUp -> vm.since
+                else -> return false
+            }
+        return at >= since + JOB_LEASE
+    }
+
+    private fun dueMeasure(state: FleetState, phase: JobPhase.Running, now: MonotonicTime): JobMeasure? {
+        val leaving = state.vms.getValue(phase.vm).phase !is VmPhase.Active
+        val current = phase.measure
+        if (current != JobMeasure.CHECKPOINT) {
+            return if (leaving) maxOf(JobMeasure.CHECKPOINT, current ?: JobMeasure.CHECKPOINT) else current
+        }
+        val since = measuredAt.getOrPut(phase.lease) { now }
+        return if (now - since >= CHECKPOINT_TIMEOUT) JobMeasure.STOP else current
+    }
+
+    private fun planOverloads(state: FleetState, plan: PlanBuilder) {
+        for (vm in state.vms.values) {
+            val jobs = state.jobsOn(vm.id)
+            val report = usage.reportOf(vm.id)
+            if (jobs.isEmpty() || report == null || report.sequence < settledAt(vm.id)) continue
+            val (victim, measure) = overloadMeasure(vm.size.resources, report.used, jobs) ?: continue
+            // The effect shows only in a later report; until then a second victim would be one too many.
+            actedAt[vm.id] = report.sequence
+            plan.commands += JobCommand.MeasureJob(victim.spec.id, victim.leaseOrNull ?: continue, measure)
+        }
+    }
+
+    private fun settledAt(vm: VmId): Long = actedAt[vm]?.let { it + SETTLING_REPORTS } ?: 0
+
+    private fun overloadMeasure(capacity: Resources, used: Resources, jobs: List<Job>): Measure? {
+        val checkpoint by lazy { leastUrgent(jobs, JobMeasure.CHECKPOINT) }
+        return when {
+            used.memoryMegabytes > capacity.memoryMegabytes * MEMORY_LIMIT -> checkpoint
+            used.millicores > capacity.millicores * PROCESSOR_LIMIT ->
+                leastUrgent(jobs, JobMeasure.THROTTLE) ?: checkpoint
+            else -> null
+        }
+    }
+
+    private fun planPlacements(workers: WorkerTable, state: FleetState, plan: PlanBuilder) {
+        val used = hashMapOf<TeamId, Resources>()
+        var placed = 0
+        for (job in state.queuedJobs().take(MAX_CONSIDERED)) {
+            val team = job.spec.team
+            val quota = state.quotas[team] ?: continue
+            val after = (used[team] ?: state.usedBy(team)) + job.spec.declared
+            if (!after.fitsIn(quota.limit)) continue
+            val worker = workers.bestFor(job)
+            if (worker == null) {
+                if (job.spec.urgency == Urgency.URGENT) displace(workers, state, job, plan)
+                continue
+            }
+            workers.take(worker, job)
+            used[team] = after
+            plan.commands += JobCommand.PlaceJob(job.spec.id, worker.vm.id)
+            if (++placed >= MAX_PLACED) return
+        }
+    }
+
+    /** Checkpoints the least urgent jobs of the worker that loses the fewest of them to [job]. */
+    private fun displace(workers: WorkerTable, state: FleetState, job: Job, plan: PlanBuilder) {
+        val needed = usage.estimateOf(job)
+        val victims =
+            workers
+                .candidatesFor(job)
+                .mapNotNull { victimsFor(state, it, needed, job.spec.urgency) }
+                .minByOrNull { it.size } ?: return
+        for (victim in victims) {
+            val lease = victim.leaseOrNull ?: continue
+            plan.commands += JobCommand.MeasureJob(victim.spec.id, lease, JobMeasure.CHECKPOINT)
+        }
+    }
+
+    private fun victimsFor(state: FleetState, worker: Worker, needed: Resources, urgency: Urgency): List<Job>? {
+        var free = worker.free
+        val victims = mutableListOf<Job>()
+        val weaker = state.jobsOn(worker.vm.id).filter { it.spec.urgency < urgency }
+        for (job in weaker.sortedBy { it.spec.urgency }) {
+            if (needed.fitsIn(free)) break
+            val measure = (job.phase as JobPhase.Running).measure
+            free += usage.estimateOf(job)
+            // A job that already leaves makes room without being asked again.
+            if (measure == null || measure == JobMeasure.THROTTLE) victims += job
+        }
+        return victims.takeIf { needed.fitsIn(free) }
+    }
+
+    private fun leastUrgent(jobs: List<Job>, measure: JobMeasure): Measure? = jobs
+        .filter { job -> (job.phase as JobPhase.Running).measure.let { it == null || it < measure } }
+        .minWithOrNull(compareBy({ it.spec.urgency }, { -it.spec.declared.memoryMegabytes }))
+        ?.let { Measure(it, measure) }
+
+    private data class Measure(val job: Job, val measure: JobMeasure)
+
+    private companion object {
+        val CHECKPOINT_TIMEOUT = 20.seconds
+        const val SETTLING_REPORTS = 2
+        const val MEMORY_LIMIT = 0.95
+        const val PROCESSOR_LIMIT = 0.98
+        const val MAX_CONSIDERED = 512
+        const val MAX_PLACED = 64
+    }
+}
+
+/** A VM as a place for jobs; [free] is what may still be given out. */
+internal class Worker(val vm: Vm, var free: Resources, var jobs: Int, val trust: WorkerTrust)
+
+/** Workers by pool with what is free on each, kept up to date while one plan is made. */
+internal class WorkerTable(private val state: FleetState, private val usage: UsageBook) {
+    private val byPool = hashMapOf<PoolId, List<Worker>>()
+
+    fun bestFor(job: Job): Worker? {
+        val needed = usage.estimateOf(job)
+        return candidatesFor(job).filter { needed.fitsIn(it.free) }.maxByOrNull { it.free.millicores }
+    }
+
+    /** Workers that may be given [job] if they had room. */
+    fun candidatesFor(job: Job): List<Worker> = inPool(job.spec.pool).filter { it.mayRun(job) }
+
+    fun take(worker: Worker, job: Job) {
+        worker.free -= usage.estimateOf(job)
+        worker.jobs++
+    }
+
+    private fun Worker.mayRun(job: Job): Boolean = when (trust) {
+        WorkerTrust.QUARANTINED -> false
+        WorkerTrust.PROBATION -> jobs == 0 && vm.id !in job.failedOn
+        WorkerTrust.FULL -> vm.id !in job.failedOn
+    }
+
+    private fun inPool(pool: PoolId): List<Worker> = byPool.getOrPut(pool) {
+        state.membersOf(pool).map(state.vms::getValue).filter { it.phase is VmPhase.Active }.map(::workerOf)
+    }
+
+    private fun workerOf(vm: Vm): Worker {
+        val capacity = vm.size.resources
+        val usable =
+            capacity.copy(
+                millicores = capacity.millicores * USABLE_PERCENT / 100,
+                memoryMegabytes = capacity.memoryMegabytes * USABLE_PERCENT / 100,
+            )
+        val jobs = state.jobsOn(vm.id)
+        val accelerators = Resources(accelerators = jobs.sumOf { it.spec.declared.accelerators })
+        val used = usage.estimateOf(vm, state).copy(accelerators = 0) + accelerators
+        return Worker(vm, usable - used, jobs.size, state.trustOf(vm.id))
+    }
+
+    private companion object {
+        const val USABLE_PERCENT = 85
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/UsageBook.kt
@@ -0,0 +1,108 @@
+package org.auburnstream.fleet
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.JobId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.TeamId
+import org.auburnstream.model.VmId
+import kotlin.math.abs
+import kotlin.time.Duration
+
+/**
+ * What a worker used and ran, measured [age] before the report arrived.
+ *
+ * @property sequence grows with each report of the worker.
+ */
+@Serializable
+public data class WorkerReport(
+    val vm: VmId,
+    val sequence: Long,
+    val age: Duration,
+    val used: Resources,
+    val jobs: List<JobReport> = emptyList(),
+)
+
+/** One job of a [WorkerReport]; [end] is set once the job has left the worker. */
+@Serializable
+public data class JobReport(val job: JobId, val lease: FleetRevision, val used: Resources, val end: JobEnd? = null)
+
+/**
+ * Leader's account of observed usage and of how far each team's declarations are off.
+ *
+ * Reports lag, so a job that a worker has not reported yet is added to the worker's observed usage with an estimate:
+ * what the team declared, corrected by the mean and deviation of what its jobs used, as retransmission timers do
+ * with round-trip times (RFC 6298).
+ */
+public class UsageBook {
+    private val reports = hashMapOf<VmId, Entry>()
+    private val corrections = hashMapOf<TeamId, Correction>()
+
+    /** Takes a [report]; one that is not newer than the last is ignored. */
+    public fun onReport(report: WorkerReport, state: FleetState, now: MonotonicTime) {
+        val last = reports[report.vm]
+        if (last != null && report.sequence <= last.report.sequence) return
+        reports[report.vm] = Entry(report, now - report.age)
+        for (job in report.jobs) {
+            val spec = state.jobs[job.job]?.spec ?: continue
+            if (job.end == null) corrections.getOrPut(spec.team) { Correction() }.learn(spec.declared, job.used)
+        }
+    }
+
+    /** Latest report of [vm], or null. */
+    public fun reportOf(vm: VmId): WorkerReport? = reports[vm]?.report
+
+    /** Returns what [job] will probably use. */
+    public fun estimateOf(job: Job): Resources {
+        val declared = job.spec.declared
+        return corrections[job.spec.team]?.correct(declared) ?: declared
+    }
+
+    /** Returns what [vm] probably uses now, with the jobs placed since its last report. */
+    public fun estimateOf(vm: Vm, state: FleetState): Resources {
+        val report = reports[vm.id]?.report
+        val reported = report?.jobs.orEmpty().mapTo(hashSetOf()) { it.lease }
+        val unseen = state.jobsOn(vm.id).filter { it.leaseOrNull !in reported }
+        return unseen.fold(report?.used ?: Resources.None) { sum, job -> sum + estimateOf(job) }
+    }
+
+    private class Entry(val report: WorkerReport, val measuredAt: MonotonicTime)
+
+    private class Correction {
+        private val processors = Ratio()
+        private val memory = Ratio()
+
+        fun learn(declared: Resources, used: Resources) {
+            if (declared.millicores > 0) processors.learn(used.millicores.toDouble() / declared.millicores)
+            if (declared.memoryMegabytes > 0) {
+                memory.learn(used.memoryMegabytes.toDouble() / declared.memoryMegabytes)
+            }
+        }
+
+        fun correct(declared: Resources): Resources = declared.copy(
+            millicores = (declared.millicores * processors.bound).toLong(),
+            memoryMegabytes = (declared.memoryMegabytes * memory.bound).toLong(),
+        )
+    }
+
+    private class Ratio {
+        private var mean = 1.0
+        private var deviation = 0.5
+
+        val bound: Double get() = (mean + DEVIATIONS * deviation).coerceIn(MIN_RATIO, MAX_RATIO)
+
+        fun learn(sample: Double) {
+            deviation += (abs(sample - mean) - deviation) / DEVIATION_WEIGHT
+            mean += (sample - mean) / MEAN_WEIGHT
+        }
+    }
+
+    private companion object {
+        const val DEVIATIONS = 2.0
+        const val MIN_RATIO = 0.05
+        const val MAX_RATIO = 20.0
+        const val DEVIATION_WEIGHT = 4
+        const val MEAN_WEIGHT = 8
+    }
+}
+
+internal val Job.leaseOrNull: FleetRevision? get() = (phase as? JobPhase.Running)?.lease
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/Vm.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/Vm.kt
@@ -15,6 +15,7 @@
  *
  * @property pool the only pool that owns the VM.
  * @property maintainedAt end of the last maintenance, or the time of registration.
+ * @property lastMove latest change of the owning pool, or null.
  */
 @Serializable
 public data class Vm(
@@ -29,6 +30,7 @@
     val size: VmSize = VmSize(),
     val phase: VmPhase = VmPhase.Active,
     val maintainedAt: Instant,
+    val lastMove: MoveRecord? = null,
 ) {
     /** The rack together with its data centre; rack names repeat between data centres. */
     public val domain: FailureDomain get() = FailureDomain(dataCentre, rack)
@@ -106,10 +108,10 @@
     @SerialName("repair")
     public data class InRepair(val since: Instant) : VmPhase
 
-    /** Fails what it is given and therefore gets nothing. */
+    /** Gets nothing, because an operator distrusts it. */
     @Serializable
     @SerialName("quarantined")
-    public data class Quarantined(val since: Instant, val reason: QuarantineReason) : VmPhase
+    public data class Quarantined(val since: Instant) : VmPhase
 
     /** Written off; its id is kept so that a late return is recognized. */
     @Serializable
@@ -128,17 +130,7 @@
     /** Change of the owning pool. */
     @Serializable
     @SerialName("move")
-    public data class Move(val to: PoolId) : DrainPurpose
-}
-
-/** Why a VM was quarantined. */
-@Serializable
-public enum class QuarantineReason {
-    /** Jobs that failed here ran elsewhere. */
-    FAILS_JOBS,
-
-    /** An operator asked for it. */
-    OPERATOR,
+    public data class Move(val to: PoolId, val reason: MoveReason = MoveReason.Operator) : DrainPurpose
 }
 
 internal val VmPhase.isAvailable: Boolean get() = this is VmPhase.Active
@@ -155,3 +147,7 @@
 /** Whether the VM did not come back from a planned act in time. */
 internal val VmPhase.isOverdue: Boolean
     get() = (this is VmPhase.Stopped && overdue) || (this is VmPhase.Moving && overdue)
+
+/** Whether the VM is in any step of a planned act. */
+internal val VmPhase.isPlannedAct: Boolean
+    get() = this is VmPhase.Draining || this is VmPhase.Stopped || this is VmPhase.Moving
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/VmCommands.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/VmCommands.kt
@@ -7,11 +7,25 @@
 
 /** Applies what VMs announce and what happens to them outside of planned acts. */
 internal class VmCommands(private val tables: FleetTables, private val waves: WaveCommands) {
+    private val blame = WorkerBlame(tables)
+
     fun register(announcement: Announcement): FleetRefusal? {
         val known = tables.vms[announcement.vm] ?: return registerNew(announcement)
         return refuse(known, announcement) ?: welcome(known, announcement)
     }
 
+    /** Returns whether [register] would change anything, and why not. */
+    fun review(announcement: Announcement): AnnouncementReview {
+        val known = tables.vms[announcement.vm]
+        val refusal = if (known == null) refuseNew(announcement) else refuse(known, announcement)
+        return when {
+            refusal != null -> AnnouncementReview.Refused(refusal)
+            known != null && known.phase.isHeard && announcement.toVm(known, known.phase) == known ->
+                AnnouncementReview.Known
+            else -> AnnouncementReview.News
+        }
+    }
+
     fun reportLost(id: VmId, incarnation: Long): FleetRefusal? {
         val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
         if (incarnation != vm.incarnation) return FleetRefusal.StaleIncarnation(id, vm.incarnation)
@@ -37,13 +51,14 @@
         val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
         val phase = vm.phase as? VmPhase.Stopped ?: return FleetRefusal.WrongPhase(id, vm.phase)
         if (phase.permit != permit) return FleetRefusal.Superseded(id, permit)
-        return become(vm, phase.copy(confirmed = true))
+        return if (phase.confirmed) null else become(vm, phase.copy(confirmed = true))
     }
 
-    fun quarantine(id: VmId, reason: QuarantineReason): FleetRefusal? {
+    fun quarantine(id: VmId): FleetRefusal? {
         val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
         if (vm.phase !is VmPhase.Active) return FleetRefusal.WrongPhase(id, vm.phase)
-        return become(vm, VmPhase.Quarantined(tables.clock, reason))
+        val block = tables.budgetBlock(vm.pool, leaving = 1)
+        return if (block == null) become(vm, VmPhase.Quarantined(tables.clock)) else FleetRefusal.BudgetExceeded(block)
     }
 
     fun startRepair(id: VmId): FleetRefusal? {
@@ -68,6 +83,7 @@
     fun readmit(id: VmId): FleetRefusal? {
         val vm = tables.vms[id] ?: return FleetRefusal.UnknownVm(id)
         return when (val phase = vm.phase) {
+            is VmPhase.Active -> null.also { blame.forgive(id) }
             is VmPhase.Quarantined -> become(vm, VmPhase.Active)
             is VmPhase.InRepair -> restart(vm, phase.since)
             is VmPhase.GivenUp -> restart(vm, phase.since)
@@ -86,12 +102,16 @@
         !isOverdue && named == current && tables.clock >= returnBy
 
     private fun registerNew(announcement: Announcement): FleetRefusal? {
+        refuseNew(announcement)?.let { return it }
+        tables.putVm(announcement.toVm(maintainedAt = tables.clock, phase = VmPhase.Active))
+        return null
+    }
+
+    private fun refuseNew(announcement: Announcement): FleetRefusal? {
         if (!isValidId(announcement.vm.value)) return FleetRefusal.InvalidValue(CommandField.ID)
         val pool = tables.pools[announcement.pool] ?: return FleetRefusal.UnknownPool(announcement.pool)
         val service = announcement.service
-        if (service != null && service !in pool.services) return FleetRefusal.UnknownService(service)
-        tables.putVm(announcement.toVm(maintainedAt = tables.clock, phase = VmPhase.Active))
-        return null
+        return if (service != null && service !in pool.services) FleetRefusal.UnknownService(service) else null
     }
 
     private fun refuse(known: Vm, announcement: Announcement): FleetRefusal? {
@@ -114,8 +134,9 @@
         val maintained = phase is VmPhase.Stopped
         val next = if (phase is VmPhase.Draining || phase is VmPhase.Quarantined) phase else VmPhase.Active
         val maintainedAt = if (maintained) tables.clock else known.maintainedAt
-        val vm = announcement.toVm(maintainedAt, next)
+        val vm = announcement.toVm(known, next).copy(maintainedAt = maintainedAt)
         if (vm != known) tables.putVm(vm)
+        if (maintained) blame.forgive(known.id)
         if (phase is VmPhase.Stopped && phase.wave != null) waves.complete(phase.wave, known.id)
         return null
     }
@@ -126,6 +147,22 @@
     }
 }
 
+/** What an announcement would bring to the replicated state. */
+public sealed interface AnnouncementReview {
+    /** Everything in it is already recorded. */
+    public data object Known : AnnouncementReview
+
+    /** It registers a VM, changes its record or brings it back. */
+    public data object News : AnnouncementReview
+
+    /** It does not fit what is recorded. */
+    public data class Refused(val reason: FleetRefusal) : AnnouncementReview
+}
+
+/** Phases that an announcement leaves as they are. */
+private val VmPhase.isHeard: Boolean
+    get() = this is VmPhase.Active || this is VmPhase.Draining || this is VmPhase.Quarantined
+
 /** Whether the VM is away for a reason that an operator may resolve by repair or by giving it up. */
 private val VmPhase.isOutOfService: Boolean
     get() = this is VmPhase.Lost || this is VmPhase.Quarantined || isOverdue
@@ -139,6 +176,9 @@
     return live && !sameRack
 }
 
+private fun Announcement.toVm(known: Vm, phase: VmPhase): Vm =
+    toVm(known.maintainedAt, phase).copy(lastMove = known.lastMove)
+
 private fun Announcement.toVm(maintainedAt: Instant, phase: VmPhase): Vm = Vm(
     id = vm,
     pool = pool,
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/WaveCommands.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/WaveCommands.kt
@@ -64,9 +64,9 @@
 
     /** VMs that have no permit yet go back to work at once. */
     private fun releaseDrains(wave: Wave) {
-        wave.pending
-            .map(tables.vms::getValue)
-            .filter { it.phase is VmPhase.Draining && tables.isInProgress(wave.spec.id, it.id) }
+        tables
+            .inProgress(wave.spec.id)
+            .filter { it.phase is VmPhase.Draining }
             .forEach { tables.putVm(it.copy(phase = VmPhase.Active)) }
     }
 
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/FleetFixture.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/FleetFixture.kt
@@ -24,7 +24,9 @@
 
 internal fun service(number: Int) = ServiceId("s$number")
 
-internal fun vm(number: Int) = VmId("vm%04d".format(number))
+private val vmIds = (0 until 100).map { VmId("vm%04d".format(it)) }
+
+internal fun vm(number: Int) = vmIds[number]
 
 internal fun announcement(
     number: Int,
--- /dev/null
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/FleetSimulation.kt
@@ -0,0 +1,232 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.PoolId
+import org.auburnstream.model.VmId
+import org.auburnstream.model.WaveId
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+private val LEASE = 3.seconds
+
+/** Likelihood of each fault in one step of about two seconds, 0 to 1. */
+internal data class Faults(
+    val crash: Double = 0.004,
+    val rackLoss: Double = 0.001,
+    val dataCentreLoss: Double = 0.0003,
+    val leaderLoss: Double = 0.02,
+    val daemonCut: Double = 0.01,
+    val message: Double = 0.1,
+    val neverReturns: Double = 0.05,
+    val operators: Double = 0.03,
+) {
+    companion object {
+        val None = Faults(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
+    }
+}
+
+/** Planner, daemons, VMs and platform on virtual time; what a planned stop cuts off is counted, not assumed. */
+internal class FleetSimulation(seed: Int, private val faults: Faults, private val pools: Int = 3) {
+    val fleet = FleetFixture()
+    var cutOff = 0
+    var lateWork = 0
+    private val random = Random(seed)
+    private val vms = sortedMapOf<VmId, SimVm>()
+    private val sims = daemons.map { SimDaemon(it) }
+    private val queue = mutableListOf<Pair<MonotonicTime, () -> Unit>>()
+    private val platform = hashMapOf<VmId, FleetRevision>()
+    private var leader = Leader(fleet.state, MonotonicTime.Zero)
+    private val deposed = mutableListOf<Leader>()
+    private var waves = 0
+    private var published = Placement.Empty
+
+    private val now get() = MonotonicTime((fleet.now - start).inWholeNanoseconds)
+
+    init {
+        val budget = AvailabilityBudget(maxShortfall = 1, allowance = 60.minutes, maxOutage = 5.minutes)
+        fleet.build(pools, size = 4, spares = 2, budget = budget)
+        fleet.state.vms.values.forEachIndexed { number, vm -> vms[vm.id] = SimVm(number, vm.pool) }
+    }
+
+    fun run(steps: Int): FleetSimulation {
+        operate(startOnly = true)
+        repeat(steps) { step() }
+        return this
+    }
+
+    private fun step() {
+        fleet.now += random.nextInt(500, 3500).milliseconds
+        val due = queue.filter { it.first <= now }
+        queue.removeAll(due)
+        due.forEach { it.second() }
+        breakThings()
+        vms.values.forEach { it.announce() }
+        sims.forEach { it.step() }
+        if (chance(faults.operators)) operate()
+        (deposed + leader).forEach { it.step() }
+    }
+
+    private fun breakThings() {
+        val up = vms.values.filter { it.isUp }
+        if (chance(faults.crash)) up.randomOrNull(random)?.crash()
+        if (chance(faults.rackLoss)) {
+            vms.values.random(random).let { one ->
+                up.filter { it.rack == one.rack }
+            }.forEach { it.crash() }
+        }
+        if (chance(faults.dataCentreLoss)) up.filter { it.number % 3 == 0 }.forEach { it.crash() }
+        if (chance(faults.leaderLoss)) {
+            leader.state = fleet.state.copy()
+            if (random.nextBoolean()) deposed += leader
+            if (deposed.size > 2) deposed.removeAt(0)
+            leader = Leader(fleet.state, now)
+        }
+    }
+
+    /** Two operators who act on what they saw, sometimes at once. */
+    private fun operate(startOnly: Boolean = false) {
+        val all = (1..pools).map(::pool)
+        repeat(if (startOnly) 1 else 1 + random.nextInt(2)) {
+            val vm = vms.keys.random(random)
+            val open = WaveId("w${random.nextInt(waves + 1)}")
+            val command =
+                when (if (startOnly) 0 else random.nextInt(8)) {
+                    0, 1 -> {
+                        val pace = WavePace(1 + random.nextInt(3))
+                        val some = if (startOnly) all + spare else all.shuffled(random).take(2)
+                        FleetCommand.StartWave(fleet.operation(), WaveSpec(WaveId("w${waves++}"), some, pace = pace))
+                    }
+                    2 -> FleetCommand.ChangeWave(fleet.operation(), open, WaveChange.entries.random(random))
+                    3 -> FleetCommand.ChangeWave(fleet.operation(), open, WaveChange.RESUME)
+                    4 -> FleetCommand.MoveVm(fleet.operation(), vm, (all + spare).random(random))
+                    5 -> FleetCommand.StartRepair(fleet.operation(), vm)
+                    6 -> FleetCommand.GiveUpVm(fleet.operation(), vm)
+                    else -> FleetCommand.ReadmitVm(fleet.operation(), vm)
+                }
+            propose(command)
+            if (chance(faults.message)) propose(command)
+        }
+    }
+
+    private fun propose(command: FleetCommand) {
+        val lost = chance(faults.message / 2)
+        val late = chance(faults.message)
+        if (lost && command !is FleetCommand.Operator) return
+        if (late) later(40.seconds) { commit(command) } else commit(command)
+    }
+
+    private fun commit(command: FleetCommand) {
+        fleet.apply(command, Duration.ZERO)
+    }
+
+    private fun ask(request: PlatformRequest) {
+        if (chance(faults.message / 2)) return
+        val times = if (chance(faults.message)) 2 else 1
+        repeat(times) { later(if (chance(faults.message)) 300.seconds else 1.seconds) { carryOut(request) } }
+    }
+
+    private fun carryOut(request: PlatformRequest) {
+        val vm = vms.getValue(request.vm)
+        val highest = platform[request.vm] ?: FleetRevision.Zero
+        if (request.permit < highest) return
+        if (request.permit > highest) {
+            platform[request.vm] = request.permit
+            cutOff += sims.sumOf { daemon -> daemon.inProgress.count { it.first == request.vm && it.second > now } }
+            if (request is PlatformRequest.Reassign) vm.pool = request.to else vm.restart()
+        }
+        if (request is PlatformRequest.Restart && !chance(faults.message)) {
+            later(2.seconds) { propose(FleetCommand.ConfirmRestart(request.vm, request.permit)) }
+        }
+    }
+
+    private fun later(atMost: Duration, act: () -> Unit) {
+        queue += (now + atMost * random.nextDouble()) to act
+    }
+
+    private fun chance(likelihood: Double) = random.nextDouble() < likelihood
+
+    private inner class Leader(var state: FleetState, startedAt: MonotonicTime) {
+        val reports = FleetReports(startedAt)
+        val leases = daemons.associateWithTo(hashMapOf()) { startedAt + LEASE }
+        private val planner = FleetPlanner { leases.getValue(it) }
+
+        fun step() {
+            if (this === leader) state = fleet.state
+            val plan = planner.plan(state, reports, fleet.now, now)
+            plan.commands.forEach(::propose)
+            plan.requests.forEach(::ask)
+        }
+    }
+
+    private inner class SimVm(val number: Int, var pool: PoolId) {
+        var incarnation = 1L
+        var upAt = MonotonicTime.Zero
+        private var said = announcement(number, pool)
+        val rack = number % 3 to number / 12
+        val isUp get() = now >= upAt
+
+        fun crash() = down(if (chance(0.1)) 9000.seconds else 20.seconds * random.nextInt(1, 60))
+
+        fun restart() = down(if (chance(faults.neverReturns)) 9000.seconds else 10.seconds * random.nextInt(1, 12))
+
+        fun announce() {
+            if (!isUp || chance(faults.message)) return
+            if (said.incarnation != incarnation || said.pool != pool) said = announcement(number, pool, incarnation)
+            (deposed + leader).forEach { it.reports.onAnnouncement(said, now) }
+        }
+
+        private fun down(time: Duration) {
+            upAt = now + time
+            incarnation++
+            sims.forEach { daemon -> daemon.inProgress.removeAll { it.first == vm(number) } }
+        }
+    }
+
+    private inner class SimDaemon(val id: DaemonId) {
+        val inProgress = mutableListOf<Pair<VmId, MonotonicTime>>()
+        private var view = Placement.Empty
+        private var leaseEnd = MonotonicTime.Zero
+        private var cutUntil = MonotonicTime.Zero
+        private var sequence = 0L
+
+        fun step() {
+            if (chance(faults.daemonCut)) cutUntil = now + 2.seconds * random.nextInt(1, 120)
+            val connected = now >= cutUntil
+            if (connected && !chance(faults.message)) renew()
+            inProgress.removeAll { it.second <= now }
+            if (now < leaseEnd && id in view.daemons) repeat(random.nextInt(3)) { send() }
+            if (connected) report()
+        }
+
+        /** A lease is granted at the revision that the daemon has reached. */
+        private fun renew() {
+            if (published.revision != fleet.state.revision) {
+                published = published.advance(fleet.state, fleet.state.takeChanges())
+            }
+            view = published
+            leaseEnd = now + LEASE
+            leader.leases[id] = leaseEnd
+        }
+
+        private fun send() {
+            val target = view.vms.values.filter { it.state == PlacedState.ACTIVE }.randomOrNull(random) ?: return
+            val phase = fleet.state.vms.getValue(target.id).phase
+            if (phase is VmPhase.Draining && fleet.now - phase.since > LEASE) lateWork++
+            if (!vms.getValue(target.id).isUp) return
+            val time = if (chance(0.1)) LONGEST_REQUEST else 4.seconds
+            inProgress += target.id to now + time * random.nextDouble()
+        }
+
+        private fun report() {
+            val report = DrainReport(id, sequence++, view.revision, inProgress.map { it.first }.toSet())
+            repeat(if (chance(faults.message)) 2 else 1) {
+                val delay = if (chance(faults.message)) 30.seconds else 1.seconds
+                later(delay) { (deposed + leader).forEach { it.reports.onDrainReport(report) } }
+            }
+        }
+    }
+}
