Wire the daemon: control group, request path, listeners and graceful stop

Cause: the parts existed apart; nothing ran end to end. Before: no process. Ruled out: drawing the incarnation of a data folder from the seed, since a wiped voter would come back under its old identity and could vote twice.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
@@ -0,0 +1,97 @@
+package org.auburnstream.daemon
+
+import kotlinx.coroutines.CoroutineScope
+import org.auburnstream.api.LeaseView
+import org.auburnstream.api.StatusView
+import org.auburnstream.daemon.config.DaemonSettings
+import org.auburnstream.daemon.observability.EventLog
+import org.auburnstream.daemon.observability.LogKeys
+import org.auburnstream.daemon.operator.GroupControlService
+import org.auburnstream.daemon.operator.OperatorServices
+import org.auburnstream.daemon.operator.RollOutProgress
+import org.auburnstream.daemon.operator.TokenTable
+import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.daemon.replication.GroupConfiguration
+import org.auburnstream.daemon.replication.ReplicaStatus
+import org.auburnstream.daemon.replication.ReplicatedGroupRunner
+import org.auburnstream.daemon.state.ReplicatedState
+import org.auburnstream.daemon.state.StateView
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.storage.ReplicaStore
+import org.auburnstream.storage.StoreResult
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** This daemon's part in the control group, and the state that it replicates. */
+internal class ControlPlane(
+    private val settings: DaemonSettings,
+    scope: CoroutineScope,
+    transport: PeerTransport,
+    store: ReplicaStore,
+    private val clock: () -> MonotonicTime,
+) {
+    private val log = EventLog.of("control")
+    private val state = ReplicatedState()
+    private val group =
+        ReplicatedGroupRunner(
+            scope = scope,
+            transport = transport,
+            machine = state,
+            store = store,
+            configuration = GroupConfiguration(GROUP, settings.voters, settings.dataCentre),
+            clock = clock,
+            random = Random(settings.seed),
+            onFailure = { log.error("control_group_failed", LogKeys.Detail of it.toString()) },
+        )
+    private val service = GroupControlService(group, state, rollOut = ::awaitInForce)
+
+    /** Settings and fleet as replicated here. */
+    val view: StateView get() = state.view.value
+
+    /** State of this replica. */
+    val status: ReplicaStatus get() = group.status.value
+
+    /** Whether a settings lease was ever obtained. */
+    val hadLease: Boolean get() = status.leader != null
+
+    /** Whether the settings known here may be acted upon now. */
+    fun isLeaseLive(): Boolean = status.leader != null
+
+    suspend fun start(): StoreResult<Unit> = group.start()
+
+    suspend fun close() {
+        group.stop()
+    }
+
+    /** Builds what the operators' routes need. */
+    fun services(tokens: TokenTable): OperatorServices =
+        OperatorServices(control = service, status = ::statusView, authenticate = tokens::authenticate)
+
+    private suspend fun awaitInForce(index: LogIndex, timeout: Duration): RollOutProgress {
+        val begin = clock()
+        group.readBarrier(timeout)
+        return RollOutProgress(view.appliedIndex >= index, clock() - begin, emptyList())
+    }
+
+    private fun statusView(): StatusView {
+        val replica = status
+        return StatusView(
+            daemon = settings.id.value,
+            group = GROUP.value,
+            role = replica.role.name.lowercase(),
+            term = replica.term,
+            leader = replica.leader?.value,
+            commitIndex = replica.commitIndex.value,
+            appliedIndex = replica.appliedIndex.value,
+            settingsVersion = view.control.version.value,
+            epoch = view.control.epoch,
+            lease = LeaseView(live = isLeaseLive(), remainingMillis = 0),
+        )
+    }
+
+    private companion object {
+        val GROUP = GroupId("control")
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
@@ -0,0 +1,113 @@
+package org.auburnstream.daemon
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import org.auburnstream.daemon.config.DaemonSettings
+import org.auburnstream.daemon.config.ListenerPorts
+import org.auburnstream.daemon.observability.DaemonMetrics
+import org.auburnstream.daemon.observability.EventLog
+import org.auburnstream.daemon.observability.GracefulStop
+import org.auburnstream.daemon.observability.LogKeys
+import org.auburnstream.daemon.observability.Readiness
+import org.auburnstream.daemon.observability.StopResult
+import org.auburnstream.daemon.observability.UnreadyReason
+import org.auburnstream.daemon.observability.healthRoutes
+import org.auburnstream.daemon.operator.TokenTable
+import org.auburnstream.daemon.operator.operatorRoutes
+import org.auburnstream.daemon.peer.SocketPeerTransport
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.storage.ReplicaStore
+import org.auburnstream.storage.StoreResult
+import kotlin.io.path.writeText
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * One running daemon: its listeners, its links, its part in the control group and the request path.
+ *
+ * @param store opened store of the control group; closed by [stop].
+ * @param clock reads the monotonic clock.
+ */
+internal class Daemon(
+    private val settings: DaemonSettings,
+    tokens: TokenTable,
+    store: ReplicaStore,
+    private val clock: () -> MonotonicTime = monotonicClock(),
+) {
+    private val log = EventLog.of("daemon")
+    private val scope =
+        CoroutineScope(
+            SupervisorJob() + Dispatchers.Default +
+                CoroutineExceptionHandler { _, cause -> log.error("coroutine_failed", cause = cause) },
+        )
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val links = LinkEventLog()
+    private val metrics = DaemonMetrics()
+    private val transport =
+        SocketPeerTransport(settings.id, settings.peers, settings.seed, onEvent = links::onEvent)
+    private val control = ControlPlane(settings, scope, transport, store, clock)
+    private val requests = RequestPath(settings, scope, selector, transport, control, metrics, clock)
+    private val operators =
+        HttpListener(settings.bindAddress, settings.ports.operators) { operatorRoutes(control.services(tokens)) }
+    private val health =
+        HttpListener(settings.bindAddress, settings.ports.health) { healthRoutes(::readiness, metrics) }
+
+    @Volatile
+    private var stopping = false
+
+    /** Starts every part and returns the bound ports, or the error of the store. */
+    suspend fun start(): StoreResult<ListenerPorts> {
+        val peerPort = transport.start(scope, settings.bindAddress, settings.ports.peers)
+        val started = control.start()
+        if (started is StoreResult.Failed) return started
+        registerStateMetrics(metrics, control, links)
+        val ports =
+            ListenerPorts(
+                callers = requests.startCallers(),
+                operators = operators.start(),
+                targets = requests.startTargets(),
+                peers = peerPort,
+                health = health.start(),
+            )
+        settings.portsFile?.writeText(ports.toText())
+        return StoreResult.Done(ports)
+    }
+
+    /** Stops without cutting off a request in progress, unless the drain timeout passes first. */
+    suspend fun stop(): StopResult =
+        GracefulStop(
+            markUnready = { stopping = true },
+            unreadyPeriod = settings.unreadyPeriod,
+            refuseNewWork = requests::refuseNewWork,
+            awaitIdle = { while (requests.inProgress > 0) delay(IDLE_CHECK_INTERVAL) },
+            drainTimeout = settings.drainTimeout,
+            close = ::close,
+        ).run()
+
+    private suspend fun close() {
+        requests.close()
+        operators.close()
+        control.close()
+        health.close()
+        transport.close()
+        scope.cancel()
+        selector.close()
+        log.info("stopped", LogKeys.Detail of settings.id.value)
+    }
+
+    private fun readiness(): Readiness =
+        when {
+            stopping -> Readiness.Unready(UnreadyReason.STOPPING)
+            control.isLeaseLive() -> Readiness.Ready
+            control.hadLease -> Readiness.Unready(UnreadyReason.SETTINGS_LEASE_EXPIRED)
+            else -> Readiness.Unready(UnreadyReason.STARTING)
+        }
+
+    private companion object {
+        val IDLE_CHECK_INTERVAL = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -0,0 +1,116 @@
+package org.auburnstream.daemon
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import org.auburnstream.daemon.caller.CallerServer
+import org.auburnstream.daemon.caller.CallerSettings
+import org.auburnstream.daemon.caller.RouterDriver
+import org.auburnstream.daemon.config.DaemonSettings
+import org.auburnstream.daemon.observability.DaemonMetrics
+import org.auburnstream.daemon.observability.RequestTracing
+import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.daemon.target.TargetGateway
+import org.auburnstream.daemon.target.TargetListener
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.RequestId
+import org.auburnstream.routing.Router
+import org.auburnstream.routing.RoutingInput
+import org.auburnstream.routing.RoutingSettings
+import org.auburnstream.routing.credit.DaemonView
+import java.security.SecureRandom
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+
+/** The way of a request through this daemon: callers' listener, routing and the exchange with targets. */
+internal class RequestPath(
+    settings: DaemonSettings,
+    private val scope: CoroutineScope,
+    selector: SelectorManager,
+    transport: PeerTransport,
+    control: ControlPlane,
+    metrics: DaemonMetrics,
+    clock: () -> MonotonicTime,
+) {
+    private val routing = RoutingSettings()
+    private val tracing = RequestTracing(settings.traceExport)
+    private val gateway = TargetGateway(selector, clock)
+    private val router =
+        Router(
+            self = settings.id,
+            dataCentre = settings.dataCentre,
+            view = DaemonView(version = 1, configured = transport.peers + settings.id),
+            epoch = System.currentTimeMillis(),
+            start = clock(),
+            random = Random(settings.seed),
+            settings = routing,
+        )
+    private val driver = RouterDriver(router, gateway, clock, hops = TracingHops(tracing), tick = routing.tick)
+    private val gate =
+        RequestGate(
+            view = control::view,
+            isLeaseLive = control::isLeaseLive,
+            policies = ServicePolicies(settings.region, settings.dataCentre, poolOf = { null }),
+            metrics = metrics,
+            clock = clock,
+            next = driver::handle,
+        )
+    private val requestIds = RequestIds(settings.id.value)
+    private val callers =
+        CallerServer(
+            scope = scope,
+            selector = selector,
+            clock = clock,
+            nextId = requestIds::next,
+            handler = gate::handle,
+            settings =
+                CallerSettings(
+                    host = settings.bindAddress,
+                    port = settings.ports.callers,
+                    connections = settings.limits.connections,
+                    headBytes = settings.limits.headerBytes,
+                    bodyBytes = settings.limits.bodyBytes,
+                ),
+        )
+    private val targets =
+        TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = driver::announce)
+    private var ticks: Job? = null
+
+    /** Requests without an outcome. */
+    val inProgress: Int get() = gate.inProgress
+
+    /** Begins to listen for callers and returns the bound port. */
+    suspend fun startCallers(): Int {
+        ticks = driver.start(scope)
+        return callers.start()
+    }
+
+    /** Begins to listen for announcements and returns the bound port. */
+    suspend fun startTargets(): Int = targets.start()
+
+    /** Ends every later request as not run. */
+    fun refuseNewWork() {
+        driver.input(RoutingInput.Stopping)
+        callers.drain()
+    }
+
+    suspend fun close() {
+        callers.close()
+        targets.close()
+        ticks?.cancel()
+        gateway.close()
+        tracing.close()
+    }
+}
+
+/** Gives requests ids that no other process gives: the daemon's id, a random part for each start, and a count. */
+private class RequestIds(daemon: String) {
+    private val prefix = "$daemon-${SecureRandom().nextInt().toUInt().toString(RADIX)}-"
+    private val count = AtomicLong()
+
+    fun next(): RequestId = RequestId(prefix + count.incrementAndGet())
+
+    private companion object {
+        const val RADIX = 36
+    }
+}
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/DaemonSettings.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.config
 
+import org.auburnstream.daemon.peer.PeerAddress
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.DataCentreId
 import org.auburnstream.model.RegionId
@@ -44,9 +45,6 @@
         get() = id in voters
 }
 
-/** Address at which another daemon listens for its peers. */
-public data class PeerAddress(val id: DaemonId, val address: String, val port: Int)
-
 /** TCP ports of a daemon's listeners, 0 to 65535; 0 lets the system choose a free one. */
 public data class ListenerPorts(
     val callers: Int = 0,
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingParsers.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/config/SettingParsers.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.config
 
+import org.auburnstream.daemon.peer.PeerAddress
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.isValidId
 import java.nio.file.InvalidPathException
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/observability/RequestTracing.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/observability/RequestTracing.kt
@@ -45,14 +45,14 @@
     internal constructor(processor: SpanProcessor, idGenerator: IdGenerator) : this(providerOf(processor, idGenerator))
 
     /**
-     * Starts the span of the caller's edge.
+     * Starts the span of [hop], which is not inside another span of this process.
      *
-     * @param traceparent the caller's header of this name; one that is malformed is ignored.
+     * @param traceparent header of the hop before it, such as the caller's of this name; one that is malformed is ignored.
      */
-    public fun start(requestId: RequestId, traceparent: String?): RequestSpan {
+    public fun start(requestId: RequestId, traceparent: String?, hop: Hop = Hop.CALLER_EDGE): RequestSpan {
         val tracer = tracer ?: return PassedOnSpan(traceparent?.takeIf { isTraceparent(it) })
         val parent = traceparent?.let { extract(it) } ?: Context.root()
-        return RecordedSpan.start(tracer, parent, Hop.CALLER_EDGE)
+        return RecordedSpan.start(tracer, parent, hop)
             .also { it.span.setAttribute(REQUEST_ID_ATTRIBUTE, requestId.value) }
     }
 
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/peer/OutgoingLink.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/peer/OutgoingLink.kt
@@ -74,7 +74,7 @@
         try {
             socket =
                 withTimeout(CONNECT_TIMEOUT) {
-                    aSocket(selector).tcp().connect(InetSocketAddress(peer.host, peer.port)) { noDelay = true }
+                    aSocket(selector).tcp().connect(InetSocketAddress(peer.address, peer.port)) { noDelay = true }
                 }
             opened = exchangeHello(socket)
         } catch (_: TimeoutCancellationException) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/peer/PeerAddress.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/peer/PeerAddress.kt
@@ -5,7 +5,7 @@
 /**
  * Address of another daemon's peer listener.
  *
- * @property host IP number.
+ * @property address IP number.
  * @property port TCP port, 1 to 65535.
  */
-public data class PeerAddress(val id: DaemonId, val host: String, val port: Int)
+public data class PeerAddress(val id: DaemonId, val address: String, val port: Int)
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/config/SettingsLoaderTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/config/SettingsLoaderTest.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.config
 
+import org.auburnstream.daemon.peer.PeerAddress
 import org.auburnstream.model.DaemonId
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Files
--- a/model/src/main/kotlin/org/auburnstream/model/Outcome.kt
+++ b/model/src/main/kotlin/org/auburnstream/model/Outcome.kt
@@ -33,6 +33,9 @@
     /** The service is not known under the settings in force. */
     UNKNOWN_SERVICE,
 
+    /** The request exceeds the largest size that the service's settings allow. */
+    REQUEST_TOO_LARGE,
+
     /** The daemon's settings lease has run out. */
     SETTINGS_LEASE_EXPIRED,
 
