Test routing under seeded schedules with faults, and mend what they found

Cause: the decisions had no proof. Schedules of callers, six daemons, targets, lost credit messages, kills, freezes, cuts and leaving targets run in virtual time against an oracle that counts executions for each order.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
@@ -197,7 +197,7 @@
 
     private fun ExchangeReport.result(): ExchangeResult = when (this) {
         is ExchangeReport.Answered -> ExchangeResult.Answered(failed = answer.status >= SERVER_ERROR)
-        is ExchangeReport.NotSent -> ExchangeResult.NotSent
+        is ExchangeReport.NotSent -> ExchangeResult.NotSent(cause.unreachable)
         is ExchangeReport.Refused -> ExchangeResult.Refused(retryAfter)
         is ExchangeReport.Lost -> ExchangeResult.Lost(reason)
     }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/target/TargetGateway.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/target/TargetGateway.kt
@@ -61,7 +61,16 @@
         send: RoutingEffect.Send,
         deadline: MonotonicTime,
         stream: suspend (TargetAnswer) -> Unit,
-    ): ExchangeReport = when (val opened = open(pool, send.address, minOf(settings.connectTimeout, send.startBy - clock()))) {
+    ): ExchangeReport = when (
+        val opened = open(
+            pool,
+            send.address,
+            minOf(
+                settings.connectTimeout,
+                send.startBy - clock(),
+            ),
+        )
+    ) {
         is Opened.Connected -> exchange(pool, opened.connection, request, send, deadline, stream)
         is Opened.Failed -> ExchangeReport.NotSent(opened.cause)
     }
--- a/routing/src/main/kotlin/org/auburnstream/routing/Dispatch.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Dispatch.kt
@@ -11,8 +11,15 @@
         request.sent(target, now)
         state.service(request.service).running++
         state.credits.take(target.vm)
-        val connections = state.choice.connections(target)
-        state.effects += RoutingEffect.Send(request.ticket, request.attempt, target.vm, target.address, connections)
+        state.effects +=
+            RoutingEffect.Send(
+                ticket = request.ticket,
+                attempt = request.attempt,
+                vm = target.vm,
+                address = target.address,
+                connections = state.choice.connections(target),
+                startBy = minOf(request.deadline, now + state.settings.sendValidity),
+            )
     }
 
     /** Starts waiting requests of [id] while there are slots for them. */
@@ -54,6 +61,7 @@
     private fun observe(request: PendingRequest, target: Target, result: ExchangeResult, now: MonotonicTime) {
         when (result) {
             is ExchangeResult.Refused -> return
+            is ExchangeResult.NotSent if !result.unreachable -> return
             is ExchangeResult.Answered if !result.failed -> {
                 val time = now - request.sentAt
                 target.runTime.observe(time)
--- a/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
@@ -38,6 +38,8 @@
     private val dispatch = Dispatch(state, completion)
     private val admission = Admission(state, completion, dispatch, ::askForCredits)
 
+    private var lastInput = start
+
     /** Requests without a final result. */
     public val pending: Int get() = state.requests.size
 
@@ -61,6 +63,9 @@
     /** Takes in what happened at [now] and returns what to do. */
     public fun handle(input: RoutingInput, now: MonotonicTime): List<RoutingEffect> {
         state.effects.clear()
+        if (now - lastInput > state.settings.freezeGap) state.targets.distrust(now)
+        lastInput = now
+        checkLease(now)
         when (input) {
             is RoutingInput.RequestArrived -> admission.arrived(input, now)
             is RoutingInput.ExchangeEnded -> dispatch.ended(input, now)
@@ -68,7 +73,7 @@
             is RoutingInput.Announced -> announced(input.announcement, now)
             is RoutingInput.PlacementChanged -> placementChanged(input.placement, now)
             is RoutingInput.PolicyChanged -> state.policyChanged(input.service, input.policy)
-            is RoutingInput.SettingsLeaseChanged -> leaseChanged(input.live, now)
+            is RoutingInput.SettingsLeaseRenewed -> leaseRenewed(input.until, now)
             is RoutingInput.DaemonsChanged -> daemonsChanged(input.view, now)
             is RoutingInput.CreditReceived -> creditReceived(input.from, input.message, now)
             RoutingInput.Stopping -> state.stopping = true
@@ -100,10 +105,19 @@
         dispatch.startAllWaiting(now)
     }
 
-    private fun leaseChanged(live: Boolean, now: MonotonicTime) {
-        state.leaseLive = live
-        credits.leaseChanged(live)
-        if (live) return dispatch.startAllWaiting(now)
+    private fun leaseRenewed(until: MonotonicTime, now: MonotonicTime) {
+        state.leaseUntil = until
+        state.leaseLive = now < until
+        credits.leaseChanged(state.leaseLive)
+        dispatch.startAllWaiting(now)
+    }
+
+    /** Checked before each input, since a daemon that was frozen may find its lease run out at any of them. */
+    private fun checkLease(now: MonotonicTime) {
+        val until = state.leaseUntil ?: return
+        if (!state.leaseLive || now < until) return
+        state.leaseLive = false
+        credits.leaseChanged(live = false)
         for (service in state.services().values) {
             completion.giveUpQueue(service, NotRunReason.SETTINGS_LEASE_EXPIRED, now) { true }
         }
--- a/routing/src/main/kotlin/org/auburnstream/routing/RoutingInput.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/RoutingInput.kt
@@ -48,8 +48,8 @@
     /** The [policy] of [service] changed; null restores the default. */
     public data class PolicyChanged(val service: ServiceId, val policy: ServicePolicy?) : RoutingInput
 
-    /** The daemon's settings lease was obtained or ran out. */
-    public data class SettingsLeaseChanged(val live: Boolean) : RoutingInput
+    /** The daemon holds a settings lease until [until]; after that it sends nothing until it is renewed. */
+    public data class SettingsLeaseRenewed(val until: MonotonicTime) : RoutingInput
 
     /** The set of daemons with a live lease changed. */
     public data class DaemonsChanged(val view: DaemonView) : RoutingInput
@@ -78,8 +78,12 @@
      */
     public data class Answered(val failed: Boolean = false) : ExchangeResult
 
-    /** No byte of the request left the daemon. */
-    public data object NotSent : ExchangeResult
+    /**
+     * No byte of the request left the daemon.
+     *
+     * @property unreachable true if the target is to blame.
+     */
+    public data class NotSent(val unreachable: Boolean = true) : ExchangeResult
 
     /** The target answered that it did not run the request. */
     public data class Refused(val retryAfter: Duration? = null) : ExchangeResult
@@ -94,6 +98,7 @@
      * Send the request to the target at [address] on a connection that carries no other exchange.
      *
      * @property connections connections that this daemon may have open to the target, this one included.
+     * @property startBy time after which the request may not be written any more, as the grounds may have changed.
      */
     public data class Send(
         val ticket: Ticket,
@@ -101,6 +106,7 @@
         val vm: VmId,
         val address: TargetAddress,
         val connections: Int,
+        val startBy: MonotonicTime,
     ) : RoutingEffect
 
     /** Give the caller its final answer; [result] of an answered request is the answer of its last attempt. */
--- a/routing/src/main/kotlin/org/auburnstream/routing/RoutingSettings.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/RoutingSettings.kt
@@ -11,6 +11,9 @@
  * @property tick longest time between two [RoutingInput.Tick].
  * @property announcementExpiry time without an announcement after which a target gets no new work.
  * @property queueBytes memory of all queues of the daemon, in bytes, shared evenly by the known services.
+ * @property freezeGap time without any input after which the daemon takes itself to have been frozen.
+ * @property sendValidity time after which a decision to send is void unless the request was written.
+ * @property leaseRequired whether the daemon sends nothing until it was given a settings lease.
  * @property retryAfterFloor shortest time to come back that a refused caller is told.
  * @property crossDataCentre extra time that a request to a target in another data centre is taken to cost.
  */
@@ -18,6 +21,9 @@
     val tick: Duration = 10.milliseconds,
     val announcementExpiry: Duration = 2500.milliseconds,
     val queueBytes: Long = DEFAULT_QUEUE_BYTES,
+    val freezeGap: Duration = 500.milliseconds,
+    val sendValidity: Duration = 500.milliseconds,
+    val leaseRequired: Boolean = false,
     val retryAfterFloor: Duration = 100.milliseconds,
     val crossDataCentre: Duration = 2.milliseconds,
     val health: HealthSettings = HealthSettings(),
--- a/routing/src/main/kotlin/org/auburnstream/routing/RoutingState.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/RoutingState.kt
@@ -11,7 +11,8 @@
     val choice = TargetChoice(dataCentre, settings, targets, credits)
     val requests = HashMap<Ticket, PendingRequest>()
     val effects = ArrayList<RoutingEffect>()
-    var leaseLive = true
+    var leaseLive = !settings.leaseRequired
+    var leaseUntil: MonotonicTime? = null
     var stopping = false
     private val services = HashMap<ServiceId, ServiceState>()
     private val policies = HashMap<ServiceId, ServicePolicy>()
--- a/routing/src/main/kotlin/org/auburnstream/routing/Target.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Target.kt
@@ -17,6 +17,9 @@
         private set
     var lastAnnounced: MonotonicTime = now
         private set
+
+    /** Set after a freeze of this daemon until the target announces itself afresh. */
+    var suspended: Boolean = false
     val health: TargetHealth = TargetHealth(settings, now)
     val runTime: RunTimeEstimate = RunTimeEstimate()
     val address: TargetAddress get() = TargetAddress(announcement.address, announcement.port)
@@ -24,5 +27,6 @@
     fun announced(next: Announcement, now: MonotonicTime) {
         announcement = next
         lastAnnounced = now
+        suspended = false
     }
 }
--- a/routing/src/main/kotlin/org/auburnstream/routing/TargetChoice.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/TargetChoice.kt
@@ -4,6 +4,7 @@
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.VmId
 import org.auburnstream.routing.credit.CreditBook
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 
@@ -40,7 +41,7 @@
         val credit = minOf(credits.limit(target.vm, now), connections(target))
         val share = target.health.share(now)
         if (share >= 1.0) return credit
-        return (credit * share).toInt().coerceIn(minOf(1, credit), credit)
+        return ceil(credit * share).toInt()
     }
 
     /** Connections to [target] that belong to this daemon; a static share, so that no hand-over can exceed the sum. */
--- a/routing/src/main/kotlin/org/auburnstream/routing/TargetTable.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/TargetTable.kt
@@ -9,6 +9,7 @@
 internal class TargetTable(private val settings: RoutingSettings) {
     private val byVm = HashMap<VmId, Target>()
     private val byService = HashMap<ServiceId, MutableList<Target>>()
+    private var distrustedUntil = MonotonicTime.Zero
     private val incarnations = HashMap<VmId, Long>()
 
     val size: Int get() = byVm.size
@@ -31,12 +32,13 @@
         val known = byVm[announcement.vm]
         val service = announcement.service
         if (known != null && known.continues(announcement)) {
-            known.announced(announcement, now)
+            if (now >= distrustedUntil || announcement.leaving) known.announced(announcement, now)
             return AnnouncementResult.Renewed(known)
         }
         val replaced = known?.also { remove(it) }
         if (service == null) return AnnouncementResult.Added(null, replaced)
         val target = Target(announcement, service, now, settings.health)
+        target.suspended = now < distrustedUntil
         byVm[target.vm] = target
         byService.getOrPut(service) { mutableListOf() } += target
         return AnnouncementResult.Added(target, replaced)
@@ -44,12 +46,23 @@
 
     /** Removes and returns the targets whose announcements stopped. */
     fun expire(now: MonotonicTime): List<Target> {
-        val gone = byVm.values.filter { isExpired(it, now) }
+        val gone = byVm.values.filter { isSilent(it, now) }
         gone.forEach(::remove)
         return gone
     }
 
-    fun isExpired(target: Target, now: MonotonicTime): Boolean =
+    /**
+     * Suspends all targets after this daemon was frozen: announcements that were sent during the freeze are received
+     * only now and prove nothing about the present.
+     */
+    fun distrust(now: MonotonicTime) {
+        distrustedUntil = now + settings.freezeGap
+        byVm.values.forEach { it.suspended = true }
+    }
+
+    fun isExpired(target: Target, now: MonotonicTime): Boolean = target.suspended || isSilent(target, now)
+
+    private fun isSilent(target: Target, now: MonotonicTime): Boolean =
         now - target.lastAnnounced >= settings.announcementExpiry
 
     private fun remove(target: Target) {
--- a/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditBook.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditBook.kt
@@ -89,6 +89,7 @@
         for (grant in message.grants) {
             val account = accounts[grant.vm] ?: continue
             if (view.allocator(grant.vm) != from || account.sequence != message.sequence) continue
+            account.awaiting = false
             account.extra = grant.slots
             account.until = account.asked + settings.lease
             account.sharing = account.sharing || grant.share
@@ -101,10 +102,14 @@
 
     private fun isDue(account: CreditAccount, wanted: Int, now: MonotonicTime): Boolean {
         val waited = now - (account.lastAsked ?: return true)
-        if (waited >= settings.renewal) return !account.reported || account.extra > 0 || account.held(view) > 0
-        return waited >= settings.shortageInterval && wanted > limit(account.vm, now)
+        if (waited >= settings.renewal && mustReport(account)) return true
+        // A newer request voids the answer to the one before, so asking faster than answers come would gain nothing.
+        return !account.awaiting && waited >= settings.shortageInterval && wanted > limit(account.vm, now)
     }
 
+    private fun mustReport(account: CreditAccount): Boolean =
+        account.awaiting || !account.reported || account.held(view) > 0 || view.leased && !account.sharing
+
     /** Gives up what is not wanted before it reports, so that the allocator may grant it to others at once. */
     private fun request(part: List<CreditAccount>, now: MonotonicTime, wanted: (VmId) -> Int): CreditMessage.Request {
         val demands =
@@ -113,6 +118,7 @@
                 account.extra = minOf(account.leased(now), more)
                 account.asked = now
                 account.lastAsked = now
+                account.awaiting = true
                 account.sequence = sequence
                 CreditDemand(account.vm, account.slots, more, account.held(view))
             }
@@ -129,6 +135,7 @@
     var asked = MonotonicTime.Zero
     var lastAsked: MonotonicTime? = null
     var sequence = 0L
+    var awaiting = false
     var reported = false
     var sharing = false
     var gone = false
--- /dev/null
+++ b/routing/src/test/kotlin/org/auburnstream/routing/RoutingScheduleTest.kt
@@ -0,0 +1,90 @@
+package org.auburnstream.routing
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Seeded schedules of callers, daemons, targets and faults against the oracle. */
+class RoutingScheduleTest {
+    @Test
+    fun everyRequestGetsOneTrueResult() {
+        val results = HashMap<String, Int>()
+        val faults = mutableListOf<String>()
+        for (seed in 1..SCHEDULES) {
+            val policy = ServicePolicy(queued = if (seed % 2 == 0) 8 else 1024)
+            val simulation = RoutingSimulation(seed, settings = RoutingSimulation.Settings.copy(policy = policy))
+            Schedule(simulation).run()
+            simulation.oracle.results.forEach { (kind, count) -> results.merge(kind, count, Int::plus) }
+            faults += simulation.oracle.faults
+            faults += limitFaults(simulation)
+        }
+        println("schedules=$SCHEDULES results=${results.toSortedMap()}")
+        assertEquals(emptyList(), faults.take(8))
+        assertTrue(results.keys.containsAll(Expected), "not every kind of result came about: $results")
+    }
+
+    private fun limitFaults(simulation: RoutingSimulation): List<String> =
+        simulation.targets.filter { it.mostRunning > it.slots }.map {
+            "seed ${simulation.seed}: ${it.vm} ran ${it.mostRunning} requests on ${it.slots} slots"
+        } + listOfNotNull("seed ${simulation.seed}: too many connections".takeIf { simulation.mostConnections > 64 })
+
+    private companion object {
+        const val SCHEDULES = 1200
+        val Expected =
+            setOf(
+                "ANSWERED", "OVERLOADED", "DEADLINE_TOO_SHORT", "NO_TARGET", "SETTINGS_LEASE_EXPIRED",
+                "REFUSED_BY_TARGET", "TARGET_UNREACHABLE", "CONNECTION_LOST", "DEADLINE_EXCEEDED", "DISPLACED",
+            )
+    }
+}
+
+/** One schedule: a load in bursts, and faults at random moments. */
+private class Schedule(private val simulation: RoutingSimulation) {
+    private val random = Random(simulation.seed * 31)
+    private val faultRate = listOf(0.0, 0.05, 0.3, 1.0).random(random)
+    private val faultKind = TargetFault.entries.random(random)
+    private val spacing = listOf(2, 6, 20).random(random)
+    private val sick = simulation.targets.random(random)
+
+    fun run() {
+        simulation.creditLoss = listOf(0.0, 0.2, 0.6).random(random)
+        simulation.targetFault = { target ->
+            if (target === sick && random.nextDouble() < faultRate) faultKind else TargetFault.NONE
+        }
+        simulation.run(random.nextInt(0, 1500).milliseconds)
+        repeat(random.nextInt(3, 8)) { phase(random.nextInt(1, 90)) }
+        simulation.daemons.forEach { it.thaw() }
+        simulation.run(6.seconds)
+        simulation.oracle.atEnd()
+    }
+
+    private fun phase(arrivals: Int) {
+        fault()
+        repeat(arrivals) {
+            if (simulation.daemons.any { it.up }) {
+                val order = simulation.arrive()
+                if (random.nextInt(40) == 0) simulation.daemons.forEach { it.callerLeaves(order) }
+            }
+            simulation.run(random.nextInt(0, spacing).milliseconds)
+        }
+        simulation.run(random.nextInt(0, 3000).milliseconds)
+    }
+
+    private fun fault() {
+        val daemon = simulation.daemons.random(random)
+        val target = simulation.targets.random(random)
+        when (random.nextInt(10)) {
+            0 -> daemon.kill()
+            1 -> daemon.restart()
+            2 -> daemon.freeze()
+            3 -> daemon.thaw()
+            4 -> daemon.cutOff = !daemon.cutOff
+            5 -> target.stopsTakingWork(simulation.events.now, byLeaving = random.nextBoolean())
+            6 -> target.down = !target.down
+            else -> Unit
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/org/auburnstream/routing/SimulatedTarget.kt
@@ -0,0 +1,56 @@
+package org.auburnstream.routing
+
+import org.auburnstream.model.Announcement
+import org.auburnstream.model.DataCentreId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.PoolId
+import org.auburnstream.model.RackId
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.VmId
+import kotlin.time.Duration
+
+/** How a target treats the next exchange. */
+enum class TargetFault { NONE, UNREACHABLE, REFUSES, LOSES_ANSWER, HANGS, FAILS }
+
+/** A target that counts what it runs; an execution ends with its answer or when its connection is closed. */
+class SimulatedTarget(val vm: VmId, val service: ServiceId, val dataCentre: DataCentreId, val slots: Int) {
+    private val running = HashSet<Any>()
+    var announcing: Boolean = true
+    var leaving: Boolean = false
+    var down: Boolean = false
+
+    /** When the target stopped taking work, as told by its announcements or their end. */
+    var noWorkSince: MonotonicTime? = null
+    var mostRunning: Int = 0
+        private set
+    val inUse: Int get() = running.size
+
+    fun start(exchange: Any) {
+        running += exchange
+        mostRunning = maxOf(mostRunning, running.size)
+    }
+
+    fun end(exchange: Any) {
+        running -= exchange
+    }
+
+    fun announcement(): Announcement = Announcement(
+        vm = vm,
+        incarnation = 1,
+        dataCentre = dataCentre,
+        rack = RackId("rack"),
+        pool = PoolId("pool-$service"),
+        address = "10.0.0.1",
+        port = 80,
+        service = service,
+        slots = slots,
+        leaving = leaving,
+    )
+
+    fun stopsTakingWork(now: MonotonicTime, byLeaving: Boolean) {
+        if (byLeaving) leaving = true else announcing = false
+        noWorkSince = noWorkSince ?: now
+    }
+
+    fun mayGetWork(now: MonotonicTime, within: Duration): Boolean = noWorkSince.let { it == null || now - it <= within }
+}
