--- a/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
@@ -78,15 +78,14 @@
     }
 
     /** Stops without cutting off a request in progress, unless the drain timeout passes first. */
-    suspend fun stop(): StopResult =
-        GracefulStop(
-            markUnready = { stopping = true },
-            unreadyPeriod = settings.unreadyPeriod,
-            refuseNewWork = requests::refuseNewWork,
-            awaitIdle = { while (requests.inProgress > 0) delay(IDLE_CHECK_INTERVAL) },
-            drainTimeout = settings.drainTimeout,
-            close = ::close,
-        ).run()
+    suspend fun stop(): StopResult = GracefulStop(
+        markUnready = { stopping = true },
+        unreadyPeriod = settings.unreadyPeriod,
+        refuseNewWork = requests::refuseNewWork,
+        awaitIdle = { while (requests.inProgress > 0) delay(IDLE_CHECK_INTERVAL) },
+        drainTimeout = settings.drainTimeout,
+        close = ::close,
+    ).run()
 
     private suspend fun close() {
         requests.close()
@@ -99,13 +98,12 @@
         log.info("stopped", LogKeys.Detail of settings.id.value)
     }
 
-    private fun readiness(): Readiness =
-        when {
-            stopping -> Readiness.Unready(UnreadyReason.STOPPING)
-            control.isLeaseLive() -> Readiness.Ready
-            control.hadLease -> Readiness.Unready(UnreadyReason.SETTINGS_LEASE_EXPIRED)
-            else -> Readiness.Unready(UnreadyReason.STARTING)
-        }
+    private fun readiness(): Readiness = when {
+        stopping -> Readiness.Unready(UnreadyReason.STOPPING)
+        control.isLeaseLive() -> Readiness.Ready
+        control.hadLease -> Readiness.Unready(UnreadyReason.SETTINGS_LEASE_EXPIRED)
+        else -> Readiness.Unready(UnreadyReason.STARTING)
+    }
 
     private companion object {
         val IDLE_CHECK_INTERVAL = 20.milliseconds
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/HttpListener.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/HttpListener.kt
@@ -10,11 +10,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** HTTP listener for the routes of one kind of client; callers have their own server. */
-internal class HttpListener(
-    private val host: String,
-    private val port: Int,
-    private val routes: Route.() -> Unit,
-) {
+internal class HttpListener(private val host: String, private val port: Int, private val routes: Route.() -> Unit) {
     private var server: EmbeddedServer<*, *>? = null
 
     /** Begins to listen and returns the bound TCP port. */
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestGate.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestGate.kt
@@ -39,7 +39,13 @@
         running.incrementAndGet()
         try {
             val outcome = refusal(request) ?: next(request, stream)
-            metrics.requestEnded(request.service.takeIf { outcome.isKnownService() }, outcome, clock() - request.arrived)
+            metrics.requestEnded(
+                request.service.takeIf {
+                    outcome.isKnownService()
+                },
+                outcome,
+                clock() - request.arrived,
+            )
             return outcome
         } finally {
             running.decrementAndGet()
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -64,13 +64,13 @@
             nextId = requestIds::next,
             handler = gate::handle,
             settings =
-                CallerSettings(
-                    host = settings.bindAddress,
-                    port = settings.ports.callers,
-                    connections = settings.limits.connections,
-                    headBytes = settings.limits.headerBytes,
-                    bodyBytes = settings.limits.bodyBytes,
-                ),
+            CallerSettings(
+                host = settings.bindAddress,
+                port = settings.ports.callers,
+                connections = settings.limits.connections,
+                headBytes = settings.limits.headerBytes,
+                bodyBytes = settings.limits.bodyBytes,
+            ),
         )
     private val targets =
         TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = driver::announce)
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/TracingHops.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/TracingHops.kt
@@ -13,12 +13,11 @@
     override fun start(hop: Hop, request: RequestId, parent: String?): HopSpan =
         TracedSpan(tracing.start(request, parent, hop.traced()))
 
-    private fun Hop.traced(): TracedHop =
-        when (this) {
-            Hop.CALLER -> TracedHop.CALLER_EDGE
-            Hop.QUEUE -> TracedHop.QUEUE
-            Hop.TARGET -> TracedHop.TARGET
-        }
+    private fun Hop.traced(): TracedHop = when (this) {
+        Hop.CALLER -> TracedHop.CALLER_EDGE
+        Hop.QUEUE -> TracedHop.QUEUE
+        Hop.TARGET -> TracedHop.TARGET
+    }
 
     private class TracedSpan(private val span: RequestSpan) : HopSpan {
         private var ended = false
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
@@ -114,6 +114,7 @@
 private fun NotRunReason.status(): HttpStatusCode = when (this) {
     NotRunReason.OVERLOADED, NotRunReason.DISPLACED -> HttpStatusCode.TooManyRequests
     NotRunReason.UNKNOWN_SERVICE -> HttpStatusCode.NotFound
+    NotRunReason.REQUEST_TOO_LARGE -> HttpStatusCode.PayloadTooLarge
     NotRunReason.KEY_IN_PROGRESS -> HttpStatusCode.Conflict
     NotRunReason.KEY_REUSED -> HttpStatusCode.UnprocessableEntity
     else -> HttpStatusCode.ServiceUnavailable
@@ -125,6 +126,7 @@
     NotRunReason.DISPLACED -> "A more urgent request took the place in the queue."
     NotRunReason.NO_TARGET -> "The service has no target that may be given work."
     NotRunReason.UNKNOWN_SERVICE -> "The service is not known."
+    NotRunReason.REQUEST_TOO_LARGE -> "The body is larger than the service's settings allow."
     NotRunReason.SETTINGS_LEASE_EXPIRED -> "The daemon is cut off from the control group."
     NotRunReason.STOPPING -> "The daemon is stopping."
     NotRunReason.REFUSED_BY_TARGET -> "The target did not run the request."
