--- a/cli/src/main/kotlin/org/auburnstream/cli/Placeholder.kt
+++ /dev/null
@@ -1,5 +0,0 @@
-package org.auburnstream.cli
-
-import org.auburnstream.model.VmId
-
-internal val placeholder = VmId("none")
