Add the settings tree, the replicated state, operators' routes and auburnctl settings

Cause: operators need one tree of settings whose accepted changes cannot be lost or run twice. Ruled out: validating a batch at the edited nodes alone, since a rule between two keys can break at a node below that overrides the other key; evicting operation ids by count alone, since a resend inside the window would run again. Before: no settings. After: tree with inheritance, atomic batches, preview and history; operation table bounded by the creation time in each id; state machine over both; HTTP routes with typed problem details; auburnctl settings get, set, unset, diff, history, keys and status.

--- /dev/null
+++ b/control/src/main/kotlin/org/auburnstream/control/ControlState.kt
@@ -0,0 +1,144 @@
+package org.auburnstream.control
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.OperationId
+import org.auburnstream.model.OperatorId
+import org.auburnstream.model.SettingsVersion
+import kotlin.time.Instant
+
+/**
+ * Decides whether a change could break an availability budget; returns the risk, or null to let it pass.
+ *
+ * Must depend on replicated state alone.
+ */
+public typealias ChangeGuard = (after: SettingsTree, reach: EditReach) -> BudgetRisk?
+
+/**
+ * Replicated state of the settings: tree, version and history.
+ *
+ * Immutable, so that readers can keep one while commands are applied.
+ *
+ * @property epoch number of times that the group was restored from a backup.
+ */
+public class ControlState(
+    public val tree: SettingsTree = SettingsTree.Empty,
+    public val version: SettingsVersion = SettingsVersion(0),
+    public val epoch: Long = 0,
+    public val history: ChangeHistory = ChangeHistory.Empty,
+) {
+    /** Applies [command], whose author and time are [context]; [guard] may refuse a change of settings. */
+    public fun apply(
+        command: ControlCommand,
+        context: CommandContext,
+        guard: ChangeGuard = { _, _ -> null },
+    ): ControlTransition = when (command) {
+        is ControlCommand.ChangeSettings -> changeSettings(command, context, guard)
+        is ControlCommand.ChangeNodes -> changeNodes(command)
+        is ControlCommand.Restore -> restore(command.backup)
+    }
+
+    /** Returns what [edits] would change, without changing anything. */
+    public fun preview(edits: List<SettingEdit>): EditResult = tree.edit(edits)
+
+    /** Returns the whole state for snapshots and backups. */
+    public fun snapshot(): ControlSnapshot =
+        ControlSnapshot(version = version, epoch = epoch, nodes = tree.export(), history = history.toList())
+
+    private fun changeSettings(
+        command: ControlCommand.ChangeSettings,
+        context: CommandContext,
+        guard: ChangeGuard,
+    ): ControlTransition {
+        if (command.expected > version) return keep(ControlResult.VersionUnknown(command.expected, version))
+        if (command.expected < version) return keep(conflict(command.expected))
+        val edited =
+            when (val result = tree.edit(command.edits)) {
+                is EditResult.Edited -> result
+                is EditResult.Refused -> return keep(ControlResult.Invalid(result.problems))
+            }
+        guard(edited.tree, edited.reach)?.let { return keep(ControlResult.BudgetAtRisk(it)) }
+        val next = SettingsVersion(version.value + 1)
+        val record =
+            ChangeRecord(
+                version = next,
+                operation = context.operation,
+                operator = context.operator,
+                at = context.at,
+                reason = command.reason.take(MAX_REASON_LENGTH),
+                edits = command.edits,
+                undo = command.edits.map(::undo),
+            )
+        val state = ControlState(edited.tree, next, epoch, history.plus(record))
+        return ControlTransition(state, ControlResult.Changed(next, edited.reach.countChangedNodes()))
+    }
+
+    private fun conflict(expected: SettingsVersion): ControlResult {
+        val first = history.find(SettingsVersion(expected.value + 1)) ?: history.find(version)
+        val winner = first?.let { ChangeAuthor(it.operation, it.operator, it.version) }
+        return ControlResult.Conflict(expected, version, winner)
+    }
+
+    private fun undo(edit: SettingEdit): SettingEdit {
+        val old = tree.overridesAt(edit.path)[edit.key]
+        return if (old == null) SettingEdit.Unset(edit.path, edit.key) else SettingEdit.Set(edit.path, edit.key, old)
+    }
+
+    private fun changeNodes(command: ControlCommand.ChangeNodes): ControlTransition {
+        val problems = NodeCheck(tree).problems(command)
+        if (problems.isNotEmpty()) return keep(ControlResult.Invalid(problems))
+        val after = command.remove.fold(tree, SettingsTree::withoutNode).withNodes(command.add)
+        val result = ControlResult.Changed(version, command.add.size + command.remove.size)
+        return ControlTransition(ControlState(after, version, epoch, history), result)
+    }
+
+    private fun restore(backup: ControlSnapshot): ControlTransition {
+        if (version.value > 0 || epoch > 0) return keep(ControlResult.RestoreRefused(backup.version, version))
+        val problems = backup.problems()
+        if (problems.isNotEmpty()) return keep(ControlResult.BackupInvalid(problems))
+        val restored = of(backup.copy(epoch = backup.epoch + 1))
+        return ControlTransition(restored, ControlResult.Changed(restored.version, backup.nodes.size))
+    }
+
+    private fun keep(result: ControlResult): ControlTransition = ControlTransition(this, result)
+
+    public companion object {
+        private const val MAX_REASON_LENGTH = 256
+
+        /** Builds the state that [snapshot] holds. */
+        public fun of(snapshot: ControlSnapshot): ControlState = ControlState(
+            tree = SettingsTree.of(snapshot.nodes),
+            version = snapshot.version,
+            epoch = snapshot.epoch,
+            history = ChangeHistory.of(snapshot.history),
+        )
+    }
+}
+
+/** Author and time of a command, as its proposer stamped them. */
+public data class CommandContext(val operation: OperationId, val operator: OperatorId, val at: Instant)
+
+/** What a command made of the state, and its result. */
+public class ControlTransition(public val state: ControlState, public val result: ControlResult)
+
+/** The whole control state in a form that can be encoded. */
+@Serializable
+public data class ControlSnapshot(
+    val version: SettingsVersion,
+    val epoch: Long,
+    val nodes: List<SettingsTreeNode>,
+    val history: List<ChangeRecord>,
+) {
+    /** Returns what makes this snapshot unfit to be restored; empty if nothing does. */
+    public fun problems(): List<SettingProblem> {
+        val malformed = nodes.filter { !it.path.isWellFormed() }
+        if (malformed.isNotEmpty()) return malformed.map { SettingProblem.MalformedPath(it.path.value) }
+        val edits = nodes.flatMap { node -> node.overrides.map { SettingEdit.Set(node.path, it.key, it.value) } }
+        if (edits.isEmpty()) return emptyList()
+        // A backup is one change as a whole, so rules are checked on the whole and not on its parts.
+        val bare = SettingsTree.Empty.withNodes(nodes.map { it.path })
+        return when (val result = bare.edit(edits, limit = Int.MAX_VALUE)) {
+            is EditResult.Edited -> emptyList()
+            is EditResult.Refused -> result.problems
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/org/auburnstream/control/EditReach.kt
@@ -0,0 +1,126 @@
+package org.auburnstream.control
+
+import kotlinx.serialization.Serializable
+
+/**
+ * The nodes that a change batch reaches, with the effective values before and after.
+ *
+ * Walks only the subtrees below the edits and leaves a subtree as soon as every edited key is overridden there.
+ */
+public class EditReach internal constructor(
+    private val before: SettingsTree,
+    private val after: SettingsTree,
+    private val edits: List<SettingEdit>,
+) {
+    /** Returns every effective value that changes, ordered by path and key; at most [limit] of them. */
+    public fun changes(limit: Int = Int.MAX_VALUE): List<EffectiveChange> {
+        val changes = mutableListOf<EffectiveChange>()
+        walk { visit ->
+            for (name in visit.keys.sorted()) {
+                val key = SettingKeys.find(name) ?: continue
+                val old = visit.before.origin(key).value
+                val new = visit.after.origin(key).value
+                if (old != new && changes.size < limit) changes += EffectiveChange(visit.path, name, old, new)
+            }
+        }
+        return changes
+    }
+
+    /** Returns the number of nodes at which an effective value changes. */
+    public fun countChangedNodes(): Int {
+        var count = 0
+        walk { visit -> if (visit.changesAnything()) count++ }
+        return count
+    }
+
+    internal fun brokenRules(): List<SettingProblem> {
+        val problems = mutableListOf<SettingProblem>()
+        walk { visit ->
+            for (rule in SettingRule.all) {
+                val concerned = rule.keys.any { it in visit.keys }
+                if (!concerned || problems.size >= MAX_PROBLEMS || rule.holds(visit.after)) continue
+                problems +=
+                    SettingProblem.RuleBroken(visit.path, rule.name, rule.explanation, valuesOf(rule, visit.after))
+            }
+        }
+        return problems
+    }
+
+    private fun valuesOf(rule: SettingRule, settings: EffectiveSettings): List<RuleValue> =
+        rule.keys.sorted().mapNotNull { name ->
+            SettingKeys.find(name)?.let { key ->
+                val effective = settings.origin(key)
+                RuleValue(name, key.format(effective.value), effective.origin)
+            }
+        }
+
+    private fun walk(visitor: (Visit) -> Unit) {
+        val edited = edits.groupBy { it.path }
+        val tops = edited.keys.filter { path -> edited.keys.none { it != path && it.contains(path) } }
+        for (top in tops.sorted()) {
+            val parent = top.parent
+            val start =
+                Visit(
+                    path = top,
+                    beforeNode = before.root.find(top.segments),
+                    afterNode = after.root.find(top.segments),
+                    before = parent?.let(before::at) ?: EffectiveSettings.Default,
+                    after = parent?.let(after::at) ?: EffectiveSettings.Default,
+                    keys = emptySet(),
+                )
+            descend(start, edited, visitor)
+        }
+    }
+
+    /** Visits the node of [visit], whose settings are still those of its parent, and the nodes below it. */
+    private fun descend(visit: Visit, edited: Map<SettingsPath, List<SettingEdit>>, visitor: (Visit) -> Unit) {
+        val own = edited[visit.path]?.map { it.key }?.toSet() ?: emptySet()
+        val inherited = visit.keys.filter { it !in (visit.afterNode?.overrides ?: emptyMap()) }
+        val here =
+            visit.copy(
+                before = visit.before.below(visit.path, visit.beforeNode?.overrides ?: emptyMap()),
+                after = visit.after.below(visit.path, visit.afterNode?.overrides ?: emptyMap()),
+                keys = own + inherited,
+            )
+        if (here.keys.isNotEmpty()) visitor(here)
+        for (segment in visit.afterNode?.children?.keys?.sorted() ?: emptyList()) {
+            val path = visit.path.child(segment)
+            // Below a node that shadows every edited key, only nodes with edits of their own are left to look at.
+            if (here.keys.isEmpty() && edited.keys.none { path.contains(it) }) continue
+            val child =
+                here.copy(
+                    path = path,
+                    beforeNode = visit.beforeNode?.children?.get(segment),
+                    afterNode = visit.afterNode?.children?.get(segment),
+                )
+            descend(child, edited, visitor)
+        }
+    }
+
+    private data class Visit(
+        val path: SettingsPath,
+        val beforeNode: SettingsNode?,
+        val afterNode: SettingsNode?,
+        val before: EffectiveSettings,
+        val after: EffectiveSettings,
+        val keys: Set<String>,
+    ) {
+        fun changesAnything(): Boolean = keys.any { name ->
+            val key = SettingKeys.find(name)
+            key != null && before.origin(key).value != after.origin(key).value
+        }
+    }
+
+    private companion object {
+        const val MAX_PROBLEMS = 20
+    }
+}
+
+/** A change of one effective value at one node. */
+@Serializable
+public data class EffectiveChange(
+    val path: SettingsPath,
+    val key: String,
+    val before: SettingValue,
+    val after: SettingValue,
+)
--- /dev/null
+++ b/control/src/main/kotlin/org/auburnstream/control/NodeCheck.kt
@@ -0,0 +1,25 @@
+package org.auburnstream.control
+
+/** Checks a change of the tree's nodes. */
+internal class NodeCheck(private val tree: SettingsTree) {
+    fun problems(command: ControlCommand.ChangeNodes): List<SettingProblem> {
+        val size = command.add.size + command.remove.size
+        if (size == 0) return listOf(SettingProblem.EmptyBatch)
+        if (size > MAX_CHANGED_NODES) return listOf(SettingProblem.BatchTooLarge(size, MAX_CHANGED_NODES))
+        val malformed = (command.add + command.remove).filter { !it.isWellFormed() }
+        if (malformed.isNotEmpty()) return malformed.map { SettingProblem.MalformedPath(it.value) }
+        val total = tree.size + command.add.count { it !in tree }
+        if (total > MAX_NODES) return listOf(SettingProblem.TreeTooLarge(total, MAX_NODES))
+        return command.remove.filter(::hasOverrides).map(SettingProblem::NodeHasOverrides)
+    }
+
+    private fun hasOverrides(path: SettingsPath): Boolean = tree.root.find(path.segments)?.hasOverrides() ?: false
+
+    companion object {
+        /** Most nodes that one command adds or removes. */
+        const val MAX_CHANGED_NODES: Int = 4_096
+
+        /** Most nodes of the tree. */
+        const val MAX_NODES: Int = 65_536
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/org/auburnstream/control/OperationIds.kt
@@ -0,0 +1,34 @@
+package org.auburnstream.control
+
+import org.auburnstream.model.OperationId
+import kotlin.random.Random
+import kotlin.time.Instant
+
+/**
+ * Operation ids that carry the time of their creation, written `<milliseconds since 1970>-<16 hex digits>`.
+ *
+ * The time lets the replicas forget an operation after [OperationPolicy.window] without ever running it twice.
+ */
+public object OperationIds {
+    private const val SEPARATOR = '-'
+    private const val HEX = 16
+    private const val RANDOM_DIGITS = 16
+    private const val MAX_TIME_DIGITS = 15
+
+    /** Returns a new id created [at], with 64 bits from [random]. */
+    public fun create(at: Instant, random: Random): OperationId {
+        val suffix = random.nextLong().toULong().toString(HEX).padStart(RANDOM_DIGITS, '0')
+        return OperationId("${at.toEpochMilliseconds()}$SEPARATOR$suffix")
+    }
+
+    /** Returns when [operation] was created, or null if it is no id of this form. */
+    public fun createdAt(operation: OperationId): Instant? {
+        val parts = operation.value.split(SEPARATOR)
+        if (parts.size != 2) return null
+        val (time, suffix) = parts
+        val wellFormed =
+            time.length in 1..MAX_TIME_DIGITS && time.all { it in '0'..'9' } &&
+                suffix.length == RANDOM_DIGITS && suffix.all { it in '0'..'9' || it in 'a'..'f' }
+        return if (wellFormed) Instant.fromEpochMilliseconds(time.toLong()) else null
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/ControlService.kt
@@ -0,0 +1,66 @@
+package org.auburnstream.daemon.operator
+
+import org.auburnstream.daemon.replication.RejectReason
+import org.auburnstream.daemon.state.CommandAnswer
+import org.auburnstream.daemon.state.ReplicatedCommand
+import org.auburnstream.daemon.state.StateView
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LogIndex
+import kotlin.time.Duration
+
+/** What the operators' interface needs from the control group. */
+public interface ControlService {
+    /** Proposes [command] once and waits for the group's answer. */
+    public suspend fun propose(command: ReplicatedCommand): Proposal
+
+    /** Returns a state that reflects every change accepted before the call, confirmed by a quorum. */
+    public suspend fun read(): Reading
+
+    /** Waits until the change committed at [index] is in force everywhere, or until [timeout]. */
+    public suspend fun awaitInForce(index: LogIndex, timeout: Duration): RollOutProgress
+}
+
+/** Result of a proposal. */
+public sealed interface Proposal {
+    /** The group applied the command at [index] and gave [answer]. */
+    public data class Answered(val index: LogIndex, val answer: CommandAnswer) : Proposal
+
+    /** The command was not and will not be applied. */
+    public data class NotRun(val reason: RejectReason) : Proposal
+
+    /** The command may have been applied; the answer is lost. */
+    public data object Unknown : Proposal
+}
+
+/** Result of a read. */
+public sealed interface Reading {
+    /** The state reflects every change accepted before the read began. */
+    public data class Current(val view: StateView) : Reading
+
+    /** No quorum confirmed the state in time. */
+    public data class Unavailable(val reason: RejectReason) : Reading
+}
+
+/**
+ * Progress of a change towards being in force.
+ *
+ * @property elapsed time since the leader saw the change committed, until it was in force or until now.
+ * @property heldBackBy daemons that are or were waited for, the longest wait first.
+ */
+public data class RollOutProgress(val inForce: Boolean, val elapsed: Duration, val heldBackBy: List<HeldBack>)
+
+/**
+ * A daemon that a change waited for.
+ *
+ * @property daemon the daemon, or null for the leases granted by earlier leaders.
+ */
+public data class HeldBack(val daemon: DaemonId?, val cause: HoldCause, val waited: Duration)
+
+/** What ended, or will end, the wait for a daemon. */
+public enum class HoldCause {
+    /** The daemon acknowledged the change. */
+    ACKNOWLEDGEMENT,
+
+    /** The daemon's lease ran out. */
+    LEASE,
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/RollOutViews.kt
@@ -0,0 +1,21 @@
+package org.auburnstream.daemon.operator
+
+import org.auburnstream.api.HeldBackView
+import org.auburnstream.api.RollOutView
+
+/** Turns the progress of a roll-out into messages of the operators' interface. */
+internal object RollOutViews {
+    private const val EARLIER_LEADERS = "*"
+
+    fun of(progress: RollOutProgress): RollOutView = RollOutView(
+        inForce = progress.inForce,
+        millis = progress.elapsed.inWholeMilliseconds,
+        heldBackBy = progress.heldBackBy.map(::heldBack),
+    )
+
+    private fun heldBack(held: HeldBack): HeldBackView = HeldBackView(
+        daemon = held.daemon?.value ?: EARLIER_LEADERS,
+        cause = held.cause.name.lowercase(),
+        millis = held.waited.inWholeMilliseconds,
+    )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedCommand.kt
@@ -0,0 +1,53 @@
+package org.auburnstream.daemon.state
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnstream.control.ControlCommand
+import org.auburnstream.control.ControlResult
+import org.auburnstream.control.OperationProblem
+import org.auburnstream.model.OperationId
+import org.auburnstream.model.OperatorId
+import kotlin.time.Instant
+
+/**
+ * Entry of the replicated log.
+ *
+ * @property operation id by which a resend is recognized.
+ * @property operator who asked for it.
+ * @property proposedAt wall clock of the proposing daemon; the replicas use no other time.
+ */
+@Serializable
+public data class ReplicatedCommand(
+    val operation: OperationId,
+    val operator: OperatorId,
+    val proposedAt: Instant,
+    val body: CommandBody,
+)
+
+/** What a command asks for. */
+@Serializable
+public sealed interface CommandBody {
+    /** A change of the settings. */
+    @Serializable
+    @SerialName("control")
+    public data class Control(val command: ControlCommand) : CommandBody
+}
+
+/** Answer of the replicated state to one command. */
+@Serializable
+public sealed interface CommandAnswer {
+    /** The command on the settings was run; a resend gets the same [result]. */
+    @Serializable
+    @SerialName("control")
+    public data class Control(val result: ControlResult) : CommandAnswer
+
+    /** The command was not run, because of its operation id. */
+    @Serializable
+    @SerialName("refused")
+    public data class Refused(val problem: OperationProblem) : CommandAnswer
+
+    /** The command was not run, because this version of the software cannot read it. */
+    @Serializable
+    @SerialName("unreadable")
+    public data object Unreadable : CommandAnswer
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
@@ -0,0 +1,111 @@
+package org.auburnstream.daemon.state
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.serialization.Serializable
+import org.auburnstream.consensus.StateMachine
+import org.auburnstream.control.Admission
+import org.auburnstream.control.ChangeGuard
+import org.auburnstream.control.CommandContext
+import org.auburnstream.control.ControlSnapshot
+import org.auburnstream.control.ControlState
+import org.auburnstream.control.OperationPolicy
+import org.auburnstream.control.OperationSnapshot
+import org.auburnstream.control.OperationTable
+import org.auburnstream.model.LogIndex
+
+/**
+ * State machine of the control group: the settings behind the table of operations.
+ *
+ * [apply] never throws for what a command holds: a command that cannot be read is answered as such by every replica.
+ * Readers take [view], which is immutable and replaced after each command.
+ *
+ * @param guard refuses changes of settings that could break an availability budget.
+ */
+public class ReplicatedState(
+    policy: OperationPolicy = OperationPolicy(),
+    private val guard: ChangeGuard = { _, _ -> null },
+) : StateMachine {
+    private val operations = OperationTable(policy)
+    private var control = ControlState()
+    private val published = MutableStateFlow(StateView(LogIndex(0), control))
+
+    /** State after the last applied command. */
+    public val view: StateFlow<StateView> = published.asStateFlow()
+
+    override fun apply(index: LogIndex, command: ByteArray): ByteArray {
+        val decoded = StateCodec.decode(ReplicatedCommand.serializer(), command)
+        val answer = if (decoded == null) encode(CommandAnswer.Unreadable) else run(decoded)
+        // The index moves with every command, also a refused one: leases wait for it.
+        published.value = StateView(index, control)
+        return answer
+    }
+
+    override fun snapshot(): ByteArray {
+        val snapshot = StateSnapshot(control.snapshot(), operations.snapshot())
+        return StateCodec.encode(StateSnapshot.serializer(), snapshot)
+    }
+
+    /** @throws UnreadableSnapshotException if [snapshot] was written by another format version or is damaged. */
+    override fun restore(index: LogIndex, snapshot: ByteArray) {
+        val decoded =
+            StateCodec.decode(StateSnapshot.serializer(), snapshot)
+                ?: throw UnreadableSnapshotException(index, snapshot.size)
+        operations.restore(decoded.operations)
+        control = ControlState.of(decoded.control)
+        published.value = StateView(index, control)
+    }
+
+    private fun run(command: ReplicatedCommand): ByteArray {
+        val content = contentOf(command)
+        return when (val admission = operations.admit(command.operation, content, command.proposedAt)) {
+            is Admission.Repeated -> admission.answer
+            is Admission.Refused -> encode(CommandAnswer.Refused(admission.problem))
+            is Admission.First -> {
+                val answer = encode(runBody(command))
+                operations.record(command.operation, content, admission.created, answer)
+                answer
+            }
+        }
+    }
+
+    private fun runBody(command: ReplicatedCommand): CommandAnswer {
+        val context = CommandContext(command.operation, command.operator, command.proposedAt)
+        return when (val body = command.body) {
+            is CommandBody.Control -> {
+                val transition = control.apply(body.command, context, guard)
+                control = transition.state
+                CommandAnswer.Control(transition.result)
+            }
+        }
+    }
+
+    // A resend carries a later time of proposal, so the time is no part of what must be equal.
+    private fun contentOf(command: ReplicatedCommand): ByteArray {
+        val content = OperationContent(command.operator.value, command.body)
+        return StateCodec.encode(OperationContent.serializer(), content)
+    }
+
+    private fun encode(answer: CommandAnswer): ByteArray = StateCodec.encode(CommandAnswer.serializer(), answer)
+}
+
+/**
+ * Immutable view of the replicated state.
+ *
+ * @property appliedIndex index of the last command that it reflects.
+ */
+public data class StateView(val appliedIndex: LogIndex, val control: ControlState)
+
+/** A snapshot that this version of the software cannot read. */
+public class UnreadableSnapshotException(index: LogIndex, size: Int) :
+    RuntimeException(
+        "Snapshot at index $index ($size bytes) cannot be read: start the version that wrote it, " +
+            "or clear the data folder and let the daemon catch up from its peers",
+    )
+
+@Serializable
+private class OperationContent(val operator: String, val body: CommandBody)
+
+@Serializable
+private class StateSnapshot(val control: ControlSnapshot, val operations: OperationSnapshot)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/StateCodec.kt
@@ -0,0 +1,32 @@
+package org.auburnstream.daemon.state
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+
+/** Encodes commands, answers and snapshots of the replicated state as CBOR behind a format version. */
+@OptIn(ExperimentalSerializationApi::class)
+internal object StateCodec {
+    private const val FORMAT_VERSION: Byte = 1
+    private val cbor =
+        Cbor {
+            ignoreUnknownKeys = true
+            alwaysUseByteString = true
+        }
+
+    fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray =
+        byteArrayOf(FORMAT_VERSION) + cbor.encodeToByteArray(serializer, value)
+
+    /** Returns the decoded value, or null if [bytes] are of another format version or damaged. */
+    fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T? {
+        if (bytes.isEmpty() || bytes[0] != FORMAT_VERSION) return null
+        return try {
+            cbor.decodeFromByteArray(serializer, bytes.copyOfRange(1, bytes.size))
+        } catch (_: SerializationException) {
+            null
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+    }
+}
