--- a/api/src/main/kotlin/org/auburnstream/api/ApiError.kt
+++ b/api/src/main/kotlin/org/auburnstream/api/ApiError.kt
@@ -46,55 +46,55 @@
  */
 public enum class ApiErrorType(public val status: Int, public val title: String) {
     /** The token is missing or unknown. */
-    UNAUTHORIZED(401, "The token is missing or unknown"),
+    UNAUTHORIZED(status = 401, title = "The token is missing or unknown"),
 
     /** The request cannot be read. */
-    MALFORMED_REQUEST(400, "The request cannot be read"),
+    MALFORMED_REQUEST(status = 400, title = "The request cannot be read"),
 
     /** The body exceeds its limit. */
-    BODY_TOO_LARGE(413, "The body exceeds its limit"),
+    BODY_TOO_LARGE(status = 413, title = "The body exceeds its limit"),
 
     /** Nothing is served at this path. */
-    NOT_FOUND(404, "Nothing is served at this path"),
+    NOT_FOUND(status = 404, title = "Nothing is served at this path"),
 
     /** The change breaks a rule at one node or more. */
-    INVALID_CHANGE(422, "The change is not valid at every node it reaches"),
+    INVALID_CHANGE(status = 422, title = "The change is not valid at every node it reaches"),
 
     /** Another change was accepted first. */
-    VERSION_CONFLICT(409, "Another change was accepted first"),
+    VERSION_CONFLICT(status = 409, title = "Another change was accepted first"),
 
     /** The expected version does not exist. */
-    VERSION_UNKNOWN(409, "The expected version does not exist"),
+    VERSION_UNKNOWN(status = 409, title = "The expected version does not exist"),
 
     /** The change could break an availability budget. */
-    BUDGET_AT_RISK(409, "The change could break an availability budget"),
+    BUDGET_AT_RISK(status = 409, title = "The change could break an availability budget"),
 
     /** The operation id cannot be used. */
-    OPERATION_INVALID(422, "The operation id cannot be used"),
+    OPERATION_INVALID(status = 422, title = "The operation id cannot be used"),
 
     /** The operation id is too old to tell whether it was run. */
-    OPERATION_EXPIRED(410, "The operation id is too old"),
+    OPERATION_EXPIRED(status = 410, title = "The operation id is too old"),
 
     /** The operation id was used for something else. */
-    OPERATION_REUSED(409, "The operation id was used for something else"),
+    OPERATION_REUSED(status = 409, title = "The operation id was used for something else"),
 
     /** A restore would revert accepted changes. */
-    RESTORE_REFUSED(409, "The restore would revert accepted changes"),
+    RESTORE_REFUSED(status = 409, title = "The restore would revert accepted changes"),
 
     /** The backup is damaged or from another version of the software. */
-    BACKUP_INVALID(422, "The backup cannot be restored"),
+    BACKUP_INVALID(status = 422, title = "The backup cannot be restored"),
 
     /** The change of members is not possible now. */
-    MEMBERSHIP_REFUSED(409, "The change of members is refused"),
+    MEMBERSHIP_REFUSED(status = 409, title = "The change of members is refused"),
 
     /** The group has no leader, or too much to do; nothing was done. */
-    UNAVAILABLE(503, "The control group cannot answer now"),
+    UNAVAILABLE(status = 503, title = "The control group cannot answer now"),
 
     /** The answer of the group was lost; the change may have been accepted. */
-    OUTCOME_UNKNOWN(504, "The outcome is unknown"),
+    OUTCOME_UNKNOWN(status = 504, title = "The outcome is unknown"),
 
     /** A fault of the daemon. */
-    INTERNAL(500, "The daemon failed to answer"),
+    INTERNAL(status = 500, title = "The daemon failed to answer"),
     ;
 
     /** Stable identifier of the kind. */
--- a/cli/src/main/kotlin/org/auburnstream/cli/Auburnctl.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Auburnctl.kt
@@ -84,20 +84,18 @@
         return text?.trim()?.takeIf { it.isNotEmpty() && it.all { c -> c in '!'..'~' } }
     }
 
-    private fun missingToken(command: Command): CliProblem =
-        when (val file = command.tokenFile) {
-            null -> CliProblem.Usage("No token is given", "Set $TOKEN_VARIABLE or give --token-file.")
-            else -> CliProblem.Usage("--token-file '$file' holds no token or cannot be read", "Give a readable file.")
-        }
+    private fun missingToken(command: Command): CliProblem = when (val file = command.tokenFile) {
+        null -> CliProblem.Usage("No token is given", "Set $TOKEN_VARIABLE or give --token-file.")
+        else -> CliProblem.Usage("--token-file '$file' holds no token or cannot be read", "Give a readable file.")
+    }
 
-    private fun finish(result: CommandResult): ExitCode =
-        when (result) {
-            is CommandResult.Success -> {
-                out(result.text)
-                result.exit
-            }
-            is CommandResult.Failure -> fail(result.problem)
+    private fun finish(result: CommandResult): ExitCode = when (result) {
+        is CommandResult.Success -> {
+            out(result.text)
+            result.exit
         }
+        is CommandResult.Failure -> fail(result.problem)
+    }
 
     private fun fail(problem: CliProblem): ExitCode {
         val detail = problem.detail.trimEnd('.')
--- a/cli/src/main/kotlin/org/auburnstream/cli/DaemonClient.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/DaemonClient.kt
@@ -73,7 +73,9 @@
             for (address in addresses) {
                 when (val attempt = attempt(address, build)) {
                     is Attempt.Answered -> return CallResult.Answer(attempt.json)
-                    is Attempt.Malformed -> return CallResult.Failed(CliProblem.MalformedAnswer(address, attempt.detail))
+                    is Attempt.Malformed -> return CallResult.Failed(
+                        CliProblem.MalformedAnswer(address, attempt.detail),
+                    )
                     is Attempt.Refused -> {
                         val problem = CliProblem.Refused(attempt.error, address)
                         if (!problem.canPass()) return CallResult.Failed(problem)
@@ -98,29 +100,27 @@
         return CallResult.Failed(problem)
     }
 
-    private suspend fun attempt(address: String, build: HttpRequestBuilder.(String) -> Unit): Attempt =
-        try {
-            val response = http.request { build(address) }
-            val text = response.bodyAsText()
-            if (response.status.isSuccess()) Attempt.Answered(text) else refused(text, response.status.value)
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: ConnectException) {
-            Attempt.NotSent(reason(e))
-        } catch (e: UnresolvedAddressException) {
-            Attempt.NotSent("unknown host")
-        } catch (e: Exception) {
-            Attempt.Lost(reason(e))
-        }
+    private suspend fun attempt(address: String, build: HttpRequestBuilder.(String) -> Unit): Attempt = try {
+        val response = http.request { build(address) }
+        val text = response.bodyAsText()
+        if (response.status.isSuccess()) Attempt.Answered(text) else refused(text, response.status.value)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: ConnectException) {
+        Attempt.NotSent(reason(e))
+    } catch (e: UnresolvedAddressException) {
+        Attempt.NotSent("unknown host")
+    } catch (e: Exception) {
+        Attempt.Lost(reason(e))
+    }
 
-    private fun refused(text: String, status: Int): Attempt =
-        try {
-            Attempt.Refused(ApiJson.decodeFromString(ApiError.serializer(), text))
-        } catch (_: SerializationException) {
-            Attempt.Malformed("status $status without a typed error")
-        } catch (_: IllegalArgumentException) {
-            Attempt.Malformed("status $status without a typed error")
-        }
+    private fun refused(text: String, status: Int): Attempt = try {
+        Attempt.Refused(ApiJson.decodeFromString(ApiError.serializer(), text))
+    } catch (_: SerializationException) {
+        Attempt.Malformed("status $status without a typed error")
+    } catch (_: IllegalArgumentException) {
+        Attempt.Malformed("status $status without a typed error")
+    }
 
     private fun HttpRequestBuilder.prepare(address: String, method: HttpMethod, path: String) {
         this.method = method
@@ -132,11 +132,10 @@
 
     private fun reason(e: Exception): String = e.message?.lineSequence()?.first() ?: e.javaClass.simpleName
 
-    private fun CliProblem.Refused.canPass(): Boolean =
-        when (ApiErrorType.ofUri(error.type)) {
-            ApiErrorType.UNAVAILABLE, ApiErrorType.OUTCOME_UNKNOWN -> true
-            else -> false
-        }
+    private fun CliProblem.Refused.canPass(): Boolean = when (ApiErrorType.ofUri(error.type)) {
+        ApiErrorType.UNAVAILABLE, ApiErrorType.OUTCOME_UNKNOWN -> true
+        else -> false
+    }
 
     private sealed interface Attempt {
         class Answered(val json: String) : Attempt
--- a/cli/src/main/kotlin/org/auburnstream/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/ExitCode.kt
@@ -39,14 +39,13 @@
 
     public companion object {
         /** Returns the exit code for an error of the daemon. */
-        public fun of(type: ApiErrorType?): ExitCode =
-            when (type) {
-                ApiErrorType.UNAUTHORIZED -> UNAUTHORIZED
-                ApiErrorType.VERSION_CONFLICT, ApiErrorType.VERSION_UNKNOWN -> CONFLICT
-                ApiErrorType.UNAVAILABLE -> UNAVAILABLE
-                ApiErrorType.OUTCOME_UNKNOWN -> UNKNOWN
-                ApiErrorType.INTERNAL, null -> INTERNAL
-                else -> REFUSED
-            }
+        public fun of(type: ApiErrorType?): ExitCode = when (type) {
+            ApiErrorType.UNAUTHORIZED -> UNAUTHORIZED
+            ApiErrorType.VERSION_CONFLICT, ApiErrorType.VERSION_UNKNOWN -> CONFLICT
+            ApiErrorType.UNAVAILABLE -> UNAVAILABLE
+            ApiErrorType.OUTCOME_UNKNOWN -> UNKNOWN
+            ApiErrorType.INTERNAL, null -> INTERNAL
+            else -> REFUSED
+        }
     }
 }
--- a/cli/src/main/kotlin/org/auburnstream/cli/settings/SettingsHistory.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/settings/SettingsHistory.kt
@@ -26,7 +26,10 @@
 
     override suspend fun run(session: Session): CommandResult {
         val parameters = listOf("path" to path, "limit" to limit.toString(), "before" to before?.toString())
-        return session.client.get(ApiRoutes.SETTING_CHANGES, parameters).print(session, HistoryView.serializer()) { view ->
+        return session.client.get(
+            ApiRoutes.SETTING_CHANGES,
+            parameters,
+        ).print(session, HistoryView.serializer()) { view ->
             val table = Table("VERSION", "TIME", "OPERATOR", "OPERATION", "EDITS", "REASON")
             view.changes.forEach { table.row(it.version, it.at, it.operator, it.operation, edits(it), it.reason) }
             table.toString()
@@ -49,7 +52,8 @@
             CommandSpec(
                 words = "settings history",
                 summary = "Show the accepted changes of settings, newest first.",
-                description = "Shows who changed which settings when, newest first. Old changes are forgotten in the end.",
+                description =
+                "Shows who changed which settings when, newest first. The group keeps the newest 8,192 changes.",
                 examples = listOf("auburnctl settings history /nairobi --limit 5"),
                 create = ::SettingsHistory,
             )
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/OperatorRoutes.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/OperatorRoutes.kt
@@ -43,9 +43,13 @@
     public val authenticate: (token: String) -> OperatorId?,
     public val clock: Clock = Clock.System,
     public val timeSource: TimeSource = TimeSource.Monotonic,
-    public val maxBodyBytes: Long = 4L * 1_048_576,
+    public val maxBodyBytes: Long = DEFAULT_MAX_BODY_BYTES,
     public val bodyTimeout: Duration = 10.seconds,
-)
+) {
+    private companion object {
+        const val DEFAULT_MAX_BODY_BYTES = 4_194_304L
+    }
+}
 
 /** Adds the operators' interface to a server; every route asks for a token and answers with JSON. */
 public fun Route.operatorRoutes(services: OperatorServices) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingsHandlers.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingsHandlers.kt
@@ -114,7 +114,7 @@
                         version = changed.version.value,
                         nodes = changed.nodes,
                         acceptedMillis = accepted.inWholeMilliseconds,
-                        rollOut = rollOut?.let(OperatorViews::rollOut),
+                        rollOut = rollOut?.let(RollOutViews::of),
                     )
                 }
             }
