Keep the largest message within one frame of a link, and end a group whose replica fails

Cause: a command of 1 MiB makes a message of 1,048,965 bytes, over the 1,048,576 bytes of a frame; the link drops it, and the leader would resend it for ever. Commands are now limited to 512 KiB. Any exception of the replica or the state machine, not only a failed check, now ends the group with a typed failure.

--- a/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
@@ -67,7 +67,7 @@
 
 private const val KIBIBYTE = 1024
 private const val DEFAULT_MESSAGE_BYTES = 64 * KIBIBYTE
-private const val DEFAULT_COMMAND_BYTES = KIBIBYTE * KIBIBYTE
+private const val DEFAULT_COMMAND_BYTES = 512 * KIBIBYTE
 private const val DEFAULT_SNAPSHOT_BYTES = 64L * KIBIBYTE * KIBIBYTE
 private const val DEFAULT_PENDING_PROPOSALS = 4096
 private const val DEFAULT_PENDING_BYTES = 4 * KIBIBYTE * KIBIBYTE
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.replication
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -187,8 +188,10 @@
         val writing = scope.launch { writer.run() }
         try {
             serve(replica, actor)
-        } catch (e: IllegalStateException) {
-            fail(GroupFailure.Contradiction(e.message.orEmpty()))
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: RuntimeException) {
+            fail(GroupFailure.Inconsistent(e.toString()))
         } finally {
             isStopped = true
             contactTime = null
@@ -278,8 +281,11 @@
             get() = error.message
     }
 
-    /** The replica found that its log contradicts itself or another replica. */
-    public data class Contradiction(override val message: String) : GroupFailure
+    /** The replica found that its log contradicts itself or another, or the state machine failed on a command. */
+    public data class Inconsistent(val detail: String) : GroupFailure {
+        override val message: String
+            get() = "replicated state is inconsistent: $detail; keep the data folder for analysis"
+    }
 }
 
 /** Members of a group and its tolerance of failures, as the leader sees them. */
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -5,6 +5,18 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.auburnstream.consensus.ConsensusMessage
+import org.auburnstream.consensus.EntryPayload
+import org.auburnstream.consensus.Envelope
+import org.auburnstream.consensus.Incarnation
+import org.auburnstream.consensus.LogEntry
+import org.auburnstream.consensus.MemberId
+import org.auburnstream.consensus.ReplicaSettings
+import org.auburnstream.daemon.peer.MAX_FRAME_BYTES
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MAX_ID_LENGTH
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
 import kotlin.test.Test
@@ -108,6 +120,19 @@
         assertEquals(1, group.running().map { it.machine.commands }.toSet().size)
     }
 
+    @Test
+    fun theLargestMessagesFitIntoAFrameOfALink() {
+        val settings = ReplicaSettings.Default
+        val member = MemberId(DaemonId("d".repeat(MAX_ID_LENGTH)), Incarnation(Long.MAX_VALUE))
+        val last = LogIndex(Long.MAX_VALUE)
+        val command = EntryPayload.Command(ByteArray(settings.maxCommandBytes))
+        val entry = LogEntry(last, Long.MAX_VALUE, command)
+        val append = ConsensusMessage.AppendRequest(Long.MAX_VALUE, last, Long.MAX_VALUE, listOf(entry), last)
+        val group = GroupId("g".repeat(MAX_ID_LENGTH))
+        val bytes = ReplicationCodec.encode(Envelope(group, member, member.incarnation, append))
+        assertTrue(bytes.size <= MAX_FRAME_BYTES, "${bytes.size} bytes")
+    }
+
     @Test
     fun callsEndWhenTheGroupStops() = group { group ->
         val stopped = group[group.names.last()].group
