--- a/consensus/src/test/kotlin/org/auburnstream/consensus/MembershipTest.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/MembershipTest.kt
@@ -37,7 +37,9 @@
         }
     }
 
-    private fun voters(cluster: Cluster) = cluster.leader!!.replica!!.configuration.voters.map { it.daemon.value }.toSet()
+    private fun voters(cluster: Cluster) = cluster.leader!!.replica!!.configuration.voters.map {
+        it.daemon.value
+    }.toSet()
 
     private fun tolerance(cluster: Cluster) = cluster.leader?.replica?.failureTolerance
 
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/ReplicaTest.kt
@@ -35,7 +35,11 @@
             cluster.run(10.seconds)
             cluster.heal()
             cluster.run(3.seconds)
-            assertEquals(term, cluster.leader!!.replica!!.term, "its return must not end the new leadership, seed $seed")
+            assertEquals(
+                term,
+                cluster.leader!!.replica!!.term,
+                "its return must not end the new leadership, seed $seed",
+            )
         }
     }
 
@@ -45,7 +49,9 @@
             for (toLeader in listOf(true, false)) {
                 val cluster = Cluster(seed, voters = 3, spares = 0)
                 val old = leaderOf(cluster)
-                cluster.nodes.filter { it != old }.forEach { if (toLeader) cluster.cut(it, old) else cluster.cut(old, it) }
+                cluster.nodes.filter {
+                    it != old
+                }.forEach { if (toLeader) cluster.cut(it, old) else cluster.cut(old, it) }
                 cluster.run(4.seconds)
                 assertTrue(cluster.leader!!.replica!!.quorumContactTime != null)
                 assertNotEquals(old, cluster.leader, "seed $seed, to the leader: $toLeader")
@@ -118,7 +124,11 @@
 
     @Test
     fun proposalsAreBoundedInNumberAndSize() {
-        val settings = ReplicaSettings.Default.copy(maxCommandBytes = 40, maxPendingProposals = 5, maxPendingBytes = 100)
+        val settings = ReplicaSettings.Default.copy(
+            maxCommandBytes = 40,
+            maxPendingProposals = 5,
+            maxPendingBytes = 100,
+        )
         val cluster = Cluster(1, voters = 3, settings = settings)
         val leader = leaderOf(cluster)
         var refused = 0
@@ -141,8 +151,13 @@
         val genesis = LogEntry(LogIndex(1), 1, EntryPayload.Membership(members))
         val group = GroupId("g")
         val replica = Replica(
-            Member(self), group, RestoredState(HardState(1), entries = listOf(genesis)),
-            emptySet(), emptySet(), Random(1), MonotonicTime.Zero,
+            Member(self),
+            group,
+            RestoredState(HardState(1), entries = listOf(genesis)),
+            emptySet(),
+            emptySet(),
+            Random(1),
+            MonotonicTime.Zero,
         )
         var now = MonotonicTime.Zero + 700.milliseconds
 
