--- a/consensus/src/main/kotlin/org/auburnstream/consensus/RaftLog.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/RaftLog.kt
@@ -78,14 +78,17 @@
 
     fun configurationAt(index: LogIndex): Configuration = configurations.last { it.index <= index }.configuration
 
-    /** Forgets everything up to [index]. */
-    fun compactTo(index: LogIndex) {
-        if (index <= baseIndex) return
-        val term = checkNotNull(termAt(index)) { "entry $index is not in the log up to $lastIndex" }
-        entries.subList(0, position(index) + 1).clear()
-        while (configurations.size > 1 && configurations[1].index <= index) configurations.removeFirst()
-        baseIndex = index
-        baseTerm = term
+    /** Forgets what a snapshot up to [covered] holds, but for the last entries of [retainedBytes] together. */
+    fun compact(covered: LogIndex, retainedBytes: Int) {
+        if (covered <= baseIndex) return
+        var index = covered
+        var bytes = 0
+        while (index > baseIndex) {
+            bytes += checkNotNull(entry(index)) { "entry $index is not in the log up to $lastIndex" }.approximateBytes
+            if (bytes > retainedBytes) break
+            index -= 1
+        }
+        compactTo(index)
     }
 
     /** Forgets everything and starts again after [snapshot]. */
@@ -97,6 +100,15 @@
         baseTerm = snapshot.term
     }
 
+    private fun compactTo(index: LogIndex) {
+        if (index <= baseIndex) return
+        val term = checkNotNull(termAt(index)) { "entry $index is not in the log up to $lastIndex" }
+        entries.subList(0, position(index) + 1).clear()
+        while (configurations.size > 1 && configurations[1].index <= index) configurations.removeFirst()
+        baseIndex = index
+        baseTerm = term
+    }
+
     private fun position(index: LogIndex): Int = (index.value - baseIndex.value - 1).toInt()
 }
 
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
@@ -171,7 +171,7 @@
         if (input.metadata.index <= newest) return
         core.snapshot = input.metadata
         core.snapshotBytes = input.bytes
-        core.log.compactTo(input.metadata.index)
+        core.log.compact(input.metadata.index, core.settings.retainedBytes)
     }
 
     private fun takeLeadership() {
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
@@ -21,6 +21,8 @@
  * @property maxPendingBytes bound of the commands of these proposals together.
  * @property snapshotChunkBytes bound of one part of a snapshot.
  * @property maxSnapshotBytes largest snapshot that is accepted.
+ * @property retainedBytes entries kept in memory behind a snapshot, so that a member that lags a little needs no
+ *   snapshot.
  * @property joinInterval time between two requests to be admitted.
  * @property contactTimeout silence after which a member no longer counts as in contact.
  * @property replacementDelay silence of a voter after which a spare takes its vote.
@@ -41,6 +43,7 @@
     val maxPendingBytes: Int = DEFAULT_PENDING_BYTES,
     val snapshotChunkBytes: Int = DEFAULT_MESSAGE_BYTES,
     val maxSnapshotBytes: Long = DEFAULT_SNAPSHOT_BYTES,
+    val retainedBytes: Int = DEFAULT_RETAINED_BYTES,
     val joinInterval: Duration = 1.seconds,
     val contactTimeout: Duration = 1500.milliseconds,
     val replacementDelay: Duration = 10.seconds,
@@ -69,5 +72,6 @@
 private const val DEFAULT_MESSAGE_BYTES = 64 * KIBIBYTE
 private const val DEFAULT_COMMAND_BYTES = 512 * KIBIBYTE
 private const val DEFAULT_SNAPSHOT_BYTES = 64L * KIBIBYTE * KIBIBYTE
+private const val DEFAULT_RETAINED_BYTES = 256 * KIBIBYTE
 private const val DEFAULT_PENDING_PROPOSALS = 4096
 private const val DEFAULT_PENDING_BYTES = 4 * KIBIBYTE * KIBIBYTE
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
@@ -25,10 +25,11 @@
     voters: Int = 3,
     spares: Int = 0,
     diskless: Int = 0,
-    val settings: ReplicaSettings = ReplicaSettings.Default,
+    settings: ReplicaSettings = ReplicaSettings.Default,
     private val snapshotEvery: Int = 40,
 ) {
     val random = Random(seed)
+    val settings = settings.copy(retainedBytes = 500)
     val nodes = (1..voters + spares + diskless).map { Node(DaemonId("d$it"), durable = it <= voters + spares) }
     var weather = Weather()
     var time = MonotonicTime.Zero
--- a/storage/src/test/kotlin/org/auburnstream/storage/FileReplicaStoreTest.kt
+++ b/storage/src/test/kotlin/org/auburnstream/storage/FileReplicaStoreTest.kt
@@ -15,6 +15,8 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTimedValue
 
 class FileReplicaStoreTest {
     @TempDir
@@ -240,6 +242,31 @@
         assertEquals(states.last(), reopened.restored)
     }
 
+    @Test
+    fun aHundredThousandEntriesBehindASnapshotOpenWithinTheTimeOfARestart() {
+        val first = opened((DiskFolder.open(path) as StoreResult.Done).value)
+        first.persist(listOf(persist(3, 0L..-1).copy(hardState = HardState(3))))
+        first.saveSnapshot(metadata(10, 3), ByteArray(1000))
+        (11L..100_010L).chunked(100).forEach {
+            assertEquals(
+                StoreResult.Done(Unit),
+                first.persist(
+                    listOf(
+                        persist(
+                            3,
+                            it.first()..it.last(),
+                        ),
+                    ),
+                ),
+            )
+        }
+        first.close()
+        val folder = (DiskFolder.open(path) as StoreResult.Done).value
+        val (store, time) = measureTimedValue { FileReplicaStore.open(folder, Random(1)) as StoreResult.Done }
+        assertEquals(100_000, store.value.restored.entries.size)
+        assertTrue(time < 3.seconds, "$time")
+    }
+
     private fun copyOf(folder: FaultyFolder, name: String, bytes: ByteArray): FaultyFolder {
         val copy = FaultyFolder()
         folder.files.forEach { (n, c) -> copy.files[n] = FaultyFolder.FileContent(c.bytes, c.bytes) }
