--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/CallForwarder.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/CallForwarder.kt
@@ -46,7 +46,7 @@
         repeat(waiting.size) {
             val leader = replica.leader ?: return
             val call = waiting.removeFirstOrNull() ?: return
-            if (!call.isOver && call.markSent()) dispatch(call, leader, now)
+            if (!call.isOver && call.state.markSent()) dispatch(call, leader, now)
         }
     }
 
@@ -75,7 +75,7 @@
         if (reply.body != ReplyBody.NotLeader) return finish(forward.call, reply.body)
         // An earlier copy may have been taken by the same leader before it lost the term.
         if (forward.call.body.isOnce) return forward.call.complete(ReplyBody.Unknown)
-        forward.call.markUnsent()
+        forward.call.state.markUnsent()
         waiting.addLast(forward.call)
     }
 
@@ -106,7 +106,7 @@
     private fun finishLocal(call: PendingCall, reply: ReplyBody) {
         if (reply != ReplyBody.NotLeader) return finish(call, reply)
         // The replica itself refused, so nothing was taken.
-        call.markUnsent()
+        call.state.markUnsent()
         waiting.addLast(call)
     }
 
