--- a/bench/src/main/kotlin/org/auburnstream/bench/consensus/VirtualGroup.kt
+++ b/bench/src/main/kotlin/org/auburnstream/bench/consensus/VirtualGroup.kt
@@ -14,6 +14,7 @@
 import org.auburnstream.consensus.ReplicaSettings
 import org.auburnstream.consensus.RestoredState
 import org.auburnstream.model.DaemonId
+import org.auburnstream.model.DataCentreId
 import org.auburnstream.model.GroupId
 import org.auburnstream.model.MonotonicTime
 import java.util.PriorityQueue
@@ -23,7 +24,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Replicas on virtual time with links that work.
+ * Replicas on virtual time with links that work, spread in turn over three data centres.
  *
  * @property oneWay latency of each link.
  * @property sync time that the store needs to make a write durable.
@@ -55,7 +56,8 @@
         nodes = names.associateWith { name ->
             val id = MemberId(name, Incarnation(random.nextLong()))
             val peers = names.toSet() - name
-            val member = Member(id, durable = name in durable)
+            val place = DataCentreId("dc-${names.indexOf(name) % DATA_CENTRES + 1}")
+            val member = Member(id, durable = name in durable, dataCentre = place)
             val replicaRandom = Random(random.nextLong())
             Node(id, Replica(member, GROUP, RestoredState(), initial, peers, replicaRandom, time, settings))
         }
@@ -137,6 +139,7 @@
     }
 
     private companion object {
+        const val DATA_CENTRES = 3
         val GROUP = GroupId("control")
         val FORMATION_LIMIT = 60_000.milliseconds
     }
