--- a/cli/src/main/kotlin/org/auburnstream/cli/Auburnctl.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Auburnctl.kt
@@ -27,15 +27,14 @@
 ) {
     /** Runs the command line [arguments] and returns the exit code. */
     public suspend fun run(arguments: List<String>): ExitCode {
-        val help = HelpText(commands)
         val words = arguments.takeWhile { !it.startsWith("-") }
         val spec = commands.filter { it.matches(words) }.maxByOrNull { it.words.length }
-        if (spec == null) return withoutCommand(arguments, words, help)
+        if (spec == null) return withoutCommand(arguments, words)
         val command = spec.create()
         val parser = CmdLineParser(command, ParserProperties.defaults().withShowDefaults(false))
         val rest = arguments.drop(spec.words.split(' ').size)
         if (rest.any { it == "--help" || it == "-h" }) {
-            out(help.command(spec, parser))
+            out(HelpText.command(spec, parser))
             return ExitCode.OK
         }
         try {
@@ -47,16 +46,16 @@
         return execute(command)
     }
 
-    private fun withoutCommand(arguments: List<String>, words: List<String>, help: HelpText): ExitCode {
+    private fun withoutCommand(arguments: List<String>, words: List<String>): ExitCode {
         val group = commands.filter { words.isNotEmpty() && "${it.words} ".startsWith("${words.joinToString(" ")} ") }
         val asked = arguments.isEmpty() || arguments.any { it == "--help" || it == "-h" } || words == listOf("help")
         return when {
             group.isNotEmpty() -> {
-                out(help.overview(group))
+                out(HelpText.overview(group))
                 if (asked) ExitCode.OK else ExitCode.USAGE
             }
             asked -> {
-                out(help.overview(commands))
+                out(HelpText.overview(commands))
                 ExitCode.OK
             }
             else -> fail(CliProblem.Usage("Unknown command '${words.joinToString(" ")}'", "See 'auburnctl --help'."))
--- a/cli/src/main/kotlin/org/auburnstream/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/ExitCode.kt
@@ -10,31 +10,31 @@
  */
 public enum class ExitCode(public val code: Int, public val meaning: String) {
     /** The command did what it was asked. */
-    OK(0, "done"),
+    OK(code = 0, meaning = "done"),
 
     /** The program or the daemon failed in an unforeseen way. */
-    INTERNAL(1, "unforeseen failure of auburnctl or of the daemon"),
+    INTERNAL(code = 1, meaning = "unforeseen failure of auburnctl or of the daemon"),
 
     /** The command line is wrong. */
-    USAGE(2, "wrong command line; nothing was sent"),
+    USAGE(code = 2, meaning = "wrong command line; nothing was sent"),
 
     /** The daemon refused the request. */
-    REFUSED(3, "refused: invalid value, broken rule or budget at risk; nothing was changed"),
+    REFUSED(code = 3, meaning = "refused: invalid value, broken rule or budget at risk; nothing was changed"),
 
     /** Another operator's change was accepted first. */
-    CONFLICT(4, "another change was accepted first; nothing was changed"),
+    CONFLICT(code = 4, meaning = "another change was accepted first; nothing was changed"),
 
     /** No daemon could do it now. */
-    UNAVAILABLE(5, "no daemon could be reached or none has a quorum; nothing was changed"),
+    UNAVAILABLE(code = 5, meaning = "no daemon could be reached or none has a quorum; nothing was changed"),
 
     /** The answer was lost. */
-    UNKNOWN(6, "the answer was lost; send the same operation again to learn the outcome"),
+    UNKNOWN(code = 6, meaning = "the answer was lost; send the same operation again to learn the outcome"),
 
     /** The token is missing or unknown. */
-    UNAUTHORIZED(7, "token missing or unknown"),
+    UNAUTHORIZED(code = 7, meaning = "token missing or unknown"),
 
     /** The change is accepted, but the wait for it to be in force ended first. */
-    NOT_IN_FORCE(8, "accepted, but not yet in force everywhere when the wait ended"),
+    NOT_IN_FORCE(code = 8, meaning = "accepted, but not yet in force everywhere when the wait ended"),
     ;
 
     public companion object {
--- a/cli/src/main/kotlin/org/auburnstream/cli/HelpText.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/HelpText.kt
@@ -1,10 +1,16 @@
 package org.auburnstream.cli
 
 import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.NamedOptionDef
 import org.kohsuke.args4j.spi.OptionHandler
 
 /** Writes the help texts. */
-internal class HelpText(private val commands: List<CommandSpec>) {
+internal object HelpText {
+    private const val LINE_WIDTH = 100
+    private const val MAX_FIRST_COLUMN = 28
+    private const val INDENT = 2
+    private const val GAP = 2
+
     fun overview(listed: List<CommandSpec>): String = buildString {
         appendLine("Usage: auburnctl COMMAND [ARGUMENTS] [OPTIONS]")
         appendLine()
@@ -85,15 +91,8 @@
     }
 
     private fun OptionHandler<*>.nameAndValue(): String {
-        val names = (option as org.kohsuke.args4j.NamedOptionDef).let { listOf(it.name()) + it.aliases() }
+        val names = (option as NamedOptionDef).let { listOf(it.name()) + it.aliases() }
         val meta = option.metaVar()
         return names.joinToString(", ") + if (meta.isEmpty()) "" else " $meta"
     }
-
-    private companion object {
-        const val LINE_WIDTH = 100
-        const val MAX_FIRST_COLUMN = 28
-        const val INDENT = 2
-        const val GAP = 2
-    }
 }
