Tie credit requests to one start of their allocator

A copy of a request that reached an allocator after its restart counted as a report that its sender held nothing. Ruled out: hung executions of frozen daemons; the simulated target now ends an execution at its deadline, and the schedule still failed. CreditAllocatorTest keeps the case. Conclusion: an allocator answers a request meant for an earlier start without grants, and its sender reports again.

--- a/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
@@ -32,7 +32,7 @@
     settings: RoutingSettings = RoutingSettings(),
 ) {
     private val credits = CreditBook(settings.credit, view, epoch)
-    private val allocator = CreditAllocator(self, settings.credit, view, start)
+    private val allocator = CreditAllocator(self, settings.credit, view, epoch, start)
     private val state = RoutingState(settings, dataCentre, credits)
     private val completion = Completion(state, random)
     private val dispatch = Dispatch(state, completion)
@@ -139,6 +139,7 @@
 
             is CreditMessage.Grants -> {
                 credits.granted(from, message)
+                askForCredits(now)
                 dispatch.startAllWaiting(now)
             }
         }
@@ -150,8 +151,7 @@
                 state.effects += RoutingEffect.SendCredit(allocatorId, request)
                 continue
             }
-            val grants = allocator.request(self, request, now) ?: continue
-            credits.granted(self, grants)
+            allocator.request(self, request, now)?.let { credits.granted(self, it) }
         }
     }
 
--- a/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditAllocator.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditAllocator.kt
@@ -17,6 +17,7 @@
     private val self: DaemonId,
     private val settings: CreditSettings,
     view: DaemonView,
+    private val epoch: Long,
     start: MonotonicTime,
 ) {
     private var view = view
@@ -44,10 +45,15 @@
     /** Answers [request] of [from], or returns null if it is outdated. */
     fun request(from: DaemonId, request: CreditMessage.Request, now: MonotonicTime): CreditMessage.Grants? {
         if (request.view != view.version || from !in view.live || !isNewer(from, request)) return null
+        // A late copy of a request to an earlier start of this daemon may report less than is held by now.
+        if (request.allocatorEpoch != epoch) return answer(request, emptyList())
         val grants = request.demands.filter { view.allocator(it.vm) == self }.map { grant(from, it, now) }
-        return CreditMessage.Grants(view.version, request.epoch, request.sequence, grants)
+        return answer(request, grants)
     }
 
+    private fun answer(request: CreditMessage.Request, grants: List<CreditGrant>) =
+        CreditMessage.Grants(view.version, request.epoch, request.sequence, epoch, grants)
+
     /** Forgets the targets that are not [known] any more once nothing granted of them can be in use. */
     fun purge(now: MonotonicTime, known: (VmId) -> Boolean) {
         targets.entries.removeIf { !known(it.key) && it.value.committedToOthers(daemon = null, now) == 0 }
--- a/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditBook.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditBook.kt
@@ -12,6 +12,7 @@
  */
 internal class CreditBook(private val settings: CreditSettings, view: DaemonView, private val epoch: Long) {
     private var view = view
+    private val allocatorEpochs = HashMap<DaemonId, Long>()
     private val accounts = HashMap<VmId, CreditAccount>()
     private var sequence = 0L
     private var leaseLive = true
@@ -80,12 +81,15 @@
         sequence++
         return due
             .groupBy { view.allocator(it.vm) }
-            .mapNotNull { (allocator, part) -> allocator?.let { it to request(part, now, wanted) } }
+            .mapNotNull { (allocator, part) -> allocator?.let { it to request(it, part, now, wanted) } }
             .toMap()
     }
 
     fun granted(from: DaemonId, message: CreditMessage.Grants) {
         if (message.view != view.version || message.epoch != epoch) return
+        val known = allocatorEpochs[from]
+        if (known == null || message.allocatorEpoch > known) return reportAgain(from, message.allocatorEpoch)
+        if (message.allocatorEpoch < known) return
         for (grant in message.grants) {
             val account = accounts[grant.vm] ?: continue
             if (view.allocator(grant.vm) != from || account.sequence != message.sequence) continue
@@ -97,6 +101,15 @@
         }
     }
 
+    /** The allocator [from] started anew and knows nothing of what this daemon holds. */
+    private fun reportAgain(from: DaemonId, epoch: Long) {
+        allocatorEpochs[from] = epoch
+        for (account in accounts.values.filter { view.allocator(it.vm) == from }) {
+            account.reported = false
+            account.lastAsked = null
+        }
+    }
+
     private fun share(account: CreditAccount): Int =
         if (!view.leased || account.sharing) view.share(account.slots) else 0
 
@@ -111,7 +124,12 @@
         account.awaiting || !account.reported || account.held(view) > 0 || view.leased && !account.sharing
 
     /** Gives up what is not wanted before it reports, so that the allocator may grant it to others at once. */
-    private fun request(part: List<CreditAccount>, now: MonotonicTime, wanted: (VmId) -> Int): CreditMessage.Request {
+    private fun request(
+        to: DaemonId,
+        part: List<CreditAccount>,
+        now: MonotonicTime,
+        wanted: (VmId) -> Int,
+    ): CreditMessage.Request {
         val demands =
             part.map { account ->
                 val more = (wanted(account.vm) - view.share(account.slots)).coerceAtLeast(0)
@@ -122,7 +140,7 @@
                 account.sequence = sequence
                 CreditDemand(account.vm, account.slots, more, account.held(view))
             }
-        return CreditMessage.Request(view.version, epoch, sequence, demands)
+        return CreditMessage.Request(view.version, epoch, sequence, allocatorEpochs[to], demands)
     }
 }
 
--- a/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditMessage.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditMessage.kt
@@ -15,6 +15,7 @@
      *
      * @property epoch grows with each start of the sender.
      * @property sequence grows with each request of the sender.
+     * @property allocatorEpoch epoch of the allocator that the sender last heard of, or null if it heard none.
      */
     @Serializable
     @SerialName("request")
@@ -22,16 +23,23 @@
         override val view: Long,
         val epoch: Long,
         val sequence: Long,
+        val allocatorEpoch: Long?,
         val demands: List<CreditDemand>,
     ) : CreditMessage
 
-    /** Answers the request numbered [sequence]. */
+    /**
+     * Answers the request numbered [sequence].
+     *
+     * @property allocatorEpoch grows with each start of the allocator.
+     * @property grants empty if the request was meant for an earlier start of the allocator and has to be repeated.
+     */
     @Serializable
     @SerialName("grants")
     public data class Grants(
         override val view: Long,
         val epoch: Long,
         val sequence: Long,
+        val allocatorEpoch: Long,
         val grants: List<CreditGrant>,
     ) : CreditMessage
 }
--- a/routing/src/test/kotlin/org/auburnstream/routing/RoutingSimulation.kt
+++ b/routing/src/test/kotlin/org/auburnstream/routing/RoutingSimulation.kt
@@ -227,6 +227,7 @@
         private fun run(exchange: Exchange, fault: TargetFault) {
             exchange.order.executions++
             exchange.target.start(exchange)
+            events.after(exchange.order.deadline - events.now) { exchange.target.end(exchange) }
             if (fault == TargetFault.HANGS) return
             val time = if (fault == TargetFault.FAILS) 1.milliseconds else runTime(random)
             events.after(time) {
--- a/routing/src/test/kotlin/org/auburnstream/routing/SimulatedTarget.kt
+++ b/routing/src/test/kotlin/org/auburnstream/routing/SimulatedTarget.kt
@@ -12,7 +12,7 @@
 /** How a target treats the next exchange. */
 enum class TargetFault { NONE, UNREACHABLE, REFUSES, LOSES_ANSWER, HANGS, FAILS }
 
-/** A target that counts what it runs; an execution ends with its answer or when its connection is closed. */
+/** A target that counts what it runs; an execution ends with its answer, its deadline or its connection. */
 class SimulatedTarget(val vm: VmId, val service: ServiceId, val dataCentre: DataCentreId, val slots: Int) {
     private val running = HashSet<Any>()
     var announcing: Boolean = true
--- /dev/null
+++ b/routing/src/test/kotlin/org/auburnstream/routing/credit/CreditAllocatorTest.kt
@@ -0,0 +1,58 @@
+package org.auburnstream.routing.credit
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.VmId
+import org.auburnstream.routing.CreditSettings
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+
+class CreditAllocatorTest {
+    private val daemons = List(3) { DaemonId("d$it") }
+    private val view = DaemonView(version = 1, configured = daemons.toSet())
+    private val vm = VmId("vm")
+    private val self = view.allocator(vm)!!
+    private var now = MonotonicTime(0)
+
+    private fun allocator(epoch: Long) = CreditAllocator(self, CreditSettings(), view, epoch, now)
+
+    private fun request(sequence: Long, wanted: Int, held: Int, allocatorEpoch: Long?) =
+        CreditMessage.Request(1, epoch = 1, sequence, allocatorEpoch, listOf(CreditDemand(vm, 8, wanted, held)))
+
+    private fun CreditAllocator.ask(from: Int, request: CreditMessage.Request): Int? =
+        request(daemons[from], request, now)?.grants?.firstOrNull()?.slots
+
+    @Test
+    fun lateCopyOfARequestToAnEarlierStartDoesNotReport() {
+        val first = allocator(epoch = 1)
+        val report = request(sequence = 1, wanted = 2, held = 0, allocatorEpoch = 1)
+        for (daemon in 1..2) first.ask(daemon, request(1, wanted = 0, held = 0, allocatorEpoch = 1))
+        assertEquals(2, first.ask(0, report))
+
+        val second = allocator(epoch = 2)
+        assertEquals(null, second.ask(0, report), "the late copy is answered without grants")
+        for (daemon in 1..2) second.ask(daemon, request(2, wanted = 2, held = 0, allocatorEpoch = 2))
+        assertEquals(0, second.ask(1, request(3, wanted = 2, held = 0, allocatorEpoch = 2)))
+        assertEquals(1, second.ask(0, request(2, wanted = 2, held = 2, allocatorEpoch = 2)), "shared among three")
+    }
+
+    @Test
+    fun newAllocatorGrantsNothingUntilAllReportedOrEverythingGrantedEnded() {
+        val allocator = allocator(epoch = 1)
+        assertEquals(0, allocator.ask(0, request(1, wanted = 2, held = 0, allocatorEpoch = 1)))
+        now += CreditSettings().lease + CreditSettings().longestExchange - 1.milliseconds
+        assertEquals(0, allocator.ask(0, request(2, wanted = 2, held = 0, allocatorEpoch = 1)))
+        now += 1.milliseconds
+        assertEquals(2, allocator.ask(0, request(3, wanted = 2, held = 0, allocatorEpoch = 1)))
+    }
+
+    @Test
+    fun outdatedRequestsAreDropped() {
+        val allocator = allocator(epoch = 1)
+        allocator.ask(0, request(5, wanted = 0, held = 0, allocatorEpoch = 1))
+        val outdated = request(4, wanted = 0, held = 0, allocatorEpoch = 1)
+        assertEquals(null, allocator.request(daemons[0], outdated, now))
+        assertEquals(null, allocator.request(daemons[0], outdated.copy(view = 0, sequence = 6), now))
+    }
+}
