Place jobs by observed use and tell bad workers from bad jobs

A failure counts against a worker only after the same job succeeded elsewhere. Ruled out: counting failures in a row, which quarantines healthy workers in a flood of jobs that fail everywhere. Before the probe interval a worker that fails at once was given up to 16 jobs on its way to the quarantine; the test of 12 was seen to fail, and counts the jobs that the worker is to blame for.

--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
@@ -11,6 +11,7 @@
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.VmId
 import org.auburnstream.model.WaveId
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -159,6 +160,9 @@
         }
     }
 
+    /** Returns when a worker on probation may be given its next job, or null if it never failed one. */
+    public fun nextProbeAt(vm: VmId): Instant? = tables.jobs.worker(vm).lastFailureAt?.plus(PROBE_INTERVAL)
+
     /** Returns the VMs that changed since the last call; used to keep read models up to date. */
     public fun takeChanges(): Set<VmId> {
         val changes = tables.changed.toSet()
@@ -182,6 +186,7 @@
         }
 
     private companion object {
+        val PROBE_INTERVAL = 30.seconds
         const val MAX_OPERATIONS = 4096
         const val BYTE_MASK = 0xffL
         const val FNV_OFFSET = -0x340d631b7bdddcdbL
@@ -195,7 +200,7 @@
     /** Nothing is held against the worker. */
     FULL,
 
-    /** Several jobs failed here; it runs one at a time until it is clear whose fault that is. */
+    /** Several jobs failed here; it runs one at a time, now and then, until it is clear whose fault that is. */
     PROBATION,
 
     /** Jobs that failed here succeeded elsewhere; it runs none until an operator readmits it or it is restarted. */
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobCommands.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobCommands.kt
@@ -132,11 +132,12 @@
 internal class WorkerBlame(private val tables: FleetTables) {
     private val jobs get() = tables.jobs
 
-    fun suspect(vm: VmId, job: JobId) = change(vm) { it.copy(unproven = it.unproven + job) }
+    fun suspect(vm: VmId, job: JobId) =
+        change(vm) { it.copy(unproven = it.unproven + job, lastFailureAt = tables.clock) }
 
-    fun withdraw(vm: VmId, job: JobId) = change(vm) { it.copy(unproven = it.unproven - job) }
+    fun withdraw(vm: VmId, job: JobId) = change(vm) { it.copy(unproven = it.unproven - job).cleared() }
 
-    fun acquit(vm: VmId) = change(vm) { it.copy(unproven = emptySet(), proven = emptySet()) }
+    fun acquit(vm: VmId) = change(vm) { it.copy(unproven = emptySet(), proven = emptySet(), lastFailureAt = null) }
 
     fun forgive(vm: VmId) = change(vm) { WorkerRecord(vm) }
 
@@ -155,6 +156,9 @@
         return quarantined < (members.size / QUARANTINED_SHARE_DIVISOR).coerceAtLeast(1)
     }
 
+    private fun WorkerRecord.cleared(): WorkerRecord =
+        if (unproven.isEmpty() && proven.isEmpty()) copy(lastFailureAt = null) else this
+
     private fun change(vm: VmId, edit: (WorkerRecord) -> WorkerRecord) = jobs.putWorker(edit(jobs.worker(vm)))
 
     private companion object {
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
@@ -28,7 +28,7 @@
             planRunning(state, job, job.phase as JobPhase.Running, at, now, plan)
         }
         planOverloads(state, plan)
-        if (state.queuedJobs().any()) planPlacements(WorkerTable(state, usage), state, plan)
+        if (state.queuedJobs().any()) planPlacements(WorkerTable(state, usage, at), state, plan)
     }
 
     private fun planRunning(
@@ -172,7 +172,7 @@
 internal class Worker(val vm: Vm, var free: Resources, var jobs: Int, val trust: WorkerTrust)
 
 /** Workers by pool with what is free on each, kept up to date while one plan is made. */
-internal class WorkerTable(private val state: FleetState, private val usage: UsageBook) {
+internal class WorkerTable(private val state: FleetState, private val usage: UsageBook, private val at: Instant) {
     private val byPool = hashMapOf<PoolId, List<Worker>>()
 
     fun bestFor(job: Job): Worker? {
@@ -190,10 +190,12 @@
 
     private fun Worker.mayRun(job: Job): Boolean = when (trust) {
         WorkerTrust.QUARANTINED -> false
-        WorkerTrust.PROBATION -> jobs == 0 && vm.id !in job.failedOn
+        WorkerTrust.PROBATION -> jobs == 0 && isProbeDue() && vm.id !in job.failedOn
         WorkerTrust.FULL -> vm.id !in job.failedOn
     }
 
+    private fun Worker.isProbeDue(): Boolean = state.nextProbeAt(vm.id)?.let { at >= it } ?: true
+
     private fun inPool(pool: PoolId): List<Worker> = byPool.getOrPut(pool) {
         state.membersOf(pool).map(state.vms::getValue).filter { it.phase is VmPhase.Active }.map(::workerOf)
     }
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobTables.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobTables.kt
@@ -95,6 +95,7 @@
  *
  * @property unproven jobs that failed here since the last success and have not been tried to the end elsewhere.
  * @property proven jobs that failed here and then succeeded elsewhere.
+ * @property lastFailureAt latest failure of a job here, or null after a success.
  * @property quarantinedSince start of the quarantine from jobs, or null.
  */
 @Serializable
@@ -102,6 +103,7 @@
     val vm: VmId,
     val unproven: Set<JobId> = emptySet(),
     val proven: Set<JobId> = emptySet(),
+    val lastFailureAt: Instant? = null,
     val quarantinedSince: Instant? = null,
 ) {
     /** A worker on probation runs one job at a time until its failures are explained. */
--- /dev/null
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/JobTest.kt
@@ -0,0 +1,245 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.Announcement
+import org.auburnstream.model.JobId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.TeamId
+import org.auburnstream.model.Urgency
+import org.auburnstream.model.VmId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class JobTest {
+    private val fleet = FleetFixture()
+    private val team = TeamId("t1")
+    private val workers = pool(1)
+    private val usage = UsageBook()
+    private val reports = FleetReports(MonotonicTime.Zero)
+    private val planner = FleetPlanner(usage = usage) { MonotonicTime.Zero }
+    private val sequences = hashMapOf<VmId, Long>()
+    private val now get() = MonotonicTime((fleet.now - start).inWholeNanoseconds)
+
+    private fun build(count: Int, limit: Resources = Resources(1_000_000, 1_000_000, 100)) {
+        fleet.apply(FleetCommand.DefinePool(fleet.operation(), Pool(workers)))
+        repeat(count) { fleet.apply(FleetCommand.RegisterVm(worker(it))) }
+        fleet.apply(JobCommand.SetQuota(fleet.operation(), TeamQuota(team, limit)))
+    }
+
+    private fun worker(number: Int): Announcement =
+        announcement(number, workers).copy(processors = 16, memoryMegabytes = 32_000)
+
+    private fun spec(name: String, cores: Long = 4, urgency: Urgency = Urgency.NORMAL) =
+        JobSpec(JobId(name), team, workers, Resources(cores * 1000, cores * 2000), urgency)
+
+    private fun submit(spec: JobSpec) = fleet.refusal(JobCommand.SubmitJob(fleet.operation(), spec))
+
+    /** Lets the planner act once; every VM is heard. */
+    private fun step(time: Duration = 200.milliseconds): FleetPlan {
+        fleet.now += time
+        fleet.state.vms.values.forEach { reports.onAnnouncement(worker(it.id.value.drop(2).toInt()), now) }
+        val plan = planner.plan(fleet.state, reports, fleet.now, now)
+        plan.commands.forEach { fleet.apply(it, Duration.ZERO) }
+        return plan
+    }
+
+    private fun report(vm: VmId, used: (Job) -> Resources = { it.spec.declared }, end: (Job) -> JobEnd? = { null }) {
+        val jobs = fleet.state.jobsOn(vm)
+        val sequence = (sequences[vm] ?: 0) + 1
+        sequences[vm] = sequence
+        val lines = jobs.map { JobReport(it.spec.id, (it.phase as JobPhase.Running).lease, used(it), end(it)) }
+        val sum = jobs.fold(Resources.None) { all, job -> all + used(job) }
+        usage.onReport(WorkerReport(vm, sequence, 2.seconds, sum, lines), fleet.state, now)
+    }
+
+    private fun running(id: String) = fleet.state.jobs[JobId(id)]?.phase as? JobPhase.Running
+
+    @Test
+    fun `a job that can never run is told so at once and why`() {
+        build(2, limit = Resources(40_000, 100_000, 0))
+        val cases =
+            listOf(
+                spec("a").copy(team = TeamId("other")) to JobRefusal.NoQuota(TeamId("other")),
+                spec("a").copy(pool = pool(9)) to FleetRefusal.UnknownPool(pool(9)),
+                spec("a", cores = 41) to JobRefusal.ExceedsQuota(team, Resources(40_000, 100_000, 0)),
+                spec("a", cores = 17) to JobRefusal.ExceedsWorkers(workers, Resources(16_000, 32_000, 0)),
+            )
+        cases.forEach { (spec, refusal) -> assertEquals(refusal, submit(spec)) }
+        assertNull(submit(spec("a")))
+        assertEquals(JobRefusal.JobExists(JobId("a")), submit(spec("a")))
+    }
+
+    @Test
+    fun `running jobs never exceed the quota and the rest waits`() {
+        build(4, limit = Resources(9_000, 100_000, 0))
+        repeat(6) { submit(spec("j$it")) }
+        repeat(3) { step() }
+        assertEquals(2, fleet.state.jobs.values.count { it.phase is JobPhase.Running })
+        val queued = fleet.state.queuedJobs().first()
+        assertEquals(JobRefusal.QuotaUsed(team), fleet.refusal(JobCommand.PlaceJob(queued.spec.id, vm(0))))
+    }
+
+    @Test
+    fun `placement follows observed use instead of declared sizes`() {
+        build(1)
+        repeat(3) { submit(spec("seed$it", cores = 4)) }
+        step()
+        repeat(40) { report(vm(0), used = { Resources(500, 800) }) }
+        repeat(12) { submit(spec("more$it", cores = 4)) }
+        step()
+        val small = fleet.state.jobsOn(vm(0)).size
+        assertTrue(small > 8, "only $small jobs that use an eighth of what they declare")
+        repeat(60) { report(vm(0), used = { Resources(9000, 9000) }) }
+        submit(spec("late"))
+        step()
+        assertNull(running("late"), "jobs that use twice what they declare leave no room")
+    }
+
+    @Test
+    fun `an overloaded worker throttles, then checkpoints, the least urgent first`() {
+        build(1)
+        submit(spec("batch", cores = 2, urgency = Urgency.BATCH))
+        submit(spec("urgent", cores = 2, urgency = Urgency.URGENT))
+        step()
+        val hog: (Job) -> Resources = { Resources(9000, 1000) }
+        val seen =
+            (1..5).map {
+                repeat(2) { report(vm(0), used = hog) }
+                step()
+                running("batch")?.measure to running("urgent")?.measure
+            }
+        val expected =
+            listOf(
+                JobMeasure.THROTTLE to null,
+                JobMeasure.THROTTLE to JobMeasure.THROTTLE,
+                JobMeasure.CHECKPOINT to JobMeasure.THROTTLE,
+            )
+        assertEquals(expected, seen.take(3))
+        report(vm(0), end = { job -> JobEnd.CHECKPOINTED.takeIf { job.spec.id == JobId("batch") } })
+        step()
+        assertEquals(true, fleet.state.jobs.getValue(JobId("batch")).hasCheckpoint)
+    }
+
+    @Test
+    fun `an urgent job displaces the fewest batch jobs within its start time`() {
+        build(2)
+        repeat(6) { submit(spec("b$it", cores = 4, urgency = Urgency.BATCH)) }
+        step()
+        val submitted = fleet.now
+        submit(spec("urgent", cores = 4, urgency = Urgency.URGENT))
+        while (running("urgent") == null && fleet.now - submitted < 5.seconds) {
+            step()
+            val leaving = { job: Job -> (job.phase as JobPhase.Running).measure == JobMeasure.CHECKPOINT }
+            listOf(vm(0), vm(1)).forEach { report(it, end = { job -> JobEnd.CHECKPOINTED.takeIf { leaving(job) } }) }
+        }
+        assertNotNull(running("urgent"))
+        // The operator's command itself takes a second of the fixture's clock.
+        assertTrue(fleet.now - submitted - 1.seconds < 1.4.seconds, "${fleet.now - submitted}")
+    }
+
+    @Test
+    fun `cancelling a wave of jobs touches no other and stops the running ones`() {
+        build(2)
+        repeat(500) { submit(spec("j$it", cores = 4)) }
+        step()
+        val other = TeamId("t2")
+        fleet.apply(JobCommand.SetQuota(fleet.operation(), TeamQuota(other, Resources(99_000, 99_000))))
+        submit(spec("kept").copy(team = other))
+        assertNull(fleet.refusal(JobCommand.CancelJobs(fleet.operation(), team)))
+        val left = fleet.state.jobs.values.toList()
+        assertTrue(left.all { it.spec.team == other || (it.phase as JobPhase.Running).cancelled })
+        val plan = step()
+        assertTrue(plan.requests.filterIsInstance<PlatformRequest.MeasureJob>().all { it.measure == JobMeasure.STOP })
+        listOf(vm(0), vm(1)).forEach { vm -> report(vm, end = { JobEnd.STOPPED }) }
+        step()
+        assertEquals(JobResult.CANCELLED, fleet.state.finishedJobs.getValue(JobId("j0")).result)
+    }
+
+    @Test
+    fun `jobs of a lost worker run elsewhere once its lease is over`() {
+        build(2)
+        submit(spec("a"))
+        step()
+        val first = running("a")!!
+        fleet.apply(FleetCommand.ReportLost(first.vm, 1))
+        val early = planner.plan(fleet.state, reports, fleet.now, now)
+        assertTrue(early.commands.none { it is JobCommand.EndJob })
+        fleet.now += JOB_LEASE
+        val plan = planner.plan(fleet.state, FleetReports(now), fleet.now, now)
+        assertEquals(listOf(JobCommand.EndJob(JobId("a"), first.lease, JobEnd.WORKER_LOST)), plan.commands)
+    }
+
+    @Test
+    fun `a drained VM is permitted to stop only after its jobs have left`() {
+        build(2)
+        submit(spec("a"))
+        step()
+        val first = running("a")!!
+        assertNull(
+            fleet.refusal(
+                FleetCommand.MoveVm(
+                    fleet.operation(),
+                    first.vm,
+                    workers.also {
+                        spareOnly()
+                    }.let { spare },
+                ),
+            ),
+        )
+        assertIs<JobRefusal.JobsRunning>(fleet.permit(first.vm.value.drop(2).toInt()))
+        step()
+        assertEquals(JobMeasure.CHECKPOINT, running("a")?.measure)
+    }
+
+    private fun spareOnly() = fleet.apply(FleetCommand.DefinePool(fleet.operation(), Pool(spare)))
+
+    @Test
+    fun `bad workers are quarantined after few jobs and bad jobs quarantine nobody`() {
+        for (seed in 0 until 40) {
+            JobTest().blame(Random(seed), badWorkers = setOf(vm(3)), badJobs = 0)
+            JobTest().blame(Random(seed), badWorkers = emptySet(), badJobs = 60)
+            JobTest().blame(Random(seed), badWorkers = setOf(vm(3), vm(7)), badJobs = 30)
+        }
+    }
+
+    /** Runs 120 jobs on 20 workers; bad workers fail all they start at once, bad jobs fail everywhere at once. */
+    private fun blame(random: Random, badWorkers: Set<VmId>, badJobs: Int) {
+        build(20)
+        val names = (0 until 120).map { if (it < badJobs) "bad$it" else "good$it" }.shuffled(random)
+        val pending = ArrayDeque(names)
+        val goodStarts = hashMapOf<VmId, Int>()
+        repeat(400) {
+            repeat(2) { pending.removeFirstOrNull()?.let { submit(spec(it, cores = 3)) } }
+            val plan = step()
+            plan.commands
+                .filterIsInstance<JobCommand.PlaceJob>()
+                .filter { it.job.value.startsWith("good") }
+                .forEach { goodStarts.merge(it.vm, 1, Int::plus) }
+            fleet.state.vms.keys.forEach { vm ->
+                report(vm, end = { job ->
+                    val fails = vm in badWorkers || job.spec.id.value.startsWith("bad")
+                    if (fails) JobEnd.FAILED else JobEnd.SUCCEEDED.takeIf { random.nextInt(6) == 0 }
+                })
+            }
+        }
+        val finished = fleet.state.finishedJobs.values
+        val failed = finished.filter { it.result == JobResult.FAILS_EVERYWHERE }
+        assertEquals(120, finished.size)
+        assertEquals(badJobs, failed.count { it.spec.id.value.startsWith("bad") })
+        assertEquals(failed.size, badJobs, "good jobs that ran on a bad worker ran elsewhere")
+        val quarantined = fleet.state.vms.keys.filter { fleet.state.trustOf(it) == WorkerTrust.QUARANTINED }
+        assertEquals(badWorkers, quarantined.toSet())
+        badWorkers.forEach { assertTrue((goodStarts[it] ?: 0) <= MAX_GOOD_STARTS_ON_BAD_WORKER, "$goodStarts") }
+    }
+
+    private companion object {
+        const val MAX_GOOD_STARTS_ON_BAD_WORKER = 12
+    }
+}
