Project the end of maintenance and test the moves of spare VMs

The forecast walks the declared windows as a wave does and names the obstacle when a pool cannot be maintained within four weeks: no window, windows too short, budget too small, held, or too little time.

--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
@@ -11,6 +11,7 @@
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.VmId
 import org.auburnstream.model.WaveId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -102,6 +103,9 @@
     /** VMs that [service] needs for full service, 0 if there is no such service. */
     public fun targetOf(service: ServiceId): Int = tables.services[service]?.spec?.target ?: 0
 
+    /** Longest planned outage that every service of [pool] accepts. */
+    public fun maxOutageOf(pool: PoolId): Duration = tables.maxOutageOf(pool)
+
     /** Returns why maintenance of [pool] is held as a whole, or null if it is not. */
     public fun holdOf(pool: PoolId): FleetRefusal? =
         tables.correlatedLoss() ?: tables.overdueIn(pool)?.let { FleetRefusal.PoolHeld(pool, it) }
--- /dev/null
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/CapacityTest.kt
@@ -0,0 +1,90 @@
+package org.auburnstream.fleet
+
+import org.auburnstream.model.DataCentreId
+import org.auburnstream.model.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class CapacityTest {
+    private val fleet = FleetFixture()
+    private val planner = FleetPlanner { MonotonicTime.Zero }
+    private val moves = mutableListOf<FleetCommand.StartDrain>()
+
+    /** Plans with every VM heard of, and lets drained moves arrive at once. */
+    private fun step(time: Duration) {
+        fleet.now += time
+        val now = MonotonicTime((fleet.now - start).inWholeNanoseconds)
+        val plan = planner.plan(fleet.state, FleetReports(now), fleet.now, now)
+        for (command in plan.commands) {
+            if (command is FleetCommand.StartDrain && command.purpose is DrainPurpose.Move) moves += command
+            fleet.apply(command, Duration.ZERO)
+        }
+        for (vm in fleet.state.vmsInPlannedActs().filter { it.phase is VmPhase.Moving }) {
+            val number = vm.id.value.drop(2).toInt()
+            fleet.apply(FleetCommand.RegisterVm(announcement(number, vm.pool)), Duration.ZERO)
+        }
+    }
+
+    @Test
+    fun `a spare VM covers a lasting loss, stays, and returns once only`() {
+        fleet.build(pools = 2, size = 4, spares = 3)
+        fleet.apply(FleetCommand.ReportLost(vm(0), 1))
+        repeat(10) { step(1.seconds) }
+        assertTrue(moves.isEmpty(), "a loss of seconds leads to no move")
+        repeat(60) { step(1.seconds) }
+        val move = assertIs<DrainPurpose.Move>(moves.single().purpose)
+        assertEquals(MoveReason.Shortfall(service(1), 4, 3, MovePlanner.LOSS_HOLD_OFF), move.reason)
+        assertEquals(0, fleet.state.budgetOf(service(1), fleet.now)!!.shortfall)
+        assertEquals(move.reason, fleet.state.vms.getValue(moves.single().vm).lastMove?.reason)
+        fleet.apply(FleetCommand.RegisterVm(announcement(0, pool(1))))
+        repeat(20) { step(1.minutes) }
+        assertEquals(1, moves.size, "the surplus is too fresh to be taken back")
+        repeat(120) { step(1.minutes) }
+        assertEquals(2, moves.size)
+        assertIs<MoveReason.Surplus>((moves.last().purpose as DrainPurpose.Move).reason)
+    }
+
+    @Test
+    fun `a flapping VM moves nothing and the shared buffer is smaller than the sum`() {
+        fleet.build(pools = 3, size = 4, spares = 3)
+        repeat(200) {
+            fleet.apply(FleetCommand.ReportLost(vm(1), 1))
+            repeat(10) { step(2.seconds) }
+            fleet.apply(FleetCommand.RegisterVm(announcement(1, pool(1))))
+            step(5.seconds)
+        }
+        assertTrue(moves.isEmpty())
+        val need = BufferPlanner.needOf(fleet.state)
+        assertTrue(need.shared < need.pools.sumOf { it.ownBuffer }, "$need")
+    }
+
+    @Test
+    fun `the forecast names the end or the obstacle`() {
+        fleet.build(pools = 1, size = 6, budget = AvailabilityBudget(allowance = 2.hours))
+        fun forecast() = MaintenanceForecast().of(fleet.state, fleet.state.pools.getValue(pool(1)), fleet.now)
+        fun windows(vararg windows: MaintenanceWindow) =
+            fleet.apply(FleetCommand.DeclareWindows(fleet.operation(), pool(1), windows.toList()))
+        val nightly = MaintenanceWindow(pool(1), null, start + 1.hours, 30.minutes, 1.days)
+        windows(nightly)
+        assertEquals(start + 1.hours + 2.days + 30.minutes, forecast().projectedEnd, "two VMs a night")
+        assertNull(forecast().obstacle)
+        windows(nightly.copy(length = 10.minutes))
+        assertEquals(MaintenanceObstacle.WindowTooShort(10.minutes, 15.minutes), forecast().obstacle)
+        windows(nightly.copy(dataCentre = DataCentreId("dc0")))
+        assertEquals(MaintenanceObstacle.NoWindow(DataCentreId("dc1")), forecast().obstacle)
+        windows(nightly.copy(period = 14.days))
+        assertIs<MaintenanceObstacle.TooLittleTime>(forecast().obstacle)
+        windows(nightly)
+        fleet.apply(FleetCommand.ReportLost(vm(0), 1))
+        fleet.apply(FleetCommand.RegisterVm(announcement(0, pool(1))), after = 1.hours)
+        assertIs<MaintenanceObstacle.BudgetTooSmall>(forecast().obstacle)
+    }
+}
