--- a/daemon/src/main/kotlin/org/auburnstream/daemon/observability/LogKeys.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/observability/LogKeys.kt
@@ -15,24 +15,63 @@
 
 /** Keys that log lines share, so that one search finds all events of a request, VM or daemon. */
 public object LogKeys {
+    /** Request of a caller. */
     public val RequestId: LogKey<RequestId> = LogKey("request_id")
+
+    /** Trace of a request, as 32 hex digits. */
     public val TraceId: LogKey<String> = LogKey("trace_id")
+
+    /** Service of a request or target. */
     public val Service: LogKey<ServiceId> = LogKey("service")
+
+    /** Pool of a VM. */
     public val Pool: LogKey<PoolId> = LogKey("pool")
+
+    /** VM of a target. */
     public val Vm: LogKey<VmId> = LogKey("vm")
+
+    /** Data centre of the VM; the line itself carries that of the daemon. */
     public val VmDataCentre: LogKey<DataCentreId> = LogKey("vm_data_centre")
+
+    /** The other daemon. */
     public val Peer: LogKey<DaemonId> = LogKey("peer")
+
+    /** Replicated group. */
     public val Group: LogKey<GroupId> = LogKey("group")
+
+    /** Term of a replicated group. */
     public val Term: LogKey<Long> = LogKey("term")
+
+    /** Index in the log of a replicated group. */
     public val Index: LogKey<LogIndex> = LogKey("index")
+
+    /** Version of the settings. */
     public val Version: LogKey<SettingsVersion> = LogKey("version")
+
+    /** Operator's change. */
     public val Operation: LogKey<OperationId> = LogKey("operation")
+
+    /** Operator who made a change. */
     public val Operator: LogKey<OperatorId> = LogKey("operator")
+
+    /** Why something was refused or ended. */
     public val Reason: LogKey<Enum<*>> = LogKey("reason")
+
+    /** How something ended. */
     public val Result: LogKey<Enum<*>> = LogKey("result")
+
+    /** Time that something took, written in microseconds. */
     public val Elapsed: LogKey<Duration> = LogKey("elapsed")
+
+    /** Number of things. */
     public val Count: LogKey<Int> = LogKey("count")
+
+    /** TCP port. */
     public val Port: LogKey<Int> = LogKey("port")
+
+    /** Listener of the daemon. */
     public val Listener: LogKey<String> = LogKey("listener")
+
+    /** Text of a library or of another process. */
     public val Detail: LogKey<String> = LogKey("detail")
 }
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/process/Deployment.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/Deployment.kt
@@ -25,8 +25,7 @@
     /** Sends requests to the daemons. */
     public val caller: CallerStandIn = CallerStandIn()
 
-    /** Runs `auburnctl`. */
-    public val operator: OperatorProcess = OperatorProcess(folder)
+    private val operator = OperatorProcess(folder)
 
     /** Targets' listeners of the daemons, as `address:port`. */
     public val targetListeners: List<String>
@@ -44,6 +43,10 @@
     /** Sends [request] through the daemon with index [i]. */
     public suspend fun send(i: Int, request: CallerRequest): CallerResult = caller.send(this[i].ports.callers, request)
 
+    /** Runs `auburnctl` with [arguments] against the daemon with index [i]. */
+    public suspend fun control(i: Int, vararg arguments: String): OperatorResult =
+        operator.run(this[i].ports.operators, *arguments)
+
     /**
      * Sends idempotent requests through the daemon with index [i] until one is answered.
      *
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/target/ExecutionCounts.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/target/ExecutionCounts.kt
@@ -3,7 +3,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Counts how often each request was run, by its key. */
+/** Counts how often each request was run, by its idempotency key or, without one, its method and path. */
 public class ExecutionCounts {
     private val counts = ConcurrentHashMap<String, AtomicInteger>()
     private val sum = AtomicInteger()
@@ -18,8 +18,8 @@
     /** Keys that were run more than once. */
     public fun repeated(): Set<String> = counts.filterValues { it.get() > 1 }.keys
 
-    internal fun count(key: String?) {
+    internal fun count(key: String) {
         sum.incrementAndGet()
-        if (key != null) counts.computeIfAbsent(key) { AtomicInteger() }.incrementAndGet()
+        counts.computeIfAbsent(key) { AtomicInteger() }.incrementAndGet()
     }
 }
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/target/TargetExchanges.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/target/TargetExchanges.kt
@@ -54,7 +54,7 @@
     /** Returns whether the connection stays open. */
     private suspend fun answer(request: TargetRequest): Boolean {
         if (request.behaviour == TargetBehaviour.REFUSE) return send(request, "503 Service Unavailable", refusal = true)
-        executions.count(request.key)
+        executions.count(request.key ?: request.line)
         when (request.behaviour) {
             TargetBehaviour.SLOW -> delay(delay)
             TargetBehaviour.HOLD -> release.await()
