--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -45,7 +45,7 @@
             random = Random(settings.seed),
             settings = routing,
         )
-    private val driver = RouterDriver(router, gateway, clock, hops = TracingHops(tracing), tick = routing.tick)
+    private val driver = RouterDriver(router, gateway, clock, hops = tracing, tick = routing.tick)
     private val gate =
         RequestGate(
             view = control::view,
