--- a/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
@@ -64,7 +64,7 @@
         val peerPort = transport.start(scope, settings.bindAddress, settings.ports.peers)
         val started = control.start()
         if (started is StoreResult.Failed) return started
-        registerStateMetrics(metrics, control, links)
+        registerStateMetrics(metrics, control, requests)
         val ports =
             ListenerPorts(
                 callers = requests.startCallers(),
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -9,6 +9,8 @@
 import org.auburnstream.daemon.config.DaemonSettings
 import org.auburnstream.daemon.observability.DaemonMetrics
 import org.auburnstream.daemon.observability.RequestTracing
+import org.auburnstream.daemon.peer.PeerChannel
+import org.auburnstream.daemon.peer.PeerCodec
 import org.auburnstream.daemon.peer.PeerTransport
 import org.auburnstream.daemon.target.TargetGateway
 import org.auburnstream.daemon.target.TargetListener
@@ -17,6 +19,9 @@
 import org.auburnstream.routing.Router
 import org.auburnstream.routing.RoutingInput
 import org.auburnstream.routing.RoutingSettings
+import org.auburnstream.routing.ServiceLoad
+import org.auburnstream.routing.TargetLoad
+import org.auburnstream.routing.credit.CreditMessage
 import org.auburnstream.routing.credit.DaemonView
 import java.security.SecureRandom
 import java.util.concurrent.atomic.AtomicLong
@@ -27,7 +32,7 @@
     settings: DaemonSettings,
     private val scope: CoroutineScope,
     selector: SelectorManager,
-    transport: PeerTransport,
+    private val transport: PeerTransport,
     control: ControlPlane,
     metrics: DaemonMetrics,
     clock: () -> MonotonicTime,
@@ -45,7 +50,16 @@
             random = Random(settings.seed),
             settings = routing,
         )
-    private val driver = RouterDriver(router, gateway, clock, hops = tracing, tick = routing.tick)
+    private val creditCodec = PeerCodec(CreditMessage.serializer())
+    private val driver =
+        RouterDriver(
+            router = router,
+            gateway = gateway,
+            clock = clock,
+            sendCredit = { to, message -> transport.send(to, PeerChannel.CREDIT, creditCodec.encode(message)) },
+            hops = tracing,
+            tick = routing.tick,
+        )
     private val gate =
         RequestGate(
             view = control::view,
@@ -76,11 +90,20 @@
         TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = driver::announce)
     private var ticks: Job? = null
 
+    /** Load of this daemon by service. */
+    fun load(): List<ServiceLoad> = driver.load()
+
+    /** Targets that this daemon knows. */
+    fun targetLoads(): List<TargetLoad> = driver.targets()
+
     /** Requests without an outcome. */
     val inProgress: Int get() = gate.inProgress
 
     /** Begins to listen for callers and returns the bound port. */
     suspend fun startCallers(): Int {
+        transport.register(PeerChannel.CREDIT) { from, payload ->
+            creditCodec.decodeOrNull(payload)?.let { driver.input(RoutingInput.CreditReceived(from, it)) }
+        }
         ticks = driver.start(scope)
         return callers.start()
     }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/StateMetrics.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/StateMetrics.kt
@@ -4,9 +4,10 @@
 import org.auburnstream.daemon.observability.DaemonMetrics
 import org.auburnstream.daemon.observability.MetricSample
 import org.auburnstream.daemon.replication.ReplicaRole
+import org.auburnstream.routing.TargetLoad
 
-/** Registers the metrics that are read from the control group and the links at each scrape. */
-internal fun registerStateMetrics(metrics: DaemonMetrics, control: ControlPlane, links: LinkEventLog) {
+/** Registers the metrics that are read from the control group and the request path at each scrape. */
+internal fun registerStateMetrics(metrics: DaemonMetrics, control: ControlPlane, requests: RequestPath) {
     metrics.gauge(DaemonMetricDefinitions.GroupTerm) { control.status.term }
     metrics.gauge(DaemonMetricDefinitions.GroupCommitIndex) { control.status.commitIndex.value }
     metrics.gauge(DaemonMetricDefinitions.GroupAppliedIndex) { control.status.appliedIndex.value }
@@ -16,4 +17,19 @@
             MetricSample(listOf(role.name.lowercase()), if (control.status.role == role) 1.0 else 0.0)
         }
     }
+    metrics.gauge(DaemonMetricDefinitions.RequestsInProgress) { requests.inProgress }
+    metrics.labelledGauge(DaemonMetricDefinitions.QueuedRequests) {
+        requests.load().map { MetricSample(listOf(it.service.value), it.queued.toDouble()) }
+    }
+    metrics.labelledGauge(DaemonMetricDefinitions.Targets) { requests.targetLoads().countByState() }
+}
+
+private fun List<TargetLoad>.countByState(): List<MetricSample> = groupingBy { listOf(it.service.value, it.state()) }
+    .eachCount()
+    .map { (labels, count) -> MetricSample(labels, count.toDouble()) }
+
+private fun TargetLoad.state(): String = when {
+    ejected -> "ejected"
+    serving -> "available"
+    else -> "withheld"
 }
