--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/fleet/FleetLeader.kt
@@ -0,0 +1,83 @@
+package org.auburnstream.daemon.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.auburnstream.fleet.FleetCommand
+import org.auburnstream.fleet.FleetPlan
+import org.auburnstream.fleet.FleetPlanner
+import org.auburnstream.fleet.FleetReports
+import org.auburnstream.fleet.FleetTimings
+import org.auburnstream.fleet.JobPhase
+import org.auburnstream.fleet.PlatformAnswer
+import org.auburnstream.fleet.PlatformRequest
+import org.auburnstream.fleet.UsageBook
+
+/**
+ * One term of leading the fleet; a new term begins with a new instance and so with no reports.
+ *
+ * Requests go to the platform only for permits in the committed state, so a leader that was deposed without knowing
+ * it can repeat a permitted act but never add one.
+ */
+internal class FleetLeader(
+    private val host: FleetHost,
+    private val services: FleetServices,
+    private val platform: Platform?,
+    timings: FleetTimings,
+) {
+    private val lock = Any()
+    private val reports = FleetReports(services.clock())
+    private val usage = UsageBook()
+    private val planner = FleetPlanner(timings, usage, leaseEndOf = services.leaseEndOf)
+
+    fun onMessage(message: FleetMessage): Unit = synchronized(lock) {
+        val now = services.clock()
+        when (message) {
+            is FleetMessage.Drain -> reports.onDrainReport(message.report)
+            is FleetMessage.Announced -> message.announcements.forEach { reports.onAnnouncement(it, now) }
+            is FleetMessage.Heard -> message.vms.forEach { reports.onHeartbeat(it.vm, it.incarnation, now) }
+        }
+    }
+
+    /** Plans once and carries the plan out. */
+    suspend fun turn(scope: CoroutineScope) {
+        val plan = plan()
+        plan.notices.forEach(services.onNotice)
+        for (command in plan.commands) {
+            // The next turn plans anew from what was committed, so a lost proposal needs no care here.
+            if (services.propose(command) !is FleetProposal.Answered) break
+        }
+        plan.requests.forEach { request -> scope.launch { carryOut(request) } }
+    }
+
+    /** Reads the workers' usage and renews the leases of their jobs. */
+    suspend fun readUsage() {
+        val platform = platform ?: return
+        val leases = host.read { state ->
+            state.jobs.values.mapNotNull { job ->
+                (job.phase as? JobPhase.Running)?.let { JobLease(it.vm, job.spec.id, it.lease) }
+            }
+        }
+        if (leases.isNotEmpty()) platform.renew(leases)
+        val answer = platform.workers()
+        if (answer !is PlatformResult.Answered) return
+        host.read { state ->
+            synchronized(lock) { answer.value.forEach { usage.onReport(it, state, services.clock()) } }
+        }
+    }
+
+    private fun plan(): FleetPlan = host.read { state ->
+        synchronized(lock) {
+            val now = services.clock()
+            reports.prune(state.vms.keys, now)
+            planner.plan(state, reports, services.wallClock.now(), now)
+        }
+    }
+
+    private suspend fun carryOut(request: PlatformRequest) {
+        val answer = platform?.carryOut(request) ?: return
+        val isDone = answer is PlatformResult.Answered && answer.value is PlatformAnswer.Done
+        if (isDone && request is PlatformRequest.Restart) {
+            services.propose(FleetCommand.ConfirmRestart(request.vm, request.permit))
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/fleet/FleetShell.kt
@@ -0,0 +1,136 @@
+package org.auburnstream.daemon.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.auburnstream.daemon.peer.PeerChannel
+import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.daemon.replication.RejectReason
+import org.auburnstream.fleet.DrainReport
+import org.auburnstream.fleet.FleetCommand
+import org.auburnstream.fleet.FleetNotice
+import org.auburnstream.fleet.FleetResult
+import org.auburnstream.fleet.FleetTimings
+import org.auburnstream.model.Announcement
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.VmId
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What the fleet needs of the daemon around it.
+ *
+ * @property leader the daemon that leads the control group as far as this one knows, or null.
+ * @property propose proposes a command to the control group and waits for its result.
+ * @property inProgress VMs that this daemon has a request in progress on. A request must be counted before its
+ *   VM is checked against the placement, so that none that was let through is missed.
+ * @property leaseEndOf latest end of the settings lease that a daemon can hold, on this process's clock; on a new
+ *   leader, one lease length after it began to lead.
+ * @property onNotice receives what operators should see; called for each plan that still finds it.
+ */
+public class FleetServices(
+    public val leader: () -> DaemonId?,
+    public val propose: suspend (FleetCommand) -> FleetProposal,
+    public val inProgress: () -> Set<VmId>,
+    public val leaseEndOf: (DaemonId) -> MonotonicTime,
+    public val clock: () -> MonotonicTime,
+    public val wallClock: Clock = Clock.System,
+    public val onNotice: (FleetNotice) -> Unit = {},
+)
+
+/** Result of proposing a [FleetCommand]. */
+public sealed interface FleetProposal {
+    /** The group applied the command with this [result]. */
+    public data class Answered(val result: FleetResult) : FleetProposal
+
+    /** The command was not and will not be applied. */
+    public data class NotRun(val reason: RejectReason) : FleetProposal
+
+    /** The command may have been applied. */
+    public data object Unknown : FleetProposal
+}
+
+/**
+ * Runs the fleet on one daemon: reports to the leader, and plans while this daemon leads.
+ *
+ * @param platform carries out what is permitted, or null where no platform is configured.
+ * @param reportInterval time between two reports to the leader.
+ * @param planInterval time between two plans of the leader.
+ */
+public class FleetShell(
+    private val host: FleetHost,
+    private val transport: PeerTransport,
+    private val services: FleetServices,
+    private val platform: Platform? = null,
+    private val timings: FleetTimings = FleetTimings.Default,
+    private val reportInterval: Duration = 500.milliseconds,
+    private val planInterval: Duration = 200.milliseconds,
+) {
+    private val relay = AnnouncementRelay()
+    private var sequence = 0L
+
+    @Volatile
+    private var leading: FleetLeader? = null
+
+    /** Takes an announcement that this daemon's listener received. */
+    public fun onAnnouncement(announcement: Announcement) {
+        relay.onAnnouncement(announcement)
+    }
+
+    /** Starts the loops in [scope]; they end with it. */
+    public fun start(scope: CoroutineScope) {
+        transport.register(PeerChannel.FLEET) { _, payload -> onPayload(payload) }
+        scope.launch { repeatEvery(reportInterval) { report() } }
+        scope.launch { lead(scope) }
+    }
+
+    private fun onPayload(payload: ByteArray) {
+        val message = FleetMessages.decode(payload) ?: return
+        leading?.onMessage(message)
+    }
+
+    private fun report() {
+        val leader = services.leader() ?: return
+        // The revision is read before the requests in progress: see FleetServices.inProgress.
+        val revision = host.placement.value.revision
+        val report = DrainReport(transport.self, sequence++, revision, services.inProgress())
+        val messages = relay.take(leader) + FleetMessage.Drain(report)
+        for (message in messages) {
+            if (leader == transport.self) {
+                leading?.onMessage(message)
+            } else {
+                transport.send(leader, PeerChannel.FLEET, FleetMessages.encode(message))
+            }
+        }
+    }
+
+    private suspend fun lead(scope: CoroutineScope) {
+        var usage: Job? = null
+        repeatEvery(planInterval) {
+            if (services.leader() == transport.self) {
+                val leader = leading ?: FleetLeader(host, services, platform, timings).also { leading = it }
+                if (usage == null) usage = scope.launch { repeatEvery(USAGE_INTERVAL) { leader.readUsage() } }
+                leader.turn(scope)
+            } else {
+                usage?.cancel()
+                usage = null
+                leading = null
+            }
+        }
+    }
+
+    private companion object {
+        val USAGE_INTERVAL = 2_000.milliseconds
+    }
+}
+
+private suspend fun repeatEvery(interval: Duration, act: suspend () -> Unit) {
+    while (kotlin.coroutines.coroutineContext.isActive) {
+        act()
+        delay(interval)
+    }
+}
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
@@ -67,17 +67,18 @@
  * but the times of its requests to the platform, so a new leader's planner goes on where the last one stopped.
  *
  * @param usage what the workers reported; filled by the caller.
+ * @param moves chooses the moves between pools.
  * @param leaseEndOf latest end of the settings lease that a daemon can hold, on this process's clock.
  */
 public class FleetPlanner(
     private val timings: FleetTimings = FleetTimings.Default,
     private val usage: UsageBook = UsageBook(),
+    private val moves: MovePolicy = MovePlanner()::plan,
     private val leaseEndOf: (DaemonId) -> MonotonicTime,
 ) {
     private val outbox = PlatformOutbox(timings.retry)
     private val waves = WavePlanner()
     private val jobs = JobPlanner(usage)
-    private val moves = MovePlanner()
 
     /** Returns what to do at [now], which is [at] in the time that commands are stamped with. */
     public fun plan(state: FleetState, reports: FleetReports, at: Instant, now: MonotonicTime): FleetPlan {
@@ -88,7 +89,7 @@
             planAct(state, reports, vm, at, now, plan)
         }
         waves.plan(state, at, plan)
-        moves.plan(state, at, now, plan)
+        plan.commands += moves(state, at, now)
         jobs.plan(state, at, now, plan)
         outbox.retain(plan.wanted)
         return plan.build(outbox.due(plan.wanted, now))
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetResult.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetResult.kt
@@ -17,11 +17,6 @@
     @SerialName("applied")
     public data class Applied(val revision: FleetRevision) : FleetResult
 
-    /** The state already was as the command wants it. */
-    @Serializable
-    @SerialName("unchanged")
-    public data object Unchanged : FleetResult
-
     /** The command changed nothing. */
     @Serializable
     @SerialName("refused")
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
@@ -8,45 +8,74 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
+/**
+ * Damping of the moves between the spare pool and the others.
+ *
+ * @property lossHoldOff age of a loss from which on it leads to a move.
+ * @property surplusHoldOff time for which a pool must have had a surplus before a VM is taken back.
+ * @property minStay least time between two moves of one VM.
+ * @property expectsReturns true to count VMs under maintenance as available, since they are back soon.
+ */
+public data class MoveTimings(
+    val lossHoldOff: Duration = 30.seconds,
+    val surplusHoldOff: Duration = 30.minutes,
+    val minStay: Duration = 1.hours,
+    val expectsReturns: Boolean = true,
+) {
+    public companion object {
+        /** Damped moves. */
+        public val Default: MoveTimings = MoveTimings()
+
+        /** Moves at once whenever a pool has too few or too many VMs; a baseline for experiments. */
+        public val Undamped: MoveTimings = MoveTimings(Duration.ZERO, Duration.ZERO, Duration.ZERO, false)
+    }
+}
+
+/** Chooses the moves that should be started now. */
+public typealias MovePolicy = (state: FleetState, at: Instant, now: MonotonicTime) -> List<FleetCommand.StartDrain>
+
 /**
  * Lends VMs of the spare pool to pools that are short, and takes them back.
  *
- * A move costs a drain and a change of software, so a loss must be older than [LOSS_HOLD_OFF] and a surplus older
- * than [SURPLUS_HOLD_OFF] before it leads to one, a VM stays where it is for [MIN_STAY], and a wave is covered by
- * one borrowed VM for each pool, not by one for each VM that it maintains.
+ * A move costs a drain and a change of software, so [timings] damp it, and a wave is covered by one borrowed VM for
+ * each pool, not by one for each VM that it maintains.
+ *
+ * @param extraDemand VMs that a pool asks for above its target at the moment.
  */
-internal class MovePlanner {
+public class MovePlanner(
+    private val timings: MoveTimings = MoveTimings.Default,
+    private val extraDemand: (Pool, Instant) -> Int = { _, _ -> 0 },
+) {
     private val surplusSince = hashMapOf<PoolId, MonotonicTime>()
 
-    fun plan(state: FleetState, at: Instant, now: MonotonicTime, plan: PlanBuilder) {
-        val spare = state.pools.values.firstOrNull { it.spare } ?: return
+    /** Returns the moves to start at [now], which is [at] in the time that commands are stamped with. */
+    public fun plan(state: FleetState, at: Instant, now: MonotonicTime): List<FleetCommand.StartDrain> {
+        val spare = state.pools.values.firstOrNull { it.spare } ?: return emptyList()
         val missing by lazy {
             BufferPlanner.needOf(state).shared - state.vmsOf(spare.id) { it.phase.willServe }.size
         }
+        val moves = mutableListOf<FleetCommand.StartDrain>()
         val lenders = state.vmsOf(spare.id) { it.phase is VmPhase.Active }.toMutableList()
         for (pool in state.pools.values.filter { it.services.isNotEmpty() }) {
-            val balance = PoolBalance(state, pool, at)
-            if (balance.deficit > 0) {
-                surplusSince.remove(pool.id)
-                lend(lenders, balance, plan)
+            val balance = PoolBalance(state, pool, at, timings, extraDemand(pool, at))
+            if (balance.deficit > 0) lend(lenders, balance, moves)
+            if (balance.surplus > 0 && balance.inbound == 0 && missing > 0) {
+                takeBack(spare, balance, missing, at, now)?.let(moves::add)
             } else {
-                if (balance.surplus > 0 && balance.inbound == 0 && missing > 0) {
-                    takeBack(spare, balance, missing, at, now, plan)
-                } else {
-                    surplusSince.remove(pool.id)
-                }
+                surplusSince.remove(pool.id)
             }
         }
+        return moves
     }
 
     /** Chooses the lender whose rack holds the fewest VMs of the borrower. */
-    private fun lend(lenders: MutableList<Vm>, balance: PoolBalance, plan: PlanBuilder) {
+    private fun lend(lenders: MutableList<Vm>, balance: PoolBalance, moves: MutableList<FleetCommand.StartDrain>) {
         val racks = balance.members.groupingBy { it.domain }.eachCount()
         val reason = balance.reason ?: return
         repeat(balance.deficit) {
             val lender = lenders.minByOrNull { racks[it.domain] ?: 0 } ?: return
             lenders.remove(lender)
-            plan.commands += FleetCommand.StartDrain(lender.id, DrainPurpose.Move(balance.pool.id, reason))
+            moves += FleetCommand.StartDrain(lender.id, DrainPurpose.Move(balance.pool.id, reason))
         }
     }
 
@@ -56,39 +85,41 @@
         missing: Int,
         at: Instant,
         now: MonotonicTime,
-        plan: PlanBuilder,
-    ) {
+    ): FleetCommand.StartDrain? {
         val waited = now - surplusSince.getOrPut(balance.pool.id) { now }
-        if (waited < SURPLUS_HOLD_OFF) return
+        if (waited < timings.surplusHoldOff) return null
         val racks = balance.members.groupingBy { it.domain }.eachCount()
         val candidates = balance.members.filter { it.phase is VmPhase.Active && it.mayMove(at) }
-        val vm = candidates.maxByOrNull { racks.getValue(it.domain) } ?: return
-        val reason = MoveReason.Surplus(balance.surplus, missing, SURPLUS_HOLD_OFF)
-        plan.commands += FleetCommand.StartDrain(vm.id, DrainPurpose.Move(spare.id, reason))
+        val vm = candidates.maxByOrNull { racks.getValue(it.domain) } ?: return null
+        val reason = MoveReason.Surplus(balance.surplus, missing, waited)
         surplusSince.remove(balance.pool.id)
+        return FleetCommand.StartDrain(vm.id, DrainPurpose.Move(spare.id, reason))
     }
 
-    private fun Vm.mayMove(at: Instant): Boolean = lastMove?.let { at - it.at >= MIN_STAY } ?: true
-
-    companion object {
-        val LOSS_HOLD_OFF: Duration = 30.seconds
-        val SURPLUS_HOLD_OFF: Duration = 30.minutes
-        val MIN_STAY: Duration = 1.hours
-    }
+    private fun Vm.mayMove(at: Instant): Boolean = lastMove?.let { at - it.at >= timings.minStay } ?: true
 }
 
 /** VMs that a pool has, will have and needs. */
-internal class PoolBalance(state: FleetState, val pool: Pool, at: Instant) {
+internal class PoolBalance(
+    state: FleetState,
+    val pool: Pool,
+    at: Instant,
+    private val timings: MoveTimings,
+    extraDemand: Int,
+) {
     val members: List<Vm> = state.vmsOf(pool.id) { it.phase !is VmPhase.GivenUp }
     val inbound: Int = members.count { it.phase is VmPhase.Moving } + state.drainingTowards(pool.id)
-    private val target = state.targetOf(pool)
+    private val target = state.targetOf(pool) + extraDemand
     private val available = members.count { it.phase is VmPhase.Active }
 
     /** Lost so recently that they may be back before a move would be done. */
     private val recentlyLost = members.count { it.phase.isRecentLoss(at) }
-    private val underMaintenance = members.count { it.phase.waveOf() != null && !it.phase.isOverdue }
+    private val underMaintenance = members.count {
+        timings.expectsReturns && it.phase.waveOf() != null &&
+            !it.phase.isOverdue
+    }
     private val wave = state.waves.values.firstOrNull { wave -> wave.isRunningOver(members) }
-    private val cover = if (wave != null) MAINTENANCE_COVER else 0
+    private val cover = if (wave != null && timings.expectsReturns) MAINTENANCE_COVER else 0
     private val expected = available + inbound + underMaintenance + recentlyLost
 
     val deficit: Int = (target + cover - expected).coerceAtLeast(0)
@@ -104,12 +135,11 @@
                     service = pool.services.maxBy { state.targetOf(it) },
                     target = target,
                     available = available,
-                    waited = MovePlanner.LOSS_HOLD_OFF,
+                    waited = timings.lossHoldOff,
                 )
         }
 
-    private fun VmPhase.isRecentLoss(at: Instant): Boolean =
-        this is VmPhase.Lost && at - since < MovePlanner.LOSS_HOLD_OFF
+    private fun VmPhase.isRecentLoss(at: Instant): Boolean = this is VmPhase.Lost && at - since < timings.lossHoldOff
 
     private fun Wave.isRunningOver(members: List<Vm>): Boolean =
         status == WaveStatus.RUNNING && members.any { it.id in pending }
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/CapacityTest.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/CapacityTest.kt
@@ -41,7 +41,7 @@
         assertTrue(moves.isEmpty(), "a loss of seconds leads to no move")
         repeat(60) { step(1.seconds) }
         val move = assertIs<DrainPurpose.Move>(moves.single().purpose)
-        assertEquals(MoveReason.Shortfall(service(1), 4, 3, MovePlanner.LOSS_HOLD_OFF), move.reason)
+        assertEquals(MoveReason.Shortfall(service(1), 4, 3, MoveTimings.Default.lossHoldOff), move.reason)
         assertEquals(0, fleet.state.budgetOf(service(1), fleet.now)!!.shortfall)
         assertEquals(move.reason, fleet.state.vms.getValue(moves.single().vm).lastMove?.reason)
         fleet.apply(FleetCommand.RegisterVm(announcement(0, pool(1))))
