--- a/cli/src/main/kotlin/org/auburnstream/cli/Commands.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Commands.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.cli
 
+import org.auburnstream.cli.fleet.FleetCommands
 import org.auburnstream.cli.settings.SettingsDiff
 import org.auburnstream.cli.settings.SettingsGet
 import org.auburnstream.cli.settings.SettingsHistory
@@ -17,4 +18,4 @@
         SettingsHistory.Spec,
         SettingsKeys.Spec,
         Status.Spec,
-    )
+    ) + FleetCommands
