Replicate the fleet with the settings and run its plans in the daemon

Cause: pools, drains and waves were decided but not part of the group's state, and the request path did not follow them. Before: every announced target was used. After: placement of registered VMs decides; a fleet without pools still accepts what targets announce.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
@@ -3,26 +3,42 @@
 import kotlinx.coroutines.CoroutineScope
 import org.auburnstream.api.LeaseView
 import org.auburnstream.api.StatusView
+import org.auburnstream.control.OperationIds
 import org.auburnstream.daemon.config.DaemonSettings
+import org.auburnstream.daemon.fleet.FleetHost
+import org.auburnstream.daemon.fleet.FleetProposal
 import org.auburnstream.daemon.observability.EventLog
 import org.auburnstream.daemon.observability.LogKeys
 import org.auburnstream.daemon.operator.GroupControlService
 import org.auburnstream.daemon.operator.OperatorServices
+import org.auburnstream.daemon.operator.Proposal
+import org.auburnstream.daemon.operator.Reading
 import org.auburnstream.daemon.operator.RollOutProgress
 import org.auburnstream.daemon.operator.TokenTable
 import org.auburnstream.daemon.peer.PeerTransport
 import org.auburnstream.daemon.replication.GroupConfiguration
+import org.auburnstream.daemon.replication.RejectReason
 import org.auburnstream.daemon.replication.ReplicaStatus
 import org.auburnstream.daemon.replication.ReplicatedGroupRunner
+import org.auburnstream.daemon.state.CommandAnswer
+import org.auburnstream.daemon.state.CommandBody
+import org.auburnstream.daemon.state.ReplicatedCommand
 import org.auburnstream.daemon.state.ReplicatedState
 import org.auburnstream.daemon.state.StateView
+import org.auburnstream.fleet.FleetCommand
+import org.auburnstream.model.DaemonId
 import org.auburnstream.model.GroupId
 import org.auburnstream.model.LogIndex
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.OperatorId
 import org.auburnstream.storage.ReplicaStore
 import org.auburnstream.storage.StoreResult
+import java.security.SecureRandom
 import kotlin.random.Random
+import kotlin.random.asKotlinRandom
+import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** This daemon's part in the control group, and the state that it replicates. */
 internal class ControlPlane(
@@ -33,6 +49,7 @@
     private val clock: () -> MonotonicTime,
 ) {
     private val log = EventLog.of("control")
+    private val operationRandom = SecureRandom().asKotlinRandom()
     private val state = ReplicatedState()
     private val group =
         ReplicatedGroupRunner(
@@ -65,6 +82,38 @@
         group.stop()
     }
 
+    /** This replica's state of the fleet. */
+    val fleet: FleetHost get() = state.fleet
+
+    /** Proposes [command] in the name of [operator]; only an operator's command can be resent under its own id. */
+    suspend fun proposeFleet(operator: OperatorId, command: FleetCommand): FleetProposal {
+        val now = Clock.System.now()
+        val operation = (command as? FleetCommand.Operator)?.operation ?: OperationIds.create(now, operationRandom)
+        return when (
+            val proposal = service.propose(
+                ReplicatedCommand(operation, operator, now, CommandBody.Fleet(command)),
+            )
+        ) {
+            is Proposal.Answered -> fleetAnswer(proposal.answer)
+            is Proposal.NotRun -> FleetProposal.NotRun(proposal.reason)
+            Proposal.Unknown -> FleetProposal.Unknown
+        }
+    }
+
+    private fun fleetAnswer(answer: CommandAnswer): FleetProposal = when (answer) {
+        is CommandAnswer.Fleet -> FleetProposal.Answered(answer.result)
+        else -> FleetProposal.Unknown
+    }
+
+    /** Waits until this replica reflects every accepted change; returns why that failed, or null. */
+    suspend fun awaitCurrent(): RejectReason? = when (val reading = service.read()) {
+        is Reading.Current -> null
+        is Reading.Unavailable -> reading.reason
+    }
+
+    /** Latest end of the settings lease that [daemon] can hold, on this process's clock. */
+    fun leaseEndOf(daemon: DaemonId): MonotonicTime = clock() + LONGEST_LEASE
+
     /** Builds what the operators' routes need. */
     fun services(tokens: TokenTable): OperatorServices =
         OperatorServices(control = service, status = ::statusView, authenticate = tokens::authenticate)
@@ -92,6 +141,7 @@
     }
 
     private companion object {
+        val LONGEST_LEASE = 3.seconds
         val GROUP = GroupId("control")
     }
 }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.daemon
 
 import io.ktor.network.selector.SelectorManager
+import io.ktor.server.routing.Route
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -9,6 +10,8 @@
 import kotlinx.coroutines.delay
 import org.auburnstream.daemon.config.DaemonSettings
 import org.auburnstream.daemon.config.ListenerPorts
+import org.auburnstream.daemon.fleet.Platform
+import org.auburnstream.daemon.fleet.fleetRoutes
 import org.auburnstream.daemon.observability.DaemonMetrics
 import org.auburnstream.daemon.observability.EventLog
 import org.auburnstream.daemon.observability.GracefulStop
@@ -17,9 +20,12 @@
 import org.auburnstream.daemon.observability.StopResult
 import org.auburnstream.daemon.observability.UnreadyReason
 import org.auburnstream.daemon.observability.healthRoutes
+import org.auburnstream.daemon.operator.OperatorRoutes
+import org.auburnstream.daemon.operator.OperatorServices
 import org.auburnstream.daemon.operator.TokenTable
 import org.auburnstream.daemon.operator.operatorRoutes
 import org.auburnstream.daemon.peer.SocketPeerTransport
+import org.auburnstream.model.Announcement
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.storage.ReplicaStore
 import org.auburnstream.storage.StoreResult
@@ -29,6 +35,7 @@
 /**
  * One running daemon: its listeners, its links, its part in the control group and the request path.
  *
+ * @param platform carries out what the fleet's plans permit, or null where there is none.
  * @param store opened store of the control group; closed by [stop].
  * @param clock reads the monotonic clock.
  */
@@ -36,6 +43,7 @@
     private val settings: DaemonSettings,
     tokens: TokenTable,
     store: ReplicaStore,
+    platform: Platform? = null,
     private val clock: () -> MonotonicTime = monotonicClock(),
 ) {
     private val log = EventLog.of("daemon")
@@ -50,9 +58,11 @@
     private val transport =
         SocketPeerTransport(settings.id, settings.peers, settings.seed, onEvent = links::onEvent)
     private val control = ControlPlane(settings, scope, transport, store, clock)
-    private val requests = RequestPath(settings, scope, selector, transport, control, metrics, clock)
+    private val requests: RequestPath =
+        RequestPath(settings, scope, selector, transport, control, metrics, clock, onAnnouncement = ::passOn)
+    private val fleet = FleetPlane(settings, transport, control, platform, clock, inProgress = requests::busyVms)
     private val operators =
-        HttpListener(settings.bindAddress, settings.ports.operators) { operatorRoutes(control.services(tokens)) }
+        HttpListener(settings.bindAddress, settings.ports.operators) { addOperatorRoutes(control.services(tokens)) }
     private val health =
         HttpListener(settings.bindAddress, settings.ports.health) { healthRoutes(::readiness, metrics) }
 
@@ -64,6 +74,7 @@
         val peerPort = transport.start(scope, settings.bindAddress, settings.ports.peers)
         val started = control.start()
         if (started is StoreResult.Failed) return started
+        fleet.start(scope, onPlacement = requests::place)
         registerStateMetrics(metrics, control, requests)
         val ports =
             ListenerPorts(
@@ -87,6 +98,15 @@
         close = ::close,
     ).run()
 
+    private fun passOn(announcement: Announcement) {
+        fleet.onAnnouncement(announcement)
+    }
+
+    private fun Route.addOperatorRoutes(services: OperatorServices) {
+        operatorRoutes(services)
+        fleetRoutes(OperatorRoutes(services), fleet.operations)
+    }
+
     private suspend fun close() {
         requests.close()
         operators.close()
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -14,8 +14,11 @@
 import org.auburnstream.daemon.peer.PeerTransport
 import org.auburnstream.daemon.target.TargetGateway
 import org.auburnstream.daemon.target.TargetListener
+import org.auburnstream.model.Announcement
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.RequestId
+import org.auburnstream.model.VmId
+import org.auburnstream.routing.Placement
 import org.auburnstream.routing.Router
 import org.auburnstream.routing.RoutingInput
 import org.auburnstream.routing.RoutingSettings
@@ -36,6 +39,7 @@
     control: ControlPlane,
     metrics: DaemonMetrics,
     clock: () -> MonotonicTime,
+    onAnnouncement: (Announcement) -> Unit,
 ) {
     private val routing = RoutingSettings()
     private val tracing = RequestTracing(settings.traceExport)
@@ -87,7 +91,10 @@
             ),
         )
     private val targets =
-        TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = driver::announce)
+        TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = {
+            onAnnouncement(it)
+            driver.announce(it)
+        })
     private var ticks: Job? = null
 
     /** Load of this daemon by service. */
@@ -99,6 +106,14 @@
     /** Requests without an outcome. */
     val inProgress: Int get() = gate.inProgress
 
+    /** VMs that this daemon has a request in progress on. */
+    fun busyVms(): Set<VmId> = driver.targets().filter { it.inUse > 0 }.mapTo(HashSet()) { it.vm }
+
+    /** Routes by [placement] from now on; null accepts what targets announce. */
+    fun place(placement: Placement?) {
+        driver.input(RoutingInput.PlacementChanged(placement))
+    }
+
     /** Begins to listen for callers and returns the bound port. */
     suspend fun startCallers(): Int {
         transport.register(PeerChannel.CREDIT) { from, payload ->
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingsHandlers.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingsHandlers.kt
@@ -144,7 +144,7 @@
                 is ControlResult.Changed -> Reply.of(ChangeAnswer.serializer(), success(result))
                 else -> refusal(result)
             }
-        CommandAnswer.Unreadable -> Reply.Failure(OperatorErrors.unreadable())
+        is CommandAnswer.Fleet, CommandAnswer.Unreadable -> Reply.Failure(OperatorErrors.unreadable())
     }
 
     private suspend fun read(next: suspend (ControlState) -> Reply): Reply = when (val reading = control.read()) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedCommand.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedCommand.kt
@@ -5,6 +5,8 @@
 import org.auburnstream.control.ControlCommand
 import org.auburnstream.control.ControlResult
 import org.auburnstream.control.OperationProblem
+import org.auburnstream.fleet.FleetCommand
+import org.auburnstream.fleet.FleetResult
 import org.auburnstream.model.OperationId
 import org.auburnstream.model.OperatorId
 import kotlin.time.Instant
@@ -31,6 +33,11 @@
     @Serializable
     @SerialName("control")
     public data class Control(val command: ControlCommand) : CommandBody
+
+    /** A change of the fleet. */
+    @Serializable
+    @SerialName("fleet")
+    public data class Fleet(val command: FleetCommand) : CommandBody
 }
 
 /** Answer of the replicated state to one command. */
@@ -41,6 +48,11 @@
     @SerialName("control")
     public data class Control(val result: ControlResult) : CommandAnswer
 
+    /** The command on the fleet was run; a resend gets the same [result]. */
+    @Serializable
+    @SerialName("fleet")
+    public data class Fleet(val result: FleetResult) : CommandAnswer
+
     /** The command was not run, because of its operation id. */
     @Serializable
     @SerialName("refused")
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
@@ -13,19 +13,22 @@
 import org.auburnstream.control.OperationPolicy
 import org.auburnstream.control.OperationSnapshot
 import org.auburnstream.control.OperationTable
+import org.auburnstream.daemon.fleet.FleetHost
 import org.auburnstream.model.LogIndex
 
 /**
- * State machine of the control group: the settings behind the table of operations.
+ * State machine of the control group: the settings and the fleet behind the table of operations.
  *
  * [apply] never throws for what a command holds: a command that cannot be read is answered as such by every replica.
  * Readers take [view], which is immutable and replaced after each command.
  *
  * @param guard refuses changes of settings that could break an availability budget.
+ * @property fleet this replica's state of the fleet.
  */
 public class ReplicatedState(
     policy: OperationPolicy = OperationPolicy(),
     private val guard: ChangeGuard = { _, _ -> null },
+    public val fleet: FleetHost = FleetHost(),
 ) : StateMachine {
     private val operations = OperationTable(policy)
     private var control = ControlState()
@@ -43,7 +46,7 @@
     }
 
     override fun snapshot(): ByteArray {
-        val snapshot = StateSnapshot(control.snapshot(), operations.snapshot())
+        val snapshot = StateSnapshot(control.snapshot(), operations.snapshot(), fleet.snapshot())
         return StateCodec.encode(StateSnapshot.serializer(), snapshot)
     }
 
@@ -54,6 +57,7 @@
                 ?: throw UnreadableSnapshotException(index, snapshot.size)
         operations.restore(decoded.operations)
         control = ControlState.of(decoded.control)
+        fleet.restore(decoded.fleet)
         published.value = StateView(index, control)
     }
 
@@ -78,6 +82,10 @@
                 control = transition.state
                 CommandAnswer.Control(transition.result)
             }
+
+            is CommandBody.Fleet -> {
+                CommandAnswer.Fleet(fleet.apply(body.command, command.proposedAt))
+            }
         }
     }
 
@@ -108,4 +116,4 @@
 private class OperationContent(val operator: String, val body: CommandBody)
 
 @Serializable
-private class StateSnapshot(val control: ControlSnapshot, val operations: OperationSnapshot)
+private class StateSnapshot(val control: ControlSnapshot, val operations: OperationSnapshot, val fleet: ByteArray)
