Give each process its own id towards the leader, and each daemon its own jitter

Cause: the id that tells copies of a request from new ones came from the seeded generator, so a daemon restarted with the same seed was answered with the replies of its earlier life: a proposal was reported committed and was not in the log. The test was seen to fail that way. Daemons with one seed also drew the same election timeouts.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -36,6 +36,7 @@
 import org.auburnstream.storage.StorageError
 import org.auburnstream.storage.StoreResult
 import org.slf4j.LoggerFactory
+import java.security.SecureRandom
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -47,7 +48,8 @@
  *
  * @param scope life of the group's coroutines.
  * @param clock reads the monotonic clock.
- * @param random source of the election jitter and of the process's id.
+ * @param random source of the election jitter; daemons may share its seed.
+ * @param process id of this process, which must never repeat: the leader recognizes copies of requests by it.
  * @param onApplied called on the group's coroutine after entries up to the given index were applied.
  * @param onFailure called once if the store or the replica fails; the group takes no further part then.
  */
@@ -59,6 +61,7 @@
     private val configuration: GroupConfiguration,
     private val clock: () -> MonotonicTime,
     private val random: Random,
+    private val process: Long = SecureRandom().nextLong(),
     private val storeDispatcher: CoroutineDispatcher = Dispatchers.IO,
     private val onApplied: (LogIndex) -> Unit = {},
     private val onFailure: (GroupFailure) -> Unit = {},
@@ -120,7 +123,7 @@
             restored = restored,
             initialVoters = configuration.initialVoters,
             peers = transport.peers,
-            random = Random(random.nextLong()),
+            random = Random(random.nextLong() xor transport.self.value.hashCode().toLong()),
             now = clock(),
             settings = configuration.settings,
         )
@@ -184,7 +187,7 @@
             store = writer::submit,
             applied = onApplied,
         )
-        val actor = GroupActor(configuration, member.id, replica, machine, clock, random.nextLong(), links)
+        val actor = GroupActor(configuration, member.id, replica, machine, clock, process, links)
         val writing = scope.launch { writer.run() }
         try {
             serve(replica, actor)
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
@@ -35,6 +35,7 @@
     private val voters: Int = 3,
     learners: Int = 2,
     private val snapshotEntries: Long = 10_000,
+    private val runnerSeed: Int? = null,
 ) {
     val random = Random(seed)
     var loss = 0.0
@@ -96,7 +97,7 @@
                 snapshotEntries = snapshotEntries,
             ),
             clock = { MonotonicTime(test.currentTime * 1_000_000) },
-            random = Random(random.nextInt()),
+            random = Random(runnerSeed ?: random.nextInt()),
             storeDispatcher = StandardTestDispatcher(test.testScheduler),
             onFailure = { failures.add(it) },
         )
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -31,13 +31,17 @@
     @TempDir
     lateinit var folder: Path
 
-    private fun group(seed: Int = 1, snapshotEntries: Long = 10_000, test: suspend TestScope.(GroupFixture) -> Unit) =
-        runTest {
-            val group = GroupFixture(this, folder, seed, snapshotEntries = snapshotEntries)
-            group.start()
-            group.awaitLeader()
-            test(group)
-        }
+    private fun group(
+        seed: Int = 1,
+        snapshotEntries: Long = 10_000,
+        runnerSeed: Int? = null,
+        test: suspend TestScope.(GroupFixture) -> Unit,
+    ) = runTest {
+        val group = GroupFixture(this, folder, seed, snapshotEntries = snapshotEntries, runnerSeed = runnerSeed)
+        group.start()
+        group.awaitLeader()
+        test(group)
+    }
 
     @Test
     fun aProposalOfAnyDaemonIsAppliedEverywhereAndAnsweredByTheStateMachine() = group { group ->
@@ -120,6 +124,17 @@
         assertEquals(1, group.running().map { it.machine.commands }.toSet().size)
     }
 
+    @Test
+    fun aRestartedDaemonIsNotAnsweredWithTheRepliesOfItsEarlierLife() = group(runnerSeed = 42) { group ->
+        val name = group.names.first { it != group.awaitLeader().self }
+        assertIs<ProposeResult.Committed>(group[name].group.propose("before".encodeToByteArray(), 5.seconds))
+        group.stop(name)
+        group.restart(name)
+        delay(3.seconds)
+        assertIs<ProposeResult.Committed>(group[name].group.propose("after".encodeToByteArray(), 5.seconds))
+        assertEquals(listOf("before", "after"), group.awaitLeader().machine.commands)
+    }
+
     @Test
     fun theLargestMessagesFitIntoAFrameOfALink() {
         val settings = ReplicaSettings.Default
