--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
@@ -12,7 +12,7 @@
  * Problem details of a request without an answer (RFC 9457).
  *
  * @property type stable name of the problem; callers decide by it, not by the texts.
- * @property outcome `not-run` or `outcome-unknown`.
+ * @property outcome `not-run`, `in-progress` or `outcome-unknown`.
  * @property retryAfterMs milliseconds after which the caller may come back, or null if that would not help.
  */
 @Serializable
@@ -34,6 +34,9 @@
         /** Value of [Problem.outcome] of a request that was not run. */
         public const val NOT_RUN: String = "not-run"
 
+        /** Value of [Problem.outcome] of a request that an earlier one with the same key is running. */
+        public const val IN_PROGRESS: String = "in-progress"
+
         /** Value of [Problem.outcome] of a request that may have run. */
         public const val OUTCOME_UNKNOWN: String = "outcome-unknown"
 
@@ -108,8 +111,13 @@
     TOO_MANY_CONNECTIONS(HttpStatusCode.ServiceUnavailable, "Too many connections are open; come back later."),
 }
 
-private fun unknownStatus(reason: UnknownReason): HttpStatusCode =
-    if (reason == UnknownReason.DEADLINE_EXCEEDED) HttpStatusCode.GatewayTimeout else HttpStatusCode.BadGateway
+private fun unknownStatus(reason: UnknownReason): HttpStatusCode = when (reason) {
+    UnknownReason.DEADLINE_EXCEEDED -> HttpStatusCode.GatewayTimeout
+    UnknownReason.KEY_NOT_RECORDED -> HttpStatusCode.ServiceUnavailable
+    else -> HttpStatusCode.BadGateway
+}
+
+private const val KEY_RETRY_MS = 1000L
 
 private fun NotRunReason.status(): HttpStatusCode = when (this) {
     NotRunReason.OVERLOADED, NotRunReason.DISPLACED -> HttpStatusCode.TooManyRequests
--- a/model/src/main/kotlin/org/auburnstream/model/Outcome.kt
+++ b/model/src/main/kotlin/org/auburnstream/model/Outcome.kt
@@ -70,6 +70,12 @@
     /** The target's answer broke the protocol. */
     MALFORMED_ANSWER,
 
+    /** The idempotency key could not be looked up: nothing was sent now, but an earlier request may have run. */
+    KEY_NOT_RECORDED,
+
+    /** The request ran and its answer was given once, but was too large to keep. */
+    ANSWER_NOT_KEPT,
+
     /** The daemon that sent the request ended before it recorded the answer. */
     SENDER_LOST,
 }
