Record idempotency keys in a group of their own and follow the settings at each request

Cause: keyed requests ran without the ledger, deadlines and queue sizes were fixed at the start, and three modules had their own idea of the longest request. Before: a deadline of an hour could be set although a drain waits 60 s for a silent daemon. After: one bound in the model, which the settings' range, the credits and the drains use.

--- a/control/src/main/kotlin/org/auburnstream/control/SettingKeys.kt
+++ b/control/src/main/kotlin/org/auburnstream/control/SettingKeys.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.control
 
+import org.auburnstream.model.LONGEST_REQUEST
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.isValidId
 import kotlin.time.Duration
@@ -22,7 +23,7 @@
     public val RequestDeadlineDefault: SettingKey<Duration> =
         SettingKey(
             name = "request.deadline.default",
-            type = SettingType.Durations(1.milliseconds..1.hours),
+            type = SettingType.Durations(1.milliseconds..LONGEST_REQUEST),
             default = 5.seconds,
             description = "Deadline of a request whose caller names none.",
             levels = ServiceAndAbove,
@@ -32,7 +33,7 @@
     public val RequestDeadlineMax: SettingKey<Duration> =
         SettingKey(
             name = "request.deadline.max",
-            type = SettingType.Durations(1.milliseconds..1.hours),
+            type = SettingType.Durations(1.milliseconds..LONGEST_REQUEST),
             default = 30.seconds,
             description = "Longest deadline that a caller may ask for.",
             levels = ServiceAndAbove,
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
@@ -27,6 +27,8 @@
 import org.auburnstream.daemon.peer.SocketPeerTransport
 import org.auburnstream.model.Announcement
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.PoolId
+import org.auburnstream.model.ServiceId
 import org.auburnstream.storage.ReplicaStore
 import org.auburnstream.storage.StoreResult
 import kotlin.io.path.writeText
@@ -36,13 +38,13 @@
  * One running daemon: its listeners, its links, its part in the control group and the request path.
  *
  * @param platform carries out what the fleet's plans permit, or null where there is none.
- * @param store opened store of the control group; closed by [stop].
+ * @param stores opened stores of the replicated groups; closed by [stop].
  * @param clock reads the monotonic clock.
  */
 internal class Daemon(
     private val settings: DaemonSettings,
     tokens: TokenTable,
-    store: ReplicaStore,
+    stores: GroupStores,
     platform: Platform? = null,
     private val clock: () -> MonotonicTime = monotonicClock(),
 ) {
@@ -57,10 +59,23 @@
     private val metrics = DaemonMetrics()
     private val transport =
         SocketPeerTransport(settings.id, settings.peers, settings.seed, onEvent = links::onEvent)
-    private val control = ControlPlane(settings, scope, transport, store, clock)
+    private val control = ControlPlane(settings, scope, transport, stores.control, clock)
+    private val ledger = LedgerPlane(settings, scope, transport, stores.ledger, clock)
     private val requests: RequestPath =
-        RequestPath(settings, scope, selector, transport, control, metrics, clock, onAnnouncement = ::passOn)
-    private val fleet = FleetPlane(settings, transport, control, platform, clock, inProgress = requests::busyVms)
+        RequestPath(
+            settings = settings,
+            scope = scope,
+            selector = selector,
+            transport = transport,
+            control = control,
+            ledger = ledger,
+            metrics = metrics,
+            clock = clock,
+            poolOf = ::poolOf,
+            onAnnouncement = ::passOn,
+        )
+    private val fleet: FleetPlane =
+        FleetPlane(settings, transport, control, platform, clock, inProgress = requests::busyVms)
     private val operators =
         HttpListener(settings.bindAddress, settings.ports.operators) { addOperatorRoutes(control.services(tokens)) }
     private val health =
@@ -72,8 +87,9 @@
     /** Starts every part and returns the bound ports, or the error of the store. */
     suspend fun start(): StoreResult<ListenerPorts> {
         val peerPort = transport.start(scope, settings.bindAddress, settings.ports.peers)
-        val started = control.start()
-        if (started is StoreResult.Failed) return started
+        for (started in listOf(control.start(), ledger.start())) {
+            if (started is StoreResult.Failed) return started
+        }
         fleet.start(scope, onPlacement = requests::place)
         registerStateMetrics(metrics, control, requests)
         val ports =
@@ -98,6 +114,8 @@
         close = ::close,
     ).run()
 
+    private fun poolOf(service: ServiceId): PoolId? = fleet.poolOf(service)
+
     private fun passOn(announcement: Announcement) {
         fleet.onAnnouncement(announcement)
     }
@@ -110,6 +128,7 @@
     private suspend fun close() {
         requests.close()
         operators.close()
+        ledger.close()
         control.close()
         health.close()
         transport.close()
@@ -129,3 +148,6 @@
         val IDLE_CHECK_INTERVAL = 20.milliseconds
     }
 }
+
+/** Stores of the replicated groups that a daemon takes part in. */
+internal class GroupStores(val control: ReplicaStore, val ledger: ReplicaStore)
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/FleetPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/FleetPlane.kt
@@ -40,6 +40,10 @@
 ) {
     private val log = EventLog.of("fleet")
     private val reported = LatestNotices(log)
+
+    @Volatile
+    private var carriers: Map<ServiceId, Set<PoolId>> = emptyMap()
+
     private val self = OperatorId(settings.id.value)
     private val shell =
         FleetShell(
@@ -60,6 +64,9 @@
     /** View of the fleet after the last applied command. */
     val placement: StateFlow<Placement> get() = control.fleet.placement
 
+    /** The pool that carries [service], or null while none or several do. */
+    fun poolOf(service: ServiceId): PoolId? = carriers[service]?.singleOrNull()
+
     /** What the operators' routes of the fleet need. */
     val operations =
         FleetOperations(
@@ -76,7 +83,7 @@
     /** Starts the reports and, while this daemon leads, the plans; calls [onPlacement] with each new placement. */
     fun start(scope: CoroutineScope, onPlacement: (RoutingPlacement?) -> Unit) {
         shell.start(scope)
-        scope.launch { placement.collect { onPlacement(it.toRouting()) } }
+        scope.launch { placement.collect { onPlacement(follow(it)) } }
         scope.launch { register() }
     }
 
@@ -89,15 +96,15 @@
     }
 
     /** Without any placed VM the request path accepts what targets announce. */
-    private fun Placement.toRouting(): RoutingPlacement? {
-        if (vms.isEmpty()) return null
-        if (settings.id !in daemons) return RoutingPlacement(services = emptyMap(), vms = emptyMap())
-        val services = HashMap<ServiceId, MutableSet<PoolId>>()
-        for (vm in vms.values) {
-            for (service in vm.services) services.getOrPut(service, ::HashSet) += vm.pool
-        }
+    private fun follow(placement: Placement): RoutingPlacement? {
+        if (placement.vms.isEmpty()) return null
+        if (settings.id !in placement.daemons) return RoutingPlacement(services = emptyMap(), vms = emptyMap())
+        val vms = placement.vms
+        carriers = vms.values.flatMap { vm -> vm.services.map { it to vm.pool } }
+            .groupBy({ it.first }, { it.second })
+            .mapValues { it.value.toSet() }
         return RoutingPlacement(
-            services = services,
+            services = carriers,
             vms = vms.mapValues { it.value.pool },
             leaving = vms.values.filter { it.state != PlacedState.ACTIVE }.mapTo(HashSet()) { it.id },
         )
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Main.kt
@@ -60,15 +60,15 @@
                 return SettingsError.EXIT_CODE
             }
         }
-    val store =
-        when (val opened = openStore(settings)) {
+    val stores =
+        when (val opened = openStores(settings)) {
             is StoreResult.Done -> opened.value
             is StoreResult.Failed -> {
                 log.error("store_refused", LogKeys.Detail of opened.error.message)
                 return EXIT_FAILED
             }
         }
-    return runBlocking { runUntilSignal(Daemon(settings, tokens, store), log) }
+    return runBlocking { runUntilSignal(Daemon(settings, tokens, stores), log) }
 }
 
 private suspend fun runUntilSignal(daemon: Daemon, log: EventLog): Int {
@@ -89,11 +89,20 @@
     return if (daemon.stop() == StopResult.DRAINED) 0 else EXIT_FAILED
 }
 
+/** Opens the stores of this daemon's replicated groups, in the data folder or in memory. */
+private fun openStores(settings: DaemonSettings): StoreResult<GroupStores> {
+    val control = openStore(settings, "control")
+    if (control !is StoreResult.Done) return control as StoreResult.Failed
+    val ledger = openStore(settings, "ledger")
+    if (ledger !is StoreResult.Done) return ledger as StoreResult.Failed
+    return StoreResult.Done(GroupStores(control.value, ledger.value))
+}
+
 /** An incarnation must never repeat, so it is drawn from the system's entropy and not from the seed. */
-private fun openStore(settings: DaemonSettings): StoreResult<ReplicaStore> {
+private fun openStore(settings: DaemonSettings, name: String): StoreResult<ReplicaStore> {
     val random = SecureRandom().asKotlinRandom()
     val folder = settings.dataFolder ?: return StoreResult.Done(MemoryReplicaStore(Incarnation(random.nextLong())))
-    return when (val opened = DiskFolder.open(folder.resolve("control"))) {
+    return when (val opened = DiskFolder.open(folder.resolve(name))) {
         is StoreResult.Done -> FileReplicaStore.open(opened.value, random)
         is StoreResult.Failed -> opened
     }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -12,21 +12,26 @@
 import org.auburnstream.daemon.peer.PeerChannel
 import org.auburnstream.daemon.peer.PeerCodec
 import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.daemon.state.StateView
 import org.auburnstream.daemon.target.TargetGateway
 import org.auburnstream.daemon.target.TargetListener
 import org.auburnstream.model.Announcement
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.PoolId
 import org.auburnstream.model.RequestId
+import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
 import org.auburnstream.routing.Placement
 import org.auburnstream.routing.Router
 import org.auburnstream.routing.RoutingInput
 import org.auburnstream.routing.RoutingSettings
 import org.auburnstream.routing.ServiceLoad
+import org.auburnstream.routing.ServicePolicy
 import org.auburnstream.routing.TargetLoad
 import org.auburnstream.routing.credit.CreditMessage
 import org.auburnstream.routing.credit.DaemonView
 import java.security.SecureRandom
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 
@@ -37,11 +42,14 @@
     selector: SelectorManager,
     private val transport: PeerTransport,
     control: ControlPlane,
+    ledger: LedgerPlane,
     metrics: DaemonMetrics,
     clock: () -> MonotonicTime,
+    poolOf: (ServiceId) -> PoolId?,
     onAnnouncement: (Announcement) -> Unit,
 ) {
     private val routing = RoutingSettings()
+    private val epoch = System.currentTimeMillis()
     private val tracing = RequestTracing(settings.traceExport)
     private val gateway = TargetGateway(selector, clock)
     private val router =
@@ -49,7 +57,7 @@
             self = settings.id,
             dataCentre = settings.dataCentre,
             view = DaemonView(version = 1, configured = transport.peers + settings.id),
-            epoch = System.currentTimeMillis(),
+            epoch = epoch,
             start = clock(),
             random = Random(settings.seed),
             settings = routing,
@@ -64,14 +72,15 @@
             hops = tracing,
             tick = routing.tick,
         )
+    private val policies = ServicePolicies(settings.region, settings.dataCentre, poolOf)
     private val gate =
         RequestGate(
             view = control::view,
             isLeaseLive = control::isLeaseLive,
-            policies = ServicePolicies(settings.region, settings.dataCentre, poolOf = { null }),
+            policies = policies,
             metrics = metrics,
             clock = clock,
-            next = driver::handle,
+            next = ledger.keyed(epoch, driver::handle),
         )
     private val requestIds = RequestIds(settings.id.value)
     private val callers =
@@ -93,8 +102,9 @@
     private val targets =
         TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = {
             onAnnouncement(it)
-            driver.announce(it)
+            driver.announce(it).also { follow(control.view) }
         })
+    private val followed = ConcurrentHashMap<ServiceId, ServicePolicy>()
     private var ticks: Job? = null
 
     /** Load of this daemon by service. */
@@ -109,6 +119,16 @@
     /** VMs that this daemon has a request in progress on. */
     fun busyVms(): Set<VmId> = driver.targets().filter { it.inUse > 0 }.mapTo(HashSet()) { it.vm }
 
+    /** Brings the services' policies up to date with the settings in [view]. */
+    fun follow(view: StateView) {
+        for (load in driver.load()) {
+            val policy = policies.policy(view, load.service)
+            if (followed.put(load.service, policy) != policy) {
+                driver.input(RoutingInput.PolicyChanged(load.service, policy))
+            }
+        }
+    }
+
     /** Routes by [placement] from now on; null accepts what targets announce. */
     fun place(placement: Placement?) {
         driver.input(RoutingInput.PlacementChanged(placement))
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/ServicePolicies.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ServicePolicies.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.control.EffectiveSettings
 import org.auburnstream.control.SettingKeys
 import org.auburnstream.control.SettingsPath
+import org.auburnstream.daemon.caller.DeadlineLimits
 import org.auburnstream.daemon.state.StateView
 import org.auburnstream.model.DataCentreId
 import org.auburnstream.model.PoolId
@@ -32,6 +33,15 @@
         return view.control.tree.at(path)
     }
 
+    /** Returns the times that requests of [service] may take in [view]. */
+    fun deadlines(view: StateView, service: ServiceId): DeadlineLimits {
+        val effective = settings(view, service)
+        return DeadlineLimits(
+            default = effective[SettingKeys.RequestDeadlineDefault],
+            longest = effective[SettingKeys.RequestDeadlineMax],
+        )
+    }
+
     /** Returns the routing policy of [service] in [view]. */
     fun policy(view: StateView, service: ServiceId): ServicePolicy {
         val effective = settings(view, service)
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/CallerSettings.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/CallerSettings.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.caller
 
+import org.auburnstream.model.ServiceId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -10,8 +11,7 @@
  * @property connections largest number of open connections.
  * @property headBytes largest head of a request, in bytes.
  * @property bodyBytes largest body of a request, in bytes.
- * @property defaultDeadline time that a request without a deadline may take.
- * @property longestDeadline longest time that a request may take; a longer deadline is cut to it.
+ * @property deadlines returns the times that requests of a service may take.
  * @property readTimeout longest time to read a request once it has begun.
  * @property idleTimeout time after which a connection without a request is closed.
  */
@@ -21,11 +21,18 @@
     val connections: Int = 4096,
     val headBytes: Int = DEFAULT_HEAD_BYTES,
     val bodyBytes: Int = DEFAULT_BODY_BYTES,
-    val defaultDeadline: Duration = 10.seconds,
-    val longestDeadline: Duration = 30.seconds,
+    val deadlines: (ServiceId) -> DeadlineLimits = { DeadlineLimits() },
     val readTimeout: Duration = 10.seconds,
     val idleTimeout: Duration = 60.seconds,
 )
 
+/**
+ * Times that requests of a service may take.
+ *
+ * @property default time of a request that names no deadline.
+ * @property longest longest time; a longer deadline is cut to it.
+ */
+public data class DeadlineLimits(val default: Duration = 5.seconds, val longest: Duration = 30.seconds)
+
 private const val DEFAULT_HEAD_BYTES = 16 * 1024
 private const val DEFAULT_BODY_BYTES = 1024 * 1024
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RequestReader.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RequestReader.kt
@@ -71,7 +71,7 @@
                 method = head.method,
                 path = target.path,
                 arrived = arrived,
-                deadline = arrived + deadline(headers[RequestHeaders.DEADLINE_MS]),
+                deadline = arrived + deadline(headers[RequestHeaders.DEADLINE_MS], settings.deadlines(target.service)),
                 team = team(headers[RequestHeaders.TEAM]),
                 urgency = urgency(headers[RequestHeaders.URGENCY]),
                 key = key(headers[RequestHeaders.IDEMPOTENCY_KEY]),
@@ -128,11 +128,11 @@
         output.flush()
     }
 
-    private fun deadline(text: CharSequence?): Duration {
-        if (text == null) return settings.defaultDeadline
+    private fun deadline(text: CharSequence?, limits: DeadlineLimits): Duration {
+        if (text == null) return minOf(limits.default, limits.longest)
         val millis = text.toString().toLongOrNull() ?: 0
         if (millis <= 0) invalid(RequestFault.INVALID_DEADLINE)
-        return minOf(millis.milliseconds, settings.longestDeadline)
+        return minOf(millis.milliseconds, limits.longest)
     }
 
     private fun urgency(text: CharSequence?): Urgency {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/peer/PeerTransport.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/peer/PeerTransport.kt
@@ -39,6 +39,12 @@
     /** Slot and connection credits of targets. */
     CREDIT,
 
+    /** Like [CONSENSUS], for the group that records idempotency keys. */
+    LEDGER_CONSENSUS,
+
+    /** Like [PROPOSAL], for the group that records idempotency keys. */
+    LEDGER_PROPOSAL,
+
     /** Reports of the fleet: requests in progress, load and announcements. */
     FLEET,
 }
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/DrainCommands.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/DrainCommands.kt
@@ -8,9 +8,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Longest request that a daemon lets run; a daemon without a lease has none left after this time. */
-public val LONGEST_REQUEST: Duration = 60.seconds
-
 /** Time in which a VM has to announce itself from its new pool. */
 public val MOVE_TIMEOUT: Duration = 5.minutes
 
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.fleet
 
 import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LONGEST_REQUEST
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.VmId
 import org.auburnstream.model.WaveId
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/VmCommands.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/VmCommands.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.fleet
 
 import org.auburnstream.model.Announcement
+import org.auburnstream.model.LONGEST_REQUEST
 import org.auburnstream.model.VmId
 import org.auburnstream.model.isValidId
 import kotlin.time.Instant
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/FleetSimulation.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/FleetSimulation.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.fleet
 
 import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LONGEST_REQUEST
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.PoolId
 import org.auburnstream.model.VmId
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/FleetStateTest.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/FleetStateTest.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.fleet
 
+import org.auburnstream.model.LONGEST_REQUEST
 import org.auburnstream.model.VmId
 import org.auburnstream.model.WaveId
 import kotlin.random.Random
--- a/routing/src/main/kotlin/org/auburnstream/routing/RoutingSettings.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/RoutingSettings.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.routing
 
+import org.auburnstream.model.LONGEST_REQUEST
 import org.auburnstream.model.Urgency
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -60,7 +61,7 @@
     val lease: Duration = 1.seconds,
     val renewal: Duration = 250.milliseconds,
     val shortageInterval: Duration = 20.milliseconds,
-    val longestExchange: Duration = 30.seconds,
+    val longestExchange: Duration = LONGEST_REQUEST,
     val leasing: Boolean = true,
 )
 
