Keep leaders and elections going on slow disks, and report a group that has ended

Cause: an answer to a heartbeat waited for the sync of entries, so a slow sync ended the leadership; campaigns queued up behind a vote that the store was still writing; a failed group still showed its last leader, which a daemon takes as being in touch. Ruled out: answering heartbeats before the term is durable. Adds Readmit, since an operator cannot know the incarnation that AddLearner needs for a removed daemon. The harness now syncs writes in groups, as the store does; a proposal left open by a replaced leader is retried.

--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Elector.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Elector.kt
@@ -14,10 +14,14 @@
  */
 internal class Elector(private val core: ReplicaCore, private val elected: () -> Unit) {
     private val votes = HashSet<MemberId>()
+    private var undecided = 0
 
     /** Starts a campaign if the leader was silent for too long. */
     fun tick() {
         if (core.now < core.electionDeadline) return
+        // Another campaign would only queue up behind the vote that the store is still writing.
+        if (core.role == RaftRole.CANDIDATE && !core.outbox.isTermDurable) return core.resetCampaignDeadline()
+        undecided = if (core.role == RaftRole.FOLLOWER) 0 else undecided + 1
         core.forgetLeader()
         if (core.mayCampaign) return campaign(trial = true)
         core.role = RaftRole.FOLLOWER
@@ -45,7 +49,8 @@
 
     private fun campaign(trial: Boolean) {
         votes.clear()
-        core.resetCampaignDeadline()
+        // A store that takes longer than the short timeout would never let a vote become durable in time.
+        if (undecided < SHORT_CAMPAIGNS) core.resetCampaignDeadline() else core.resetElectionDeadline()
         core.role = if (trial) RaftRole.PRE_CANDIDATE else RaftRole.CANDIDATE
         if (!trial) core.recordHardState(HardState(core.term + 1, core.id))
         val term = if (trial) core.term + 1 else core.term
@@ -91,4 +96,8 @@
         if (request.lastTerm != log.lastTerm) return request.lastTerm > log.lastTerm
         return request.lastIndex >= log.lastIndex
     }
+
+    private companion object {
+        const val SHORT_CAMPAIGNS = 4
+    }
 }
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Follower.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Follower.kt
@@ -16,7 +16,9 @@
         val response = HeartbeatResponse(maxOf(core.term, heartbeat.term), heartbeat.round)
         if (!accept(from, heartbeat.term)) return core.outbox.send(from, response)
         core.commitTo(minOf(heartbeat.commitIndex, core.log.lastIndex))
-        respond(from, response)
+        // The answer vouches for the term only, so a slow sync of entries must not end the leadership.
+        val term = core.term
+        core.outbox.afterTermPersisted { if (core.term == term) core.outbox.send(from, response) }
     }
 
     fun onAppend(from: MemberId, request: AppendRequest) {
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/MembershipChange.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/MembershipChange.kt
@@ -10,6 +10,10 @@
     @Serializable
     public data class AddLearner(val member: Member) : MembershipChange
 
+    /** Lets [daemon], which was removed, join again as a learner when it asks. */
+    @Serializable
+    public data class Readmit(val daemon: DaemonId) : MembershipChange
+
     /** Gives the learner of [daemon] a vote. */
     @Serializable
     public data class Promote(val daemon: DaemonId) : MembershipChange
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/MembershipDriver.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/MembershipDriver.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.consensus.MembershipChange.AddLearner
 import org.auburnstream.consensus.MembershipChange.Demote
 import org.auburnstream.consensus.MembershipChange.Promote
+import org.auburnstream.consensus.MembershipChange.Readmit
 import org.auburnstream.consensus.MembershipChange.Remove
 import org.auburnstream.consensus.MembershipChange.Replace
 import org.auburnstream.model.DaemonId
@@ -88,6 +89,7 @@
         val configuration = core.configuration
         return when (change) {
             is AddLearner -> MembershipRefusal.NO_SUCH_MEMBER.takeIf { configuration.isVoter(change.member.id) }
+            is Readmit -> MembershipRefusal.NO_SUCH_MEMBER.takeIf { change.daemon !in configuration.removed }
             is Promote -> promotionRefusal(configuration.learnerOf(change.daemon))
             is Demote -> lossRefusal(configuration.voterOf(change.daemon)?.id)
             is Replace -> when {
@@ -158,6 +160,7 @@
         val others = members.filterNot { it.id.daemon == daemon && it.role == MemberRole.LEARNER }
         copy(members = others, removed = removed - daemon).with(change.member.copy(role = MemberRole.LEARNER))
     }
+    is Readmit -> copy(removed = removed - change.daemon)
     is Promote -> withRole(checkNotNull(learnerOf(change.daemon)).id, MemberRole.VOTER)
     is Demote -> withRole(checkNotNull(voterOf(change.daemon)).id, MemberRole.LEARNER)
     is Replace -> {
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Outbox.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Outbox.kt
@@ -9,6 +9,7 @@
     private val outstanding = ArrayDeque<OutstandingPersist>()
     private val deferred = ArrayDeque<DeferredAction>()
     private var lastSequence = 0L
+    private var hardStateSequence = 0L
     private var hardState: HardState? = null
     private var truncateFrom: LogIndex? = null
     private val entries = ArrayList<LogEntry>()
@@ -31,8 +32,18 @@
         deferred.add(DeferredAction(sequenceOfRecords(), action))
     }
 
+    /** Whether the current term and vote are durable. */
+    val isTermDurable: Boolean
+        get() = hardState == null && isDurable(hardStateSequence)
+
+    /** Runs [action] once the current term is durable, at once if it is. */
+    fun afterTermPersisted(action: () -> Unit) {
+        if (isTermDurable) action() else afterPersist(action)
+    }
+
     fun recordHardState(state: HardState) {
         hardState = state
+        hardStateSequence = lastSequence + 1
     }
 
     fun recordEntry(entry: LogEntry) {
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
@@ -106,7 +106,12 @@
         check(
             runUntil(30.seconds) {
                 if (answer == null && leader?.replica?.quorumContactTime != null) answer = ""
-                if (answer == "") answer = leader?.propose("end${order++} end 0") { answer = it ?: "" }.let { "sent" }
+                if (answer == "") {
+                    answer = "sent"
+                    // A proposal of a leader that was replaced stays open until its index is committed.
+                    at(3.seconds) { if (answer == "sent") answer = "" }
+                    leader?.propose("end${order++} end 0") { answer = it ?: "" } ?: run { answer = "" }
+                }
                 last = committed.keys.lastOrNull() ?: 0
                 answer?.startsWith("conflict") == true || answer?.startsWith("accepted") == true
             },
@@ -204,6 +209,8 @@
             replica = null
             frozen = null
             life += 1
+            val survivors = pending.takeWhile { it is Effect.Persist }.let { it.take(random.nextInt(it.size + 1)) }
+            survivors.forEach { disk.write(pending.removeFirst() as Effect.Persist) }
             (pending.firstOrNull() as? Effect.Persist)?.let { disk.write(it, random.nextInt(it.entries.size + 1)) }
             pending.clear()
             listOf(proposals.values.map { { it(null) } }, reads.values.map { { it(null) } }).flatten().forEach { it() }
@@ -303,19 +310,22 @@
 
         private fun sync() {
             val current = life
-            at(delay(weather.maxSync)) { if (life == current) synced() }
+            val count = pending.size
+            at(delay(weather.maxSync)) { if (life == current) synced(count) }
         }
 
-        private fun synced() {
-            val effect = pending.removeFirst()
-            val sequence = when (effect) {
-                is Effect.Persist -> effect.sequence.also { disk.write(effect) }
-                is Effect.InstallSnapshot -> effect.sequence.also {
-                    disk.snapshot = effect.metadata
-                    disk.snapshotBytes = effect.bytes
-                    disk.entries.clear()
+        private fun synced(count: Int) {
+            var sequence = 0L
+            repeat(count) {
+                when (val effect = pending.removeFirst()) {
+                    is Effect.Persist -> sequence = effect.sequence.also { disk.write(effect) }
+                    is Effect.InstallSnapshot -> sequence = effect.sequence.also {
+                        disk.snapshot = effect.metadata
+                        disk.snapshotBytes = effect.bytes
+                        disk.entries.clear()
+                    }
+                    else -> error("not a write: $effect")
                 }
-                else -> error("not a write: $effect")
             }
             if (pending.isNotEmpty()) sync()
             receive(ReplicaInput.PersistCompleted(sequence))
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/MembershipTest.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/MembershipTest.kt
@@ -129,6 +129,11 @@
             cluster.run(20.seconds)
             assertEquals(term, cluster.leader!!.replica!!.term, "seed $seed: ${cluster.describe()}")
             assertFalse(cluster.leader!!.replica!!.configuration.recipients.any { it.daemon == removed.daemon })
+            cluster.leader!!.change(MembershipChange.Readmit(removed.daemon))
+            cluster.run(3.seconds)
+            val learners = cluster.leader!!.replica!!.configuration.learners.map { it.id }
+            assertTrue(removed.id in learners, "seed $seed")
+            cluster.settle()
         }
     }
 
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/ReplicaTest.kt
@@ -201,6 +201,28 @@
         cluster.settle()
     }
 
+    @Test
+    fun aSlowDiskDelaysElectionsAndWritesButDoesNotPreventThem() {
+        repeat(20) { seed ->
+            val cluster = Cluster(seed, voters = 3)
+            cluster.weather = Weather(maxSync = 600.milliseconds)
+            cluster.awaitLeader(30.seconds)
+            var answer: String? = null
+            val answered = cluster.runUntil(30.seconds) {
+                val leader = cluster.leader
+                if (answer == null && leader != null) {
+                    answer = "sent"
+                    leader.propose("op${cluster.time.nanoseconds} k 0") { answer = it }
+                }
+                answer?.startsWith("accepted") == true
+            }
+            assertTrue(answered, "seed $seed: ${cluster.describe()}")
+            val term = cluster.leader!!.replica!!.term
+            cluster.run(10.seconds)
+            assertEquals(term, cluster.leader!!.replica!!.term, "seed $seed")
+        }
+    }
+
     @Test
     fun aGroupOfOneFormsByItself() {
         val cluster = Cluster(1, voters = 1)
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
@@ -198,6 +199,7 @@
         } finally {
             isStopped = true
             contactTime = null
+            mutableStatus.update { it.copy(role = ReplicaRole.LEARNER, leader = null) }
             withContext(NonCancellable) { writing.cancelAndJoin() }
             actor.close()
             answerLateCalls()
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
+import org.auburnstream.consensus.Effect
 import org.auburnstream.consensus.Incarnation
 import org.auburnstream.consensus.ReplicaSettings
 import org.auburnstream.consensus.StateMachine
@@ -19,6 +20,7 @@
 import org.auburnstream.storage.FileReplicaStore
 import org.auburnstream.storage.MemoryReplicaStore
 import org.auburnstream.storage.ReplicaStore
+import org.auburnstream.storage.StorageError
 import org.auburnstream.storage.StoreResult
 import java.nio.file.Path
 import kotlin.random.Random
@@ -85,11 +87,12 @@
         private val handlers = HashMap<PeerChannel, suspend (DaemonId, ByteArray) -> Unit>()
         val machine = RecordingMachine()
         val failures = ArrayList<GroupFailure>()
+        private val store = StoreWithFault(openStore())
         val group = ReplicatedGroupRunner(
             scope = test.backgroundScope,
             transport = this,
             machine = machine,
-            store = openStore(),
+            store = store,
             configuration = GroupConfiguration(
                 id = GroupId("control"),
                 initialVoters = names.take(voters).toSet(),
@@ -102,6 +105,10 @@
             onFailure = { failures.add(it) },
         )
 
+        fun failSync() {
+            store.isFailing = true
+        }
+
         override val self get() = name
         override val peers get() = names.toSet() - name
 
@@ -135,6 +142,19 @@
     }
 }
 
+/** Store whose log can no longer be synced once it [isFailing]. */
+private class StoreWithFault(private val store: ReplicaStore) : ReplicaStore by store {
+    var isFailing = false
+
+    override fun persist(writes: List<Effect.Persist>): StoreResult<Unit> = if (isFailing) {
+        StoreResult.Failed(
+            StorageError.SyncFailed("log", "Input/output error"),
+        )
+    } else {
+        store.persist(writes)
+    }
+}
+
 /** Remembers the commands; the answer is the number of the command. */
 internal class RecordingMachine : StateMachine {
     val commands = ArrayList<String>()
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -148,6 +148,20 @@
         assertTrue(bytes.size <= MAX_FRAME_BYTES, "${bytes.size} bytes")
     }
 
+    @Test
+    fun aLeaderWhoseDiskFailsGivesUpItsPartAndTheOthersGoOn() = group { group ->
+        val failed = group.awaitLeader()
+        failed.failSync()
+        val lost = failed.group.propose("lost".encodeToByteArray(), 2.seconds)
+        assertIs<GroupFailure.Storage>(failed.failures.single())
+        assertEquals(ProposeResult.Unknown, lost)
+        assertNull(failed.group.status.value.leader)
+        assertNull(failed.group.quorumContactTime)
+        assertEquals(ProposeResult.Rejected(RejectReason.STOPPED), failed.group.propose(ByteArray(1), 1.seconds))
+        val other = group.running().first { it != failed }
+        other.group.proposeUntilCommitted("next")
+    }
+
     @Test
     fun callsEndWhenTheGroupStops() = group { group ->
         val stopped = group[group.names.last()].group
