Register VMs only from what was heard lately

A lost VM was registered again at the next plan from the announcement that the leader remembered from before its silence, and reported lost at the one after, so that a loss was never old enough for a spare VM.

Before: a silent VM alternated between lost and active at each plan. After: it is lost until it is heard again.

--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
@@ -83,7 +83,7 @@
     /** Returns what to do at [now], which is [at] in the time that commands are stamped with. */
     public fun plan(state: FleetState, reports: FleetReports, at: Instant, now: MonotonicTime): FleetPlan {
         val plan = PlanBuilder()
-        planRegistrations(state, reports, plan)
+        planRegistrations(state, reports, now, plan)
         planLosses(state, reports, now, plan)
         for (vm in state.vmsInPlannedActs()) {
             planAct(state, reports, vm, at, now, plan)
@@ -95,8 +95,8 @@
         return plan.build(outbox.due(plan.wanted, now))
     }
 
-    private fun planRegistrations(state: FleetState, reports: FleetReports, plan: PlanBuilder) {
-        for (announcement in reports.announcements()) {
+    private fun planRegistrations(state: FleetState, reports: FleetReports, now: MonotonicTime, plan: PlanBuilder) {
+        for (announcement in reports.announcements(now, timings.silence)) {
             when (val review = state.review(announcement)) {
                 AnnouncementReview.Known -> Unit
                 AnnouncementReview.News -> plan.registrations += FleetCommand.RegisterVm(announcement)
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetReports.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetReports.kt
@@ -51,8 +51,9 @@
         if (last.announcement.incarnation == incarnation) announcements[vm] = last.copy(at = now)
     }
 
-    /** The latest announcement of each VM. */
-    public fun announcements(): Collection<Announcement> = announcements.values.map { it.announcement }
+    /** Returns the latest announcement of each VM that was heard less than [silence] ago. */
+    public fun announcements(now: MonotonicTime, silence: Duration): List<Announcement> =
+        announcements.values.filter { now - it.at < silence }.map { it.announcement }
 
     /** Returns how long [vm] has been silent at [now]; silence before [startedAt] does not count. */
     public fun silenceOf(vm: Vm, now: MonotonicTime): Duration {
