--- a/bench/src/main/kotlin/org/auburnstream/bench/Experiments.kt
+++ b/bench/src/main/kotlin/org/auburnstream/bench/Experiments.kt
@@ -1,4 +1,32 @@
 package org.auburnstream.bench
 
+import org.auburnstream.bench.capacity.RestSlopes
+import org.auburnstream.bench.consensus.MembershipCost
+import org.auburnstream.bench.consensus.ProposalLoad
+import org.auburnstream.bench.consensus.RestCost
+import org.auburnstream.bench.consensus.RestartTime
+import org.auburnstream.bench.consensus.VoterPlacement
+
 /** Every experiment of the command line. */
-internal val experiments: List<Experiment> = emptyList()
+internal val experiments: List<Experiment> =
+    listOf(
+        Experiment("consensus-rest", "messages and bytes of a replicated group at rest", run = RestCost::run),
+        Experiment(
+            "consensus-membership",
+            "entries and exposure of ways to replace a voter",
+            run = MembershipCost::run,
+        ),
+        Experiment("consensus-voters", "losses that three and five voters survive", run = VoterPlacement::run),
+        Experiment("consensus-proposals", "throughput and latency of synced proposals", run = ProposalLoad::run),
+        Experiment("consensus-restart", "time to restart behind a snapshot", run = RestartTime::run),
+        Experiment(
+            name = "rest",
+            description = "cost of daemons at rest as processes, over VMs and daemons",
+            plots = restPlots(),
+            run = { RestSlopes.run() },
+        ),
+    )
+
+private fun restPlots(): List<PlotRequest> = listOf("leader", "voter", "learner").flatMap { role ->
+    listOf("processor %", "bytes/s", "live heap MiB").map { PlotRequest("rest-by-vms-$role", "VMs", it) }
+}
--- a/bench/src/main/kotlin/org/auburnstream/bench/Main.kt
+++ b/bench/src/main/kotlin/org/auburnstream/bench/Main.kt
@@ -60,7 +60,9 @@
     for (plot in experiment.plots) {
         val table = tables.single { it.name == plot.table }
         val fit = fitLine(table.numbers(plot.x), table.numbers(plot.y))
-        table.copy(name = "${table.name}-${plot.y}".replace(' ', '-')).writePlot(directory, plot.x, plot.y)
+        table.copy(
+            name = "${table.name}-${plot.y}".replace(Regex("[^A-Za-z0-9-]+"), "-"),
+        ).writePlot(directory, plot.x, plot.y)
         println("fit ${plot.table}: ${plot.y} over ${plot.x}: $fit\n")
     }
 }
--- a/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetChange.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetChange.kt
@@ -275,4 +275,5 @@
 
 private fun words(list: String): List<String> = list.split(',').map { it.trim() }.filter { it.isNotEmpty() }
 
-private fun wrongDuration(text: String): Built = Built.Wrong("'$text' is no duration", "Write it as 90s, 15m, 8h or 28d.")
+private fun wrongDuration(text: String): Built =
+    Built.Wrong("'$text' is no duration", "Write it as 90s, 15m, 8h or 28d.")
--- a/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetCommands.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetCommands.kt
@@ -108,11 +108,8 @@
     create: () -> Command,
 ): CommandSpec = CommandSpec(words, summary, description, listOf(example), create)
 
-private fun vmSpec(
-    verb: String,
-    summary: String,
-    build: (OperationId, VmId) -> FleetCommand.Operator,
-): CommandSpec = spec("vm $verb", summary, summary, "auburnctl vm $verb worker-17") { VmChange(build) }
+private fun vmSpec(verb: String, summary: String, build: (OperationId, VmId) -> FleetCommand.Operator): CommandSpec =
+    spec("vm $verb", summary, summary, "auburnctl vm $verb worker-17") { VmChange(build) }
 
 private fun waveSpec(verb: String, summary: String, change: WaveChange): CommandSpec =
     spec("wave $verb", summary, summary, "auburnctl wave $verb june") { WaveControl(change) }
--- a/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetReads.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetReads.kt
@@ -109,7 +109,15 @@
         view.forEach {
             val state = it.result?.name?.lowercase() ?: it.state
             val measure = it.measure?.name?.lowercase()
-            table.row(it.id, it.team, it.urgency.name.lowercase(), state, it.worker, measure, it.failedOn.joinToString(","))
+            table.row(
+                it.id,
+                it.team,
+                it.urgency.name.lowercase(),
+                state,
+                it.worker,
+                measure,
+                it.failedOn.joinToString(","),
+            )
         }
         return table.toString()
     }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
@@ -92,6 +92,7 @@
         }
         fleet.start(scope, onPlacement = requests::place)
         registerStateMetrics(metrics, control, requests)
+        registerLinkMetrics(metrics, links)
         val ports =
             ListenerPorts(
                 callers = requests.startCallers(),
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/StateMetrics.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/StateMetrics.kt
@@ -33,3 +33,21 @@
     serving -> "available"
     else -> "withheld"
 }
+
+/** Registers the metrics of the links between daemons. */
+internal fun registerLinkMetrics(metrics: DaemonMetrics, links: LinkEventLog) {
+    metrics.labelledCounter(DaemonMetricDefinitions.PeerMessages) {
+        val traffic = links.traffic
+        listOf(
+            sample("sent", traffic.sentMessages),
+            sample("received", traffic.receivedMessages),
+            sample("dropped", traffic.droppedMessages),
+        )
+    }
+    metrics.labelledCounter(DaemonMetricDefinitions.PeerBytes) {
+        val traffic = links.traffic
+        listOf(sample("sent", traffic.sentBytes), sample("received", traffic.receivedBytes))
+    }
+}
+
+private fun sample(direction: String, count: Long): MetricSample = MetricSample(listOf(direction), count.toDouble())
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/observability/DaemonMetricDefinitions.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/observability/DaemonMetricDefinitions.kt
@@ -85,6 +85,21 @@
         alarm = "Behind the commit index by more than 1000 for a minute: the daemon is overloaded.",
     )
 
+    public val PeerMessages: MetricDefinition = MetricDefinition(
+        name = "auburnstream_peer_messages_total",
+        kind = COUNTER,
+        labels = listOf("direction"),
+        help = "Messages on the links between daemons, by direction: sent, received or dropped.",
+        alarm = "Rate of direction=dropped above zero for a minute: a link is slower than its traffic.",
+    )
+
+    public val PeerBytes: MetricDefinition = MetricDefinition(
+        name = "auburnstream_peer_bytes_total",
+        kind = COUNTER,
+        labels = listOf("direction"),
+        help = "Bytes of frames on the links between daemons, by direction: sent or received.",
+    )
+
     public val ProcessorSeconds: MetricDefinition = MetricDefinition(
         name = "process_cpu_seconds_total",
         kind = COUNTER,
@@ -121,7 +136,7 @@
     public val all: List<MetricDefinition> = listOf(
         Requests, RequestDuration, RequestsInProgress, QueuedRequests, Targets,
         SettingsVersion, SettingsLeaseRemaining,
-        GroupTerm, GroupRole, GroupCommitIndex, GroupAppliedIndex,
+        GroupTerm, GroupRole, GroupCommitIndex, GroupAppliedIndex, PeerMessages, PeerBytes,
         ProcessorSeconds, ResidentMemory, HeapUsed, HeapLive, Threads,
     )
 }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/observability/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/observability/DaemonMetrics.kt
@@ -76,6 +76,16 @@
             .register(registry)
     }
 
+    /** Exposes [definition] as the growing totals that [read] returns at each scrape. */
+    public fun labelledCounter(definition: MetricDefinition, read: () -> List<MetricSample>) {
+        CounterWithCallback.builder()
+            .name(definition.name)
+            .help(definition.help)
+            .labelNames(*definition.labels.toTypedArray())
+            .callback { callback -> read().forEach { callback.call(it.value, *it.labels.toTypedArray()) } }
+            .register(registry)
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public fun scrape(): ByteArray {
         val out = ByteArrayOutputStream()
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/process/DaemonPlan.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/DaemonPlan.kt
@@ -38,12 +38,17 @@
         /** Token of the operator of a test deployment. */
         public const val TOKEN: String = "test-token-0123456789"
 
-        /** Plans [count] voters `d1`, `d2`, ... in a data centre each, with their files below [folder]. */
-        public fun deployment(folder: Path, count: Int, extraFlags: List<String> = emptyList()): List<DaemonPlan> {
+        /** Plans daemons `d1`, `d2`, ... in a data centre each, with their files below [folder]; the first vote. */
+        public fun deployment(
+            folder: Path,
+            count: Int,
+            extraFlags: List<String> = emptyList(),
+            voterCount: Int = count,
+        ): List<DaemonPlan> {
             val tokenFile = Files.writeString(folder.resolve("tokens"), "operator-1:$TOKEN\n")
             val ports = freePorts(count)
             val peers = ports.withIndex().joinToString(",") { (i, port) -> "d${i + 1}=127.0.0.1:$port" }
-            val voters = ports.indices.joinToString(",") { "d${it + 1}" }
+            val voters = ports.indices.take(voterCount).joinToString(",") { "d${it + 1}" }
             return ports.mapIndexed { i, port ->
                 DaemonPlan(
                     id = DaemonId("d${i + 1}"),
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/process/DaemonProcess.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/DaemonProcess.kt
@@ -32,12 +32,17 @@
         child.await("unreadiness of $id", timeout) { probe()?.takeIf { it.status == UNAVAILABLE }?.text }
 
     /** Returns the sum of the samples of the metric [name], or null if it is not exposed. */
-    public suspend fun metric(name: String): Double? =
+    public suspend fun metric(name: String): Double? = metricLines()
+        .filter { it.startsWith("$name ") || it.startsWith("$name{") }
+        .map { it.substringAfterLast(' ').toDouble() }
+        .takeIf { it.isNotEmpty() }
+        ?.sum()
+
+    /** Returns whether the daemon leads the control group as far as it knows. */
+    public suspend fun leads(): Boolean = "auburnstream_group_role{role=\"leader\"} 1.0" in metricLines()
+
+    private suspend fun metricLines(): List<String> =
         http.get("http://127.0.0.1:${ports.health}/metrics").bodyAsText().lines()
-            .filter { it.startsWith("$name ") || it.startsWith("$name{") }
-            .map { it.substringAfterLast(' ').toDouble() }
-            .takeIf { it.isNotEmpty() }
-            ?.sum()
 
     /** Returns the answer of the readiness check, or null if there is none. */
     private suspend fun probe(): HealthProbe? = try {
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/process/Deployment.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/Deployment.kt
@@ -73,9 +73,14 @@
         private val ANSWER_TIMEOUT = 60.seconds
         private val POLL_INTERVAL = 20.milliseconds
 
-        /** Starts [count] daemons with their files below [folder] and waits until all are ready. */
-        public suspend fun start(folder: Path, count: Int, extraFlags: List<String> = emptyList()): Deployment {
-            val deployment = Deployment(folder, DaemonPlan.deployment(folder, count, extraFlags))
+        /** Starts [count] daemons, [voterCount] of them voters, with their files below [folder], and awaits them. */
+        public suspend fun start(
+            folder: Path,
+            count: Int,
+            extraFlags: List<String> = emptyList(),
+            voterCount: Int = count,
+        ): Deployment {
+            val deployment = Deployment(folder, DaemonPlan.deployment(folder, count, extraFlags, voterCount))
             try {
                 coroutineScope { deployment.plans.indices.forEach { i -> launch { deployment.start(i) } } }
                 deployment.plans.indices.forEach { deployment[it].awaitReady() }
