--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Configuration.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Configuration.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.consensus
 
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 import org.auburnstream.model.DaemonId
 
 /**
@@ -19,8 +20,8 @@
     val removed: Set<DaemonId> = emptySet(),
 ) {
     /** Members that vote, of the new configuration if this one is joint. */
-    val voters: Set<MemberId>
-        get() = members.filter { it.role == MemberRole.VOTER }.map { it.id }.toSet()
+    @Transient
+    val voters: Set<MemberId> = members.filter { it.role == MemberRole.VOTER }.map { it.id }.toSet()
 
     /** Members that receive the log without a vote. */
     val learners: List<Member>
@@ -31,8 +32,8 @@
         get() = outgoingVoters.isNotEmpty()
 
     /** Everyone that the leader sends the log to. */
-    val recipients: Set<MemberId>
-        get() = members.map { it.id }.toSet() + outgoingVoters
+    @Transient
+    val recipients: Set<MemberId> = members.map { it.id }.toSet() + outgoingVoters
 
     /** Whether [id] votes in this configuration. */
     public fun isVoter(id: MemberId): Boolean = id in voters || id in outgoingVoters
--- /dev/null
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/CommitRuleTest.kt
@@ -0,0 +1,53 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.consensus.ConsensusMessage.AppendResponse
+import org.auburnstream.consensus.ConsensusMessage.HeartbeatResponse
+import org.auburnstream.consensus.ConsensusMessage.VoteResponse
+import org.auburnstream.model.LogIndex
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class CommitRuleTest {
+    private val genesis = membershipEntry(1, 1, votersOf("a", "b", "c"))
+    private val inherited = LogEntry(LogIndex(2), 2, EntryPayload.Command(byteArrayOf(1)))
+    private val script = ScriptedReplica(HardState(2), listOf(genesis, inherited))
+
+    private fun lead() {
+        script.now += 2.seconds
+        script.feed(ReplicaInput.Tick)
+        script.receive(VoteResponse(3, granted = true, trial = true))
+        script.receive(VoteResponse(3, granted = true))
+        assertEquals(RaftRole.LEADER, script.replica.role)
+    }
+
+    @Test
+    fun anEntryOfAnEarlierTermIsCommittedOnlyTogetherWithOneOfTheLeadersOwn() {
+        lead()
+        val quorumHoldsInherited = AppendResponse(3, true, LogIndex(2), LogIndex(1))
+        assertEquals(emptyList(), script.receive(quorumHoldsInherited).appliedIndices())
+        val quorumHoldsOwn = AppendResponse(3, true, LogIndex(3), LogIndex(2))
+        assertEquals(listOf(1L, 2L, 3L), script.receive(quorumHoldsOwn).appliedIndices())
+    }
+
+    @Test
+    fun aReadWaitsUntilTheLeaderHasCommittedAnEntryOfItsOwnTerm() {
+        lead()
+        val early = script.feed(ReplicaInput.ReadRequested(ReadId(7)))
+        val confirmed = (1L..2).flatMap { script.receive(HeartbeatResponse(3, it)) }
+        assertEquals(emptyList(), (early + confirmed).filterIsInstance<Effect.ReadReady>())
+        val committed = script.receive(AppendResponse(3, true, LogIndex(3), LogIndex(2)))
+        val served = committed + (1L..9).flatMap { script.receive(HeartbeatResponse(3, it)) }
+        assertEquals(listOf(Effect.ReadReady(ReadId(7), LogIndex(3))), served.filterIsInstance<Effect.ReadReady>())
+    }
+
+    @Test
+    fun answersOfStrangersAndOfOtherTermsCommitNothing() {
+        lead()
+        val strangers = script.receive(AppendResponse(3, true, LogIndex(3), LogIndex(2)), from = "x")
+        val late = script.receive(AppendResponse(2, true, LogIndex(3), LogIndex(2)))
+        assertEquals(emptyList(), (strangers + late).appliedIndices())
+        script.receive(HeartbeatResponse(99, 1), from = "x")
+        assertEquals(RaftRole.LEADER, script.replica.role)
+    }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/RemovedVoterTest.kt
@@ -0,0 +1,31 @@
+package org.auburnstream.consensus
+
+import org.auburnstream.consensus.ConsensusMessage.Heartbeat
+import org.auburnstream.consensus.ConsensusMessage.VoteRequest
+import org.auburnstream.model.LogIndex
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class RemovedVoterTest {
+    private val entries = listOf(
+        membershipEntry(1, 1, votersOf("a", "b", "c")),
+        membershipEntry(2, 1, votersOf("b", "c", "d").copy(outgoingVoters = votersOf("a", "b", "c").voters)),
+        membershipEntry(3, 1, votersOf("b", "c", "d")),
+    )
+
+    private fun campaign(script: ScriptedReplica): Int {
+        script.now += 2.seconds
+        return script.feed(ReplicaInput.Tick).sent<VoteRequest>().size
+    }
+
+    @Test
+    fun aVoterCampaignsAsLongAsItsRemovalIsNotKnownToBeCommitted() {
+        val script = ScriptedReplica(HardState(1), entries)
+        assertEquals(3, campaign(script))
+        script.receive(Heartbeat(1, 1, LogIndex(2)))
+        assertEquals(3, campaign(script))
+        script.receive(Heartbeat(1, 2, LogIndex(3)))
+        assertEquals(0, campaign(script))
+    }
+}
