Forget requests that their sender has settled

The leader kept every forwarded request for 60 s, so more than 273 a second filled its 16,384 places and the rest was refused. Each request now tells below which correlation its sender waits for nothing; what lies below is forgotten, and a late copy of it is ignored. The restart of all daemons now follows 510 commands.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/CallForwarder.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/CallForwarder.kt
@@ -25,10 +25,11 @@
     private val forwarded = LinkedHashMap<Long, ForwardedCall>()
     private val readers = ArrayList<WaitingReader>()
     private var lastCorrelation = 0L
+    private var nextTick = MonotonicTime.Zero
 
-    /** When [tick] is due, or null if nothing waits. */
+    /** When [tick] is due, or null if nothing waits for an answer. */
     val deadline: MonotonicTime?
-        get() = forwarded.values.minOfOrNull { it.sentAt }?.let { it + configuration.resendInterval }
+        get() = nextTick.takeIf { forwarded.isNotEmpty() }
 
     fun accept(call: PendingCall, now: MonotonicTime) {
         if (waiting.size >= configuration.maxWaitingCalls) {
@@ -52,6 +53,7 @@
 
     /** Resends what was not answered in time, as long as the leader is the same. */
     fun tick(now: MonotonicTime) {
+        nextTick = now + configuration.resendInterval / TICKS_PER_RESEND
         forwarded.values.removeIf { it.call.isOver }
         readers.removeAll { it.call.isOver }
         val due = forwarded.entries.filter { now - it.value.sentAt >= configuration.resendInterval }
@@ -97,6 +99,7 @@
 
     private fun dispatch(call: PendingCall, leader: MemberId, now: MonotonicTime) {
         if (replica.role == RaftRole.LEADER) return requests.execute(call.body) { finishLocal(call, it) }
+        if (forwarded.isEmpty()) nextTick = now + configuration.resendInterval
         lastCorrelation += 1
         val forward = ForwardedCall(call, leader, replica.term, now)
         forwarded[lastCorrelation] = forward
@@ -117,10 +120,22 @@
     }
 
     private fun sendRequest(correlation: Long, forward: ForwardedCall) {
-        val request = GroupMessage.Request(configuration.id, process, correlation, forward.term, forward.call.body)
+        val request = GroupMessage.Request(
+            group = configuration.id,
+            process = process,
+            correlation = correlation,
+            // Correlations grow, so the first open request has the lowest.
+            settledBelow = forwarded.keys.first(),
+            term = forward.term,
+            body = forward.call.body,
+        )
         send(forward.leader.daemon, request)
     }
 
+    private companion object {
+        const val TICKS_PER_RESEND = 2
+    }
+
     private class ForwardedCall(val call: PendingCall, val leader: MemberId, val term: Long, var sentAt: MonotonicTime)
 
     private class WaitingReader(val call: PendingCall, val index: LogIndex)
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupActor.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupActor.kt
@@ -82,18 +82,16 @@
         val reply = { body: ReplyBody ->
             links.sendGroupMessage(from, GroupMessage.Reply(request.group, request.process, request.correlation, body))
         }
-        val key = RequestKey(from, request.process, request.correlation)
-        val known = taken.find(key)
-        if (known != null) {
-            known.reply?.let(reply)
-            return
-        }
         val leads = replica.role == RaftRole.LEADER && replica.term == request.term
-        if (!leads) return reply(ReplyBody.NotLeader)
-        val record = taken.add(key, clock()) ?: return reply(ReplyBody.Rejected(RejectReason.OVERLOADED))
-        requests.execute(request.body) {
-            record.reply = it
-            reply(it)
+        if (!leads && taken.find(from, request) == null) return reply(ReplyBody.NotLeader)
+        when (val taking = taken.take(from, request, clock())) {
+            is RequestTaking.New -> requests.execute(request.body) {
+                taking.record.reply = it
+                reply(it)
+            }
+            is RequestTaking.Known -> taking.record.reply?.let(reply)
+            RequestTaking.Settled -> Unit
+            RequestTaking.Full -> reply(ReplyBody.Rejected(RejectReason.OVERLOADED))
         }
     }
 
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupConfiguration.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupConfiguration.kt
@@ -17,7 +17,7 @@
  * @property snapshotBytes bytes of commands applied since the last snapshot after which another is taken.
  * @property resendInterval time after which a request to the leader is sent again.
  * @property maxWaitingCalls calls that may wait for a leader at this daemon.
- * @property maxTimeout longest timeout of a call; the leader remembers requests for twice as long.
+ * @property maxTimeout longest timeout of a call; a leader forgets a daemon that is silent for twice as long.
  */
 public data class GroupConfiguration(
     val id: GroupId,
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupMessage.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupMessage.kt
@@ -18,6 +18,7 @@
      * Asks the leader of [term] for [body].
      *
      * @property process drawn at random by each process, so that [correlation] is unique.
+     * @property settledBelow correlation below which the sender waits for no answer any more.
      */
     @Serializable
     @SerialName("q")
@@ -25,6 +26,7 @@
         override val group: GroupId,
         val process: Long,
         val correlation: Long,
+        val settledBelow: Long,
         val term: Long,
         val body: RequestBody,
     ) : GroupMessage
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -95,7 +95,7 @@
     @Test
     fun acceptedCommandsSurviveTheLossOfTheLeaderAndTheRestartOfAll() = group(snapshotEntries = 20) { group ->
         repeat(3) { round ->
-            repeat(30) { group[group.names[it % 3]].group.proposeUntilCommitted("r$round-$it") }
+            repeat(170) { group[group.names[it % 3]].group.proposeUntilCommitted("r$round-$it") }
             val leader = group.awaitLeader()
             group.stop(leader.self)
             group.awaitLeader().group.proposeUntilCommitted("after-$round")
