--- a/consensus/src/test/kotlin/org/auburnstream/consensus/ScriptedReplica.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/ScriptedReplica.kt
@@ -19,8 +19,13 @@
     private val self = memberId("a")
     var now = MonotonicTime.Zero
     val replica = Replica(
-        Member(self), group, RestoredState(hardState, entries = entries),
-        emptySet(), emptySet(), Random(1), now,
+        Member(self),
+        group,
+        RestoredState(hardState, entries = entries),
+        emptySet(),
+        emptySet(),
+        Random(1),
+        now,
     )
 
     /** Feeds [input], then reports every write as durable; returns all effects. */
