Add settings leases and the roll-out that tells when a change is in force

Cause: an accepted change says nothing about a daemon that is cut off, frozen or restarted and acts on older settings. Ruled out: counting a lease from the receipt of the grant, which a late message stretches; letting a new leader start its wait anew for every change, which a second leader change prolongs past the limit of 6 s. Before: the daemon acted on whatever it knew. After: a lease from the sending of each renewal, granted from the last confirmation by a quorum and extended only once the daemon has applied what was committed; the leader knows a change to be in force once no lease granted before it can be live, and daemons pass that knowledge on. Conclusion: 1,000 seeded schedules pass: no daemon acts on settings older than a lease, and with at most two daemons impaired and one election every change is known to be in force within 6 s.

--- a/cli/src/test/kotlin/org/auburnstream/cli/AuburnctlTest.kt
+++ b/cli/src/test/kotlin/org/auburnstream/cli/AuburnctlTest.kt
@@ -3,9 +3,9 @@
 import kotlinx.coroutines.runBlocking
 import org.auburnstream.api.ApiJson
 import org.auburnstream.api.SettingsView
-import org.auburnstream.daemon.operator.HeldBack
-import org.auburnstream.daemon.operator.HoldCause
-import org.auburnstream.daemon.operator.RollOutProgress
+import org.auburnstream.control.HeldBack
+import org.auburnstream.control.HoldCause
+import org.auburnstream.control.RollOutProgress
 import org.auburnstream.model.DaemonId
 import org.junit.jupiter.api.AfterEach
 import kotlin.random.Random
--- a/cli/src/test/kotlin/org/auburnstream/cli/DaemonStandIn.kt
+++ b/cli/src/test/kotlin/org/auburnstream/cli/DaemonStandIn.kt
@@ -7,11 +7,11 @@
 import kotlinx.coroutines.runBlocking
 import org.auburnstream.api.LeaseView
 import org.auburnstream.api.StatusView
+import org.auburnstream.control.RollOutProgress
 import org.auburnstream.daemon.operator.ControlService
 import org.auburnstream.daemon.operator.OperatorServices
 import org.auburnstream.daemon.operator.Proposal
 import org.auburnstream.daemon.operator.Reading
-import org.auburnstream.daemon.operator.RollOutProgress
 import org.auburnstream.daemon.operator.operatorRoutes
 import org.auburnstream.daemon.state.CommandAnswer
 import org.auburnstream.daemon.state.ReplicatedCommand
--- /dev/null
+++ b/control/src/test/kotlin/org/auburnstream/control/LeaseProtocolTest.kt
@@ -0,0 +1,141 @@
+package org.auburnstream.control
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LeaseProtocolTest {
+    private val policy = LeasePolicy(clockDrift = 0.0)
+    private val daemon = DaemonId("d1")
+
+    @Test
+    fun `under 1000 schedules of faults no daemon acts on old settings and every change is in force within 6 s`() {
+        for (seed in 0 until 1_000) {
+            assertEquals(emptyList(), LeaseSimulation(seed).run(), "seed $seed")
+        }
+    }
+
+    @Test
+    fun `without faults a change is in force within a second`() {
+        val simulation = LeaseSimulation(seed = 1, faults = false)
+        assertEquals(emptyList(), simulation.run())
+        val late = simulation.rollOutTimes.drop(LeasePolicy().duration.inWholeSeconds.toInt() * 2).count {
+            it >
+                1.seconds
+        }
+        assertEquals(0, late, simulation.rollOutTimes.toString())
+    }
+
+    @Test
+    fun `a lease runs from the sending of the renewal and dies while the process is frozen`() {
+        val lease = SettingsLease(incarnation = 7, policy)
+        val renewal = lease.renew(at(0.seconds))
+        lease.onGrant(grant(renewal, commit = 0))
+        assertTrue(lease.isLive(at(2_999.milliseconds)))
+        assertFalse(lease.isLive(at(3.seconds)))
+        lease.onGrant(grant(renewal, commit = 0))
+        assertFalse(lease.isLive(at(60.seconds)), "a doubled grant must not revive the lease")
+    }
+
+    @Test
+    fun `a grant counts only once everything committed before it is applied`() {
+        val lease = SettingsLease(incarnation = 7, policy)
+        lease.onGrant(grant(lease.renew(at(0.seconds)), commit = 5))
+        assertNull(lease.expiry)
+        lease.onApplied(LogIndex(4))
+        assertNull(lease.expiry)
+        lease.onApplied(LogIndex(5))
+        assertEquals(at(3.seconds), lease.expiry)
+    }
+
+    @Test
+    fun `answers to another process or to an unknown renewal are passed over`() {
+        val lease = SettingsLease(incarnation = 7, policy)
+        val renewal = lease.renew(at(0.seconds))
+        lease.onGrant(grant(renewal.copy(incarnation = 8), commit = 0))
+        lease.onGrant(grant(renewal.copy(sequence = 9), commit = 0))
+        assertNull(lease.expiry)
+    }
+
+    @Test
+    fun `renewals are sent at intervals, sooner without an answer and at once after newer settings`() {
+        val lease = SettingsLease(incarnation = 7, policy)
+        val renewal = lease.renew(at(1.seconds))
+        assertEquals(at(1_200.milliseconds), lease.nextRenewal())
+        lease.onGrant(grant(renewal, commit = 0))
+        assertEquals(at(1_500.milliseconds), lease.nextRenewal())
+        lease.onApplied(LogIndex(3))
+        assertEquals(at(1_050.milliseconds), lease.nextRenewal())
+    }
+
+    @Test
+    fun `a leader that no quorum has confirmed for a lease grants nothing`() {
+        val grantor = LeaseGrantor(policy).apply { onLeadership(newTerm = 2, now = at(0.seconds)) }
+        val renewal = LeaseMessage.Renewal(incarnation = 7, sequence = 1, appliedIndex = LogIndex(0))
+        val proof = Leadership(term = 2, commitIndex = LogIndex(1), quorumContact = at(1.seconds))
+        assertEquals(2.seconds, grantor.onRenewal(daemon, renewal, proof, at(2.seconds))?.duration)
+        assertNull(grantor.onRenewal(daemon, renewal, proof, at(4.seconds)))
+        assertNull(grantor.onRenewal(daemon, renewal, proof.copy(term = 1), at(2.seconds)))
+    }
+
+    @Test
+    fun `a change waits for a daemon that has not acknowledged it, and the report names it`() {
+        val grantor = LeaseGrantor(policy).apply { onLeadership(newTerm = 2, now = at(0.seconds)) }
+        val rollOut = RollOut(grantor, policy)
+        renew(grantor, applied = 4, commit = 4, time = 10.seconds)
+        rollOut.onCommitted(LogIndex(5), at(10.seconds))
+        // A renewal that acknowledges nothing new gets a grant that waits for 5, but the earlier lease still lives.
+        renew(grantor, applied = 4, commit = 5, time = 11.seconds)
+        val waiting = rollOut.progress(LogIndex(5), at(12.seconds))
+        assertFalse(waiting.inForce)
+        assertEquals(listOf(HeldBack(daemon, HoldCause.LEASE, 2.seconds)), waiting.heldBackBy)
+        val done = rollOut.progress(LogIndex(5), at(13.seconds))
+        assertEquals(RollOutProgress(true, 3.seconds, listOf(HeldBack(daemon, HoldCause.LEASE, 3.seconds))), done)
+        assertEquals(done, rollOut.progress(LogIndex(5), at(20.seconds)))
+    }
+
+    @Test
+    fun `an acknowledgement puts a change in force at once`() {
+        val grantor = LeaseGrantor(policy).apply { onLeadership(newTerm = 2, now = at(0.seconds)) }
+        val rollOut = RollOut(grantor, policy)
+        renew(grantor, applied = 4, commit = 4, time = 10.seconds)
+        rollOut.onCommitted(LogIndex(5), at(10.seconds))
+        assertFalse(rollOut.progress(LogIndex(5), at(10.seconds)).inForce)
+        renew(grantor, applied = 5, commit = 5, time = 10_200.milliseconds)
+        val done = rollOut.progress(LogIndex(5), at(10_200.milliseconds))
+        assertEquals(listOf(HeldBack(daemon, HoldCause.ACKNOWLEDGEMENT, 200.milliseconds)), done.heldBackBy)
+    }
+
+    @Test
+    fun `a new leader waits for the leases of earlier leaders, but no longer than a lease after the commitment`() {
+        val grantor = LeaseGrantor(policy)
+        val rollOut = RollOut(grantor, policy)
+        rollOut.onCommitted(LogIndex(5), at(8.seconds))
+        grantor.onLeadership(newTerm = 2, now = at(10.seconds))
+        rollOut.onCommitted(LogIndex(6), at(10.seconds))
+        assertEquals(listOf(null), rollOut.progress(LogIndex(5), at(10.seconds)).heldBackBy.map { it.daemon })
+        assertTrue(rollOut.progress(LogIndex(5), at(11.seconds)).inForce)
+        assertFalse(rollOut.progress(LogIndex(6), at(12_999.milliseconds)).inForce)
+        assertTrue(rollOut.progress(LogIndex(6), at(13.seconds)).inForce)
+        assertFalse(rollOut.progress(LogIndex(7), at(60.seconds)).inForce, "nothing is known of index 7")
+    }
+
+    private fun renew(grantor: LeaseGrantor, applied: Long, commit: Long, time: Duration) {
+        val renewal = LeaseMessage.Renewal(incarnation = 7, sequence = 1, appliedIndex = LogIndex(applied))
+        assertNotNull(grantor.onRenewal(daemon, renewal, Leadership(2, LogIndex(commit), at(time)), at(time)))
+    }
+
+    private fun grant(renewal: LeaseMessage.Renewal, commit: Long) =
+        LeaseMessage.Grant(renewal.incarnation, renewal.sequence, 2, LogIndex(commit), 3.seconds)
+
+    private fun at(time: Duration) = MonotonicTime.Zero + time
+}
--- /dev/null
+++ b/control/src/test/kotlin/org/auburnstream/control/LeaseSimulation.kt
@@ -0,0 +1,267 @@
+package org.auburnstream.control
+
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Six daemons that lease their settings from leaders that fail, under virtual time.
+ *
+ * Consensus is an oracle: it names one true leader, elects the next at most 2 s after a failure, and lets only the
+ * true leader commit. A leader that was replaced goes on believing that it leads. Clocks run up to 0.9% off.
+ */
+internal class LeaseSimulation(seed: Int, private val faults: Boolean = true) {
+    private val random = Random(seed)
+    private val policy = LeasePolicy()
+    private val nodes = List(DAEMONS) { Node(DaemonId("d$it"), 1 + random.nextDouble(-0.009, 0.009)) }
+    private val network = ArrayList<Packet>()
+    private val committedAt = ArrayList<Duration>()
+    private val knownInForce = HashMap<Int, Duration>()
+    private val elections = ArrayList<Duration>()
+    private var now = 1.seconds
+    private var term = 1L
+    private var leader: Node? = nodes[0]
+    private var electedAt = now
+    private var nextElection: Duration? = null
+    private var nextCommit = now
+    private var inForce = 0
+    private val violations = ArrayList<String>()
+
+    /** Time from commitment until the true leader knew that the change was in force. */
+    val rollOutTimes = ArrayList<Duration>()
+    var messages = 0
+        private set
+
+    fun run(length: Duration = 22.seconds): List<String> {
+        nodes[0].leads(term)
+        val end = now + length
+        while (now < end && violations.isEmpty()) step(end)
+        checkKnown(end)
+        return violations
+    }
+
+    private fun step(end: Duration) {
+        now += STEP
+        if (faults && now < end - 8.seconds) injectFault()
+        if (leader?.isConnected() == false) loseLeader()
+        elect()
+        commit()
+        deliver()
+        nodes.filter { it.isAwake() }.forEach { it.step() }
+        check()
+    }
+
+    private fun injectFault() {
+        if (random.nextInt(30) != 0) return
+        val node = nodes.random(random)
+        // Of five voters, two may fail at a time; a restarted one counts until it knows again what is committed.
+        if (nodes.count { it.isImpaired() } >= 2 && !node.isImpaired()) return
+        val length = random.nextInt(100, 9_000).milliseconds
+        when (random.nextInt(5)) {
+            0 -> node.frozenUntil = now + length
+            1 -> node.isolatedUntil = now + length
+            2 -> node.deafUntil = now + length
+            3 -> node.muteUntil = now + length
+            else -> node.restart()
+        }
+        if (leader != null && random.nextInt(12) == 0) loseLeader()
+    }
+
+    /** The true leader is replaced; it may go on believing that it leads. */
+    private fun loseLeader() {
+        leader = null
+        nextElection = now + random.nextInt(300, 1_900).milliseconds
+    }
+
+    private fun elect() {
+        val due = nextElection ?: return
+        if (now < due) return
+        val winner = nodes.filter { it.isConnected() }.ifEmpty { return }.random(random)
+        nextElection = null
+        term += 1
+        electedAt = now
+        elections += now
+        leader = winner
+        winner.leads(term)
+    }
+
+    private fun commit() {
+        val current = leader ?: return
+        if (now < nextCommit || now < electedAt + READY) return
+        committedAt += now
+        nextCommit = now + random.nextInt(20, 1_500).milliseconds
+    }
+
+    private fun deliver() {
+        val due = network.filter { it.at <= now }
+        network.removeAll(due.toSet())
+        due.shuffled(random).forEach { packet ->
+            if (packet.to.isAwake()) packet.to.receive(packet) else network += packet.copy(at = packet.to.frozenUntil)
+        }
+    }
+
+    private fun send(from: Node, to: Node, message: LeaseMessage) {
+        messages++
+        if (from === to) return to.receive(Packet(now, from, to, message))
+        val cut = now < from.isolatedUntil || now < to.isolatedUntil || now < from.muteUntil || now < to.deafUntil
+        if (cut || (faults && random.nextInt(20) == 0)) return
+        repeat(if (faults && random.nextInt(20) == 0) 2 else 1) {
+            val late = faults && random.nextInt(20) == 0
+            val delay = if (late) random.nextInt(30, 5_000) else random.nextInt(1, 20)
+            network += Packet(now + delay.milliseconds, from, to, message)
+        }
+    }
+
+    private fun check() {
+        val bound = committedAt.indexOfLast { it <= now - policy.duration * (1 + 2 * policy.clockDrift) } + 1
+        for (node in nodes.filter { it.isAwake() }) {
+            if (!node.lease.isLive(node.clock())) continue
+            if (node.applied < inForce) violations += "$now ${node.id} acts on ${node.applied}, $inForce is in force"
+            if (node.applied <
+                bound
+            ) {
+                violations += "$now ${node.id} acts on ${node.applied}, older than the lease allows: $bound"
+            }
+        }
+    }
+
+    /** A change that saw at most one election must be known to be in force within 6 s. */
+    private fun checkKnown(end: Duration) {
+        committedAt.forEachIndexed { position, at ->
+            if (at + LIMIT > end) return@forEachIndexed
+            val known = knownInForce[position + 1]
+            if (known != null) rollOutTimes += known - at
+            val elected = elections.count { it > at - 2.seconds && it <= at + LIMIT }
+            if (elected <= 1 &&
+                (known == null || known - at > LIMIT)
+            ) {
+                violations +=
+                    "change ${position + 1} of $at known in force at $known"
+            }
+        }
+    }
+
+    private data class Packet(val at: Duration, val from: Node, val to: Node, val message: LeaseMessage)
+
+    private inner class Node(val id: DaemonId, private val rate: Double) {
+        var frozenUntil = Duration.ZERO
+        var isolatedUntil = Duration.ZERO
+        var deafUntil = Duration.ZERO
+        var muteUntil = Duration.ZERO
+        private var restartedAt = -LIMIT
+        var applied = 0
+        lateinit var lease: SettingsLease
+        private lateinit var grantor: LeaseGrantor
+        private lateinit var rollOut: RollOut
+        private var believedTerm: Long? = null
+        private var believedLeader: Node? = null
+        private var contact = MonotonicTime.Zero
+        private var commit = 0
+        private var isReady = false
+
+        init {
+            start()
+        }
+
+        fun clock() = MonotonicTime((now.inWholeNanoseconds * rate).toLong())
+
+        fun isAwake() = now >= frozenUntil
+
+        fun isConnected() = isAwake() && now >= isolatedUntil && now >= deafUntil && now >= muteUntil
+
+        fun isImpaired() = !isConnected() || now < restartedAt + LIMIT
+
+        fun restart() {
+            start()
+            restartedAt = now
+            applied = maxOf(0, applied - random.nextInt(0, 10))
+            commit = applied
+            if (leader === this) loseLeader()
+        }
+
+        private fun start() {
+            lease = SettingsLease(random.nextLong(), policy)
+            grantor = LeaseGrantor(policy)
+            rollOut = RollOut(grantor, policy)
+            believedTerm = null
+        }
+
+        fun leads(term: Long) {
+            believedTerm = term
+            isReady = false
+            grantor.onLeadership(term, clock())
+            rollOut.onLeadershipChanged()
+        }
+
+        fun step() {
+            follow()
+            rollOut.onCommitted(LogIndex(commit.toLong()), clock())
+            rollOut.advance(clock())
+            inForce = maxOf(inForce, rollOut.inForceIndex.value.toInt())
+            lease.onApplied(LogIndex(applied.toLong()))
+            if (clock() >=
+                lease.nextRenewal()
+            ) {
+                believedLeader?.let { send(this, it, lease.renew(clock(), rollOut.inForceIndex)) }
+            }
+            if (believedTerm != null) report()
+        }
+
+        fun receive(packet: Packet) {
+            when (val message = packet.message) {
+                is LeaseMessage.Renewal -> {
+                    rollOut.learn(message.inForceIndex)
+                    // What is committed is known only once an entry of the term is.
+                    if (!isReady) return
+                    val proof = Leadership(believedTerm ?: return, LogIndex(commit.toLong()), contact)
+                    grantor.onRenewal(packet.from.id, message, proof, clock())?.let {
+                        send(this, packet.from, it.copy(inForceIndex = rollOut.inForceIndex))
+                    }
+                }
+                is LeaseMessage.Grant -> {
+                    rollOut.learn(message.inForceIndex)
+                    lease.onGrant(message)
+                }
+                else -> error("not sent here: $message")
+            }
+        }
+
+        private fun follow() {
+            val current = leader ?: return
+            val reached =
+                now >= isolatedUntil && now >= deafUntil && now >= current.isolatedUntil && now >= current.muteUntil
+            if (current === this) {
+                contact = clock() - random.nextInt(0, 60).milliseconds
+                isReady = now >= electedAt + READY
+                if (isReady) commit = committedAt.size
+                applied = maxOf(applied, commit - random.nextInt(0, 2))
+                believedLeader = this
+            } else if (current.isAwake() && reached && random.nextInt(2) == 0) {
+                believedTerm = null
+                believedLeader = current
+                commit = maxOf(commit, current.commit)
+                applied = maxOf(applied, commit - random.nextInt(0, 3))
+            }
+        }
+
+        private fun report() {
+            grantor.prune(clock())
+            for (index in maxOf(1, commit - 12)..commit) {
+                if (!rollOut.progress(LogIndex(index.toLong()), clock()).inForce) continue
+                inForce = maxOf(inForce, index)
+                if (leader === this) knownInForce.putIfAbsent(index, now)
+            }
+        }
+    }
+
+    private companion object {
+        const val DAEMONS = 6
+        val STEP = 20.milliseconds
+        val READY = 30.milliseconds
+        val LIMIT = 6.seconds
+    }
+}
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
@@ -3,12 +3,12 @@
 import kotlinx.coroutines.CoroutineScope
 import org.auburnstream.api.LeaseView
 import org.auburnstream.api.StatusView
+import org.auburnstream.control.RollOutProgress
 import org.auburnstream.daemon.config.DaemonSettings
 import org.auburnstream.daemon.observability.EventLog
 import org.auburnstream.daemon.observability.LogKeys
 import org.auburnstream.daemon.operator.GroupControlService
 import org.auburnstream.daemon.operator.OperatorServices
-import org.auburnstream.daemon.operator.RollOutProgress
 import org.auburnstream.daemon.operator.TokenTable
 import org.auburnstream.daemon.peer.PeerTransport
 import org.auburnstream.daemon.replication.GroupConfiguration
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/ControlService.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/ControlService.kt
@@ -1,10 +1,10 @@
 package org.auburnstream.daemon.operator
 
+import org.auburnstream.control.RollOutProgress
 import org.auburnstream.daemon.replication.RejectReason
 import org.auburnstream.daemon.state.CommandAnswer
 import org.auburnstream.daemon.state.ReplicatedCommand
 import org.auburnstream.daemon.state.StateView
-import org.auburnstream.model.DaemonId
 import org.auburnstream.model.LogIndex
 import kotlin.time.Duration
 
@@ -40,27 +40,3 @@
     /** No quorum confirmed the state in time. */
     public data class Unavailable(val reason: RejectReason) : Reading
 }
-
-/**
- * Progress of a change towards being in force.
- *
- * @property elapsed time since the leader saw the change committed, until it was in force or until now.
- * @property heldBackBy daemons that are or were waited for, the longest wait first.
- */
-public data class RollOutProgress(val inForce: Boolean, val elapsed: Duration, val heldBackBy: List<HeldBack>)
-
-/**
- * A daemon that a change waited for.
- *
- * @property daemon the daemon, or null for the leases granted by earlier leaders.
- */
-public data class HeldBack(val daemon: DaemonId?, val cause: HoldCause, val waited: Duration)
-
-/** What ended, or will end, the wait for a daemon. */
-public enum class HoldCause {
-    /** The daemon acknowledged the change. */
-    ACKNOWLEDGEMENT,
-
-    /** The daemon's lease ran out. */
-    LEASE,
-}
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/GroupControlService.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/GroupControlService.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.operator
 
+import org.auburnstream.control.RollOutProgress
 import org.auburnstream.daemon.replication.ProposeResult
 import org.auburnstream.daemon.replication.ReadResult
 import org.auburnstream.daemon.replication.ReplicatedGroup
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/RollOutViews.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/RollOutViews.kt
@@ -2,6 +2,8 @@
 
 import org.auburnstream.api.HeldBackView
 import org.auburnstream.api.RollOutView
+import org.auburnstream.control.HeldBack
+import org.auburnstream.control.RollOutProgress
 
 /** Turns the progress of a roll-out into messages of the operators' interface. */
 internal object RollOutViews {
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/rollout/RollOutService.kt
@@ -0,0 +1,217 @@
+package org.auburnstream.daemon.rollout
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.auburnstream.control.DaemonLease
+import org.auburnstream.control.LeaseGrantor
+import org.auburnstream.control.LeaseMessage
+import org.auburnstream.control.LeasePolicy
+import org.auburnstream.control.RollOut
+import org.auburnstream.control.RollOutProgress
+import org.auburnstream.control.SettingsLease
+import org.auburnstream.daemon.peer.PeerChannel
+import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.daemon.replication.ReplicaRole
+import org.auburnstream.daemon.replication.ReplicaStatus
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MonotonicTime
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * This daemon's part in the settings leases: holds its own, and grants the others' while it leads.
+ *
+ * One coroutine owns the decisions; [isLive] and [remaining] may be called from anywhere and read the clock anew.
+ *
+ * @param status state of this daemon's replica; its applied index must not run ahead of what readers see.
+ * @param leadership returns the proof that this daemon leads, and null unless an entry of its term is committed.
+ * @param clock reads the monotonic clock.
+ */
+public class RollOutService(
+    private val scope: CoroutineScope,
+    private val transport: PeerTransport,
+    private val status: StateFlow<ReplicaStatus>,
+    private val leadership: LeadershipSource,
+    private val clock: () -> MonotonicTime,
+    random: Random,
+    policy: LeasePolicy = LeasePolicy(),
+) {
+    private val inbox = Channel<Event>(INBOX_CAPACITY)
+    private val lease = SettingsLease(random.nextLong(), policy)
+    private val grantor = LeaseGrantor(policy)
+    private val rollOut = RollOut(grantor, policy)
+    private val queries = HashMap<Long, CompletableDeferred<RollOutProgress>>()
+    private var lastQuery = 0L
+    private var leadingTerm: Long? = null
+    private var renewedTerm: Long? = null
+    private var jobs: List<Job> = emptyList()
+
+    @Volatile
+    private var expiry: MonotonicTime? = null
+
+    @Volatile
+    private var granted: List<DaemonLease> = emptyList()
+
+    /** Whether this daemon may act on its settings now; ask at each use. */
+    public val isLive: Boolean get() = remaining > Duration.ZERO
+
+    /** How long the lease is still live; zero if it is not. */
+    public val remaining: Duration
+        get() = expiry?.let { (it - clock()).coerceAtLeast(Duration.ZERO) } ?: Duration.ZERO
+
+    /** Whether a lease was ever obtained. */
+    public val hadLease: Boolean get() = expiry != null
+
+    /** Leases of all daemons as of the last event; empty unless this daemon leads. */
+    public val leases: List<DaemonLease> get() = granted
+
+    /** Begins to hold and grant leases. */
+    public fun start() {
+        check(jobs.isEmpty()) { "roll-out was started before" }
+        transport.register(PeerChannel.LEASE) { from, payload ->
+            LeaseCodec.decode(payload)?.let { inbox.trySend(Event.Received(from, it)) }
+        }
+        jobs = listOf(scope.launch { status.collect { inbox.send(Event.Wake) } }, scope.launch { run() })
+    }
+
+    /** Ends; the lease is not renewed any more. */
+    public fun stop() {
+        jobs.forEach { it.cancel() }
+    }
+
+    /**
+     * Asks the leader until the change at [index] is in force or [timeout] has passed, and returns the latest progress.
+     */
+    public suspend fun awaitInForce(index: LogIndex, timeout: Duration): RollOutProgress {
+        val begin = clock()
+        var latest = RollOutProgress(inForce = false, elapsed = Duration.ZERO)
+        withTimeoutOrNull(timeout) {
+            while (!latest.inForce) {
+                val answer = CompletableDeferred<RollOutProgress>()
+                inbox.send(Event.Asked(index, answer))
+                latest = withTimeoutOrNull(QUERY_TIMEOUT) { answer.await() } ?: latest
+                if (!latest.inForce) delay(QUERY_INTERVAL)
+            }
+        }
+        // Without any answer the wait itself is all that is known.
+        return if (latest.elapsed == Duration.ZERO &&
+            !latest.inForce
+        ) {
+            latest.copy(elapsed = clock() - begin)
+        } else {
+            latest
+        }
+    }
+
+    private suspend fun run() {
+        while (true) {
+            val pause = (lease.nextRenewal() - clock()).coerceIn(MIN_PAUSE, MAX_PAUSE)
+            val event = withTimeoutOrNull(pause) { inbox.receive() }
+            if (event != null) handle(event)
+            advance()
+        }
+    }
+
+    private fun handle(event: Event) {
+        when (event) {
+            Event.Wake -> Unit
+            is Event.Received -> receive(event.from, event.message)
+            is Event.Asked -> ask(event)
+        }
+    }
+
+    private fun advance() {
+        val replica = status.value
+        val now = clock()
+        followLeadership(replica, now)
+        rollOut.onCommitted(replica.commitIndex, now)
+        rollOut.advance(now)
+        grantor.prune(now)
+        lease.onApplied(replica.appliedIndex)
+        expiry = lease.expiry
+        granted = if (leadingTerm == null) emptyList() else grantor.leases(now)
+        renewIfDue(replica, now)
+    }
+
+    private fun followLeadership(replica: ReplicaStatus, now: MonotonicTime) {
+        val term = replica.term.takeIf { replica.role == ReplicaRole.LEADER }
+        if (term == leadingTerm) return
+        leadingTerm = term
+        rollOut.onLeadershipChanged()
+        if (term == null) grantor.onLeadershipLost() else grantor.onLeadership(term, now)
+    }
+
+    private fun renewIfDue(replica: ReplicaStatus, now: MonotonicTime) {
+        val leader = replica.leader ?: return
+        // A new leader must hear of every daemon soon, or leases run out while nobody is at fault.
+        val isNewLeader = renewedTerm != replica.term
+        if (!isNewLeader && now < lease.nextRenewal()) return
+        renewedTerm = replica.term
+        send(leader, lease.renew(now, rollOut.inForceIndex))
+    }
+
+    private fun receive(from: DaemonId, message: LeaseMessage) {
+        when (message) {
+            is LeaseMessage.Renewal -> onRenewal(from, message)
+            is LeaseMessage.Grant -> {
+                rollOut.learn(message.inForceIndex)
+                lease.onGrant(message)
+            }
+            is LeaseMessage.Query -> {
+                if (leadingTerm == null) return
+                send(from, LeaseMessage.Report(message.query, rollOut.progress(message.index, clock())))
+            }
+            is LeaseMessage.Report -> queries.remove(message.query)?.complete(message.progress)
+        }
+    }
+
+    private fun onRenewal(from: DaemonId, renewal: LeaseMessage.Renewal) {
+        rollOut.learn(renewal.inForceIndex)
+        followLeadership(status.value, clock())
+        val proof = leadership.proof() ?: return
+        val grant = grantor.onRenewal(from, renewal, proof, clock()) ?: return
+        send(from, grant.copy(inForceIndex = rollOut.inForceIndex))
+    }
+
+    private fun ask(event: Event.Asked) {
+        val leader = status.value.leader ?: return
+        lastQuery += 1
+        queries[lastQuery] = event.answer
+        queries.values.removeAll { it.isCompleted || it.isCancelled }
+        while (queries.size > MAX_QUERIES) queries.remove(queries.keys.min())
+        send(leader, LeaseMessage.Query(lastQuery, event.index))
+    }
+
+    private fun send(to: DaemonId, message: LeaseMessage) {
+        if (to == transport.self) {
+            receive(to, message)
+        } else {
+            transport.send(to, PeerChannel.LEASE, LeaseCodec.encode(message))
+        }
+    }
+
+    private sealed interface Event {
+        data object Wake : Event
+
+        class Received(val from: DaemonId, val message: LeaseMessage) : Event
+
+        class Asked(val index: LogIndex, val answer: CompletableDeferred<RollOutProgress>) : Event
+    }
+
+    private companion object {
+        const val INBOX_CAPACITY = 1_024
+        const val MAX_QUERIES = 256
+        val QUERY_INTERVAL = 50.milliseconds
+        val QUERY_TIMEOUT = 300.milliseconds
+        val MIN_PAUSE = 1.milliseconds
+        val MAX_PAUSE = 100.milliseconds
+    }
+}
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/operator/OperatorServer.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/operator/OperatorServer.kt
@@ -6,6 +6,9 @@
 import kotlinx.coroutines.runBlocking
 import org.auburnstream.api.LeaseView
 import org.auburnstream.api.StatusView
+import org.auburnstream.control.HeldBack
+import org.auburnstream.control.HoldCause
+import org.auburnstream.control.RollOutProgress
 import org.auburnstream.daemon.state.ReplicatedState
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.OperatorId
