--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -3,6 +3,8 @@
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.auburnstream.daemon.caller.CallerServer
 import org.auburnstream.daemon.caller.CallerSettings
 import org.auburnstream.daemon.caller.RouterDriver
@@ -34,6 +36,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The way of a request through this daemon: callers' listener, routing and the exchange with targets. */
 internal class RequestPath(
@@ -41,10 +44,10 @@
     private val scope: CoroutineScope,
     selector: SelectorManager,
     private val transport: PeerTransport,
-    control: ControlPlane,
+    private val control: ControlPlane,
     ledger: LedgerPlane,
     metrics: DaemonMetrics,
-    clock: () -> MonotonicTime,
+    private val clock: () -> MonotonicTime,
     poolOf: (ServiceId) -> PoolId?,
     onAnnouncement: (Announcement) -> Unit,
 ) {
@@ -140,9 +143,19 @@
             creditCodec.decodeOrNull(payload)?.let { driver.input(RoutingInput.CreditReceived(from, it)) }
         }
         ticks = driver.start(scope)
+        scope.launch { followLease() }
         return callers.start()
     }
 
+    /** Queued requests are given up when the lease runs out, so the router must know its end. */
+    private suspend fun followLease() {
+        while (true) {
+            val remaining = control.leaseRemaining
+            if (remaining.isPositive()) driver.input(RoutingInput.SettingsLeaseRenewed(clock() + remaining))
+            delay(LEASE_INTERVAL)
+        }
+    }
+
     /** Begins to listen for announcements and returns the bound port. */
     suspend fun startTargets(): Int = targets.start()
 
@@ -159,6 +172,10 @@
         gateway.close()
         tracing.close()
     }
+
+    private companion object {
+        val LEASE_INTERVAL = 250.milliseconds
+    }
 }
 
 /** Gives requests ids that no other process gives: the daemon's id, a random part for each start, and a count. */
