Test targets that break the exchange on real sockets, and read chunks strictly

Cause: answers that are late, doubled, truncated or of a wrong length were untested. Found, seen to fail first: Ktor's decoder takes a connection that ends inside a chunk for the end of the body, so a truncated answer was passed on as a whole one of status 200 (TargetExchangeTest, case 'truncated chunk', and the streamed answer, which also kept the caller waiting). ChunkedBody reads chunks strictly, for answers and requests. A freeze was also suspected between the start of a router and its first input; only gaps between inputs count now. Conclusion: an answer is whole only if its frame was received to the end and its id is not another request's.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/Problem.kt
@@ -45,7 +45,7 @@
             type = TYPE_PREFIX + reason.name.kebab(),
             title = reason.title(),
             status = reason.status().value,
-            outcome = NOT_RUN,
+            outcome = if (reason == NotRunReason.KEY_IN_PROGRESS) IN_PROGRESS else NOT_RUN,
             request = id.value,
             retryAfterMs = retryAfter.inWholeMilliseconds,
         )
@@ -57,6 +57,7 @@
             status = unknownStatus(reason).value,
             outcome = OUTCOME_UNKNOWN,
             request = id.value,
+            retryAfterMs = KEY_RETRY_MS.takeIf { reason == UnknownReason.KEY_NOT_RECORDED },
         )
 
         /** Problem of a request that was not understood. */
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RequestReader.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RequestReader.kt
@@ -2,18 +2,14 @@
 
 import io.ktor.http.cio.HttpHeadersMap
 import io.ktor.http.cio.Request
-import io.ktor.http.cio.decodeChunked
 import io.ktor.http.cio.parseRequest
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.cancel
 import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.io.readByteArray
+import org.auburnstream.daemon.http.ChunkedBody
 import org.auburnstream.daemon.http.HeadTooLargeException
 import org.auburnstream.daemon.http.HeadTruncatedException
 import org.auburnstream.daemon.http.awaitHead
@@ -27,6 +23,7 @@
 import org.auburnstream.model.Urgency
 import org.auburnstream.model.isValidId
 import org.auburnstream.routing.RoutingInput
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -102,20 +99,18 @@
     }
 
     private suspend fun readChunked(): ByteArray {
-        val body =
-            malformedOnFailure {
-                coroutineScope {
-                    val decoded = decodeChunked(input, UNKNOWN_LENGTH).channel
-                    val bytes = decoded.readRemaining(settings.bodyBytes + 1L).readByteArray()
-                    if (bytes.size > settings.bodyBytes) decoded.cancel()
-                    bytes
-                }
-            }
-        if (body.size > settings.bodyBytes) invalid(RequestFault.BODY_TOO_LARGE)
-        return body
+        val chunks = ChunkedBody(input)
+        val body = ByteArrayOutputStream()
+        val part = ByteArray(PART_BYTES)
+        while (true) {
+            val count = malformedOnFailure { chunks.read(part, 0, part.size) }
+            if (count < 0) return body.toByteArray()
+            if (body.size() + count > settings.bodyBytes) invalid(RequestFault.BODY_TOO_LARGE)
+            body.write(part, 0, count)
+        }
     }
 
-    private suspend fun malformedOnFailure(read: suspend () -> ByteArray): ByteArray = try {
+    private suspend fun <T> malformedOnFailure(read: suspend () -> T): T = try {
         read()
     } catch (e: CancellationException) {
         throw e
@@ -162,7 +157,7 @@
     }
 
     private companion object {
-        const val UNKNOWN_LENGTH = -1L
+        const val PART_BYTES = 8 * 1024
         val PrintableAscii = 0x21..0x7e
     }
 }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/target/AnswerReader.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/target/AnswerReader.kt
@@ -2,13 +2,12 @@
 
 import io.ktor.http.cio.HttpHeadersMap
 import io.ktor.http.cio.Response
-import io.ktor.http.cio.decodeChunked
 import io.ktor.http.cio.parseResponse
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readByteArray
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.coroutineScope
+import org.auburnstream.daemon.http.ChunkedBody
 import org.auburnstream.daemon.http.awaitHead
 import org.auburnstream.model.RequestId
 import org.auburnstream.model.UnknownReason
@@ -105,15 +104,14 @@
     private suspend fun readChunked(
         answer: (AnswerBody) -> TargetAnswer,
         stream: suspend (TargetAnswer) -> Unit,
-    ): TargetAnswer = coroutineScope {
-        val decoded = decodeChunked(input, UNKNOWN_LENGTH).channel
+    ): TargetAnswer {
+        val chunks = ChunkedBody(input)
         val held = ByteArray(settings.heldBytes + 1)
-        val count = truncatedOnFailure { decoded.fill(held) }
-        if (count <= settings.heldBytes) {
-            answer(AnswerBody.Whole(held.copyOf(count)))
-        } else {
-            answer(ChunkedStream(held, decoded, settings.answerBytes)).also { stream(it) }
-        }
+        val count = truncatedOnFailure { chunks.fill(held) }
+        if (count <= settings.heldBytes) return answer(AnswerBody.Whole(held.copyOf(count)))
+        val streamed = answer(ChunkedStream(held, chunks, settings.answerBytes))
+        stream(streamed)
+        return streamed
     }
 
     private companion object {
@@ -149,14 +147,14 @@
     }
 }
 
-private class ChunkedStream(private val held: ByteArray, private val rest: ByteReadChannel, private val limit: Long) :
+private class ChunkedStream(private val held: ByteArray, private val rest: ChunkedBody, private val limit: Long) :
     AnswerBody.Stream(length = null) {
     override suspend fun forEachPart(block: suspend (bytes: ByteArray, count: Int) -> Unit) {
         block(held, held.size)
         val part = ByteArray(PART_BYTES)
         var total = held.size.toLong()
         while (true) {
-            val count = truncatedOnFailure { rest.readAvailable(part, 0, part.size) }
+            val count = truncatedOnFailure { rest.read(part, 0, part.size) }
             if (count < 0) return
             total += count
             if (total > limit) throw TruncatedAnswerException(UnknownReason.MALFORMED_ANSWER)
@@ -165,17 +163,6 @@
     }
 }
 
-/** Reads until [bytes] is full or the channel ends, and returns the number of bytes read. */
-private suspend fun ByteReadChannel.fill(bytes: ByteArray): Int {
-    var count = 0
-    while (count < bytes.size) {
-        val read = readAvailable(bytes, count, bytes.size - count)
-        if (read < 0) return count
-        count += read
-    }
-    return count
-}
-
 private suspend fun <T> truncatedOnFailure(read: suspend () -> T): T = try {
     read()
 } catch (e: CancellationException) {
@@ -184,5 +171,4 @@
     throw TruncatedAnswerException(UnknownReason.CONNECTION_LOST)
 }
 
-private const val UNKNOWN_LENGTH = -1L
 private const val PART_BYTES = 16 * 1024
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/caller/RequestPath.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/caller/RequestPath.kt
@@ -27,12 +27,13 @@
 import java.net.http.HttpResponse
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
 
 /** The request path of one daemon in this process, on real sockets with free ports. */
 class RequestPath(
     callers: CallerSettings = CallerSettings(),
     targets: TargetSettings = TargetSettings(),
-    routing: RoutingSettings = RoutingSettings(),
+    routing: RoutingSettings = RoutingSettings(freezeGap = 60.seconds, announcementExpiry = 60.seconds),
     wrap: (RequestHandler) -> RequestHandler = { it },
 ) : AutoCloseable {
     private val scope = CoroutineScope(Dispatchers.Default)
--- a/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
@@ -38,7 +38,7 @@
     private val dispatch = Dispatch(state, completion)
     private val admission = Admission(state, completion, dispatch, ::askForCredits)
 
-    private var lastInput = start
+    private var lastInput: MonotonicTime? = null
 
     /** Requests without a final result. */
     public val pending: Int get() = state.requests.size
@@ -63,7 +63,7 @@
     /** Takes in what happened at [now] and returns what to do. */
     public fun handle(input: RoutingInput, now: MonotonicTime): List<RoutingEffect> {
         state.effects.clear()
-        if (now - lastInput > state.settings.freezeGap) state.targets.distrust(now)
+        lastInput?.let { if (now - it > state.settings.freezeGap) state.targets.distrust(now) }
         lastInput = now
         checkLease(now)
         when (input) {
