--- a/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.PoolId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -14,12 +15,14 @@
  * @property lossHoldOff age of a loss from which on it leads to a move.
  * @property surplusHoldOff time for which a pool must have had a surplus before a VM is taken back.
  * @property minStay least time between two moves of one VM.
+ * @property maxStay longest time for which a VM that was moved during a wave stays because the wave goes on.
  * @property expectsReturns true to count VMs under maintenance as available, since they are back soon.
  */
 public data class MoveTimings(
     val lossHoldOff: Duration = 30.seconds,
     val surplusHoldOff: Duration = 30.minutes,
     val minStay: Duration = 1.hours,
+    val maxStay: Duration = 7.days,
     val expectsReturns: Boolean = true,
 ) {
     public companion object {
@@ -27,7 +30,8 @@
         public val Default: MoveTimings = MoveTimings()
 
         /** Moves at once whenever a pool has too few or too many VMs; a baseline for experiments. */
-        public val Undamped: MoveTimings = MoveTimings(Duration.ZERO, Duration.ZERO, Duration.ZERO, false)
+        public val Undamped: MoveTimings =
+            MoveTimings(Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO, false)
     }
 }
 
@@ -55,12 +59,14 @@
             BufferPlanner.needOf(state).shared - state.vmsOf(spare.id) { it.phase.willServe }.size
         }
         val moves = mutableListOf<FleetCommand.StartDrain>()
-        val lenders = state.vmsOf(spare.id) { it.phase is VmPhase.Active }.toMutableList()
+        val waveSince = state.waves.values.filter { it.status == WaveStatus.RUNNING }.minOfOrNull { it.startedAt }
+        val mayMove = { vm: Vm -> vm.phase is VmPhase.Active && vm.mayMove(at, waveSince) }
+        val lenders = state.vmsOf(spare.id, mayMove).toMutableList()
         for (pool in state.pools.values.filter { it.services.isNotEmpty() }) {
             val balance = PoolBalance(state, pool, at, timings, extraDemand(pool, at))
             if (balance.deficit > 0) lend(lenders, balance, moves)
             if (balance.surplus > 0 && balance.inbound == 0 && missing > 0) {
-                takeBack(spare, balance, missing, at, now)?.let(moves::add)
+                takeBack(spare, balance, missing, now, mayMove)?.let(moves::add)
             } else {
                 surplusSince.remove(pool.id)
             }
@@ -83,20 +89,25 @@
         spare: Pool,
         balance: PoolBalance,
         missing: Int,
-        at: Instant,
         now: MonotonicTime,
+        mayMove: (Vm) -> Boolean,
     ): FleetCommand.StartDrain? {
         val waited = now - surplusSince.getOrPut(balance.pool.id) { now }
         if (waited < timings.surplusHoldOff) return null
         val racks = balance.members.groupingBy { it.domain }.eachCount()
-        val candidates = balance.members.filter { it.phase is VmPhase.Active && it.mayMove(at) }
+        val candidates = balance.members.filter(mayMove)
         val vm = candidates.maxByOrNull { racks.getValue(it.domain) } ?: return null
         val reason = MoveReason.Surplus(balance.surplus, missing, waited)
         surplusSince.remove(balance.pool.id)
         return FleetCommand.StartDrain(vm.id, DrainPurpose.Move(spare.id, reason))
     }
 
-    private fun Vm.mayMove(at: Instant): Boolean = lastMove?.let { at - it.at >= timings.minStay } ?: true
+    /** A VM moves at most once during a wave, so that the wave is not paid for with moves to and fro. */
+    private fun Vm.mayMove(at: Instant, waveSince: Instant?): Boolean {
+        val movedAt = lastMove?.at ?: return true
+        val isMovedInWave = waveSince != null && movedAt >= waveSince
+        return at - movedAt >= if (isMovedInWave) timings.maxStay else timings.minStay
+    }
 }
 
 /** VMs that a pool has, will have and needs. */
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/CapacityTest.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/CapacityTest.kt
@@ -52,6 +52,20 @@
         assertIs<MoveReason.Surplus>((moves.last().purpose as DrainPurpose.Move).reason)
     }
 
+    @Test
+    fun `a wave is covered by one VM for each pool and moves no VM twice`() {
+        fleet.build(pools = 2, size = 4, spares = 2)
+        fleet.startWave(listOf(pool(1), pool(2)))
+        repeat(300) { turn ->
+            if (turn == 100) fleet.apply(FleetCommand.ReportLost(vm(5), 1))
+            if (turn == 150) fleet.apply(FleetCommand.RegisterVm(announcement(5, pool(2))))
+            step(1.minutes)
+        }
+        assertEquals(2, moves.size)
+        assertTrue(moves.all { (it.purpose as DrainPurpose.Move).reason is MoveReason.WaveCover })
+        assertEquals(2, moves.map { it.vm }.toSet().size)
+    }
+
     @Test
     fun `a flapping VM moves nothing and the shared buffer is smaller than the sum`() {
         fleet.build(pools = 3, size = 4, spares = 3)
