--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/OperatorViews.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/OperatorViews.kt
@@ -3,12 +3,10 @@
 import org.auburnstream.api.ChangeView
 import org.auburnstream.api.EditRequest
 import org.auburnstream.api.EffectiveChangeView
-import org.auburnstream.api.HeldBackView
 import org.auburnstream.api.HistoryView
 import org.auburnstream.api.NodeView
 import org.auburnstream.api.NodesView
 import org.auburnstream.api.PreviewView
-import org.auburnstream.api.RollOutView
 import org.auburnstream.api.SettingKeyView
 import org.auburnstream.api.SettingKeysView
 import org.auburnstream.api.SettingView
@@ -70,15 +68,6 @@
     fun history(state: ControlState, records: List<ChangeRecord>): HistoryView =
         HistoryView(state.version.value, state.history.oldestVersion?.value, records.map(::record))
 
-    fun rollOut(progress: RollOutProgress): RollOutView = RollOutView(
-        inForce = progress.inForce,
-        millis = progress.elapsed.inWholeMilliseconds,
-        heldBackBy =
-        progress.heldBackBy.map {
-            HeldBackView(it.daemon?.value ?: "*", it.cause.name.lowercase(), it.waited.inWholeMilliseconds)
-        },
-    )
-
     private fun key(key: SettingKey<*>): SettingKeyView = SettingKeyView(
         key = key.name,
         type = key.type.name,
