Report drains by the placement that the request path has taken over

A daemon reported its requests in progress under the revision of the placement that was last applied. The request path takes a placement over a little later, so a request could be sent to a draining VM after the daemon had reported it idle, and the stop would have cut it off. The report now carries the revision that the request path has taken over.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/FleetPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/FleetPlane.kt
@@ -14,6 +14,7 @@
 import org.auburnstream.daemon.peer.PeerTransport
 import org.auburnstream.fleet.FleetCommand
 import org.auburnstream.fleet.FleetNotice
+import org.auburnstream.fleet.FleetRevision
 import org.auburnstream.fleet.PlacedState
 import org.auburnstream.fleet.Placement
 import org.auburnstream.model.Announcement
@@ -44,6 +45,10 @@
     @Volatile
     private var carriers: Map<ServiceId, Set<PoolId>> = emptyMap()
 
+    /** Revision of the placement that the request path has taken over. */
+    @Volatile
+    private var adopted = FleetRevision.Zero
+
     private val self = OperatorId(settings.id.value)
     private val shell =
         FleetShell(
@@ -53,6 +58,7 @@
             FleetServices(
                 leader = { control.status.leader },
                 propose = { control.proposeFleet(self, it) },
+                adoptedRevision = { adopted },
                 inProgress = inProgress,
                 leaseEndOf = control::leaseEndOf,
                 clock = clock,
@@ -83,7 +89,12 @@
     /** Starts the reports and, while this daemon leads, the plans; calls [onPlacement] with each new placement. */
     fun start(scope: CoroutineScope, onPlacement: (RoutingPlacement?) -> Unit) {
         shell.start(scope)
-        scope.launch { placement.collect { onPlacement(follow(it)) } }
+        scope.launch {
+            placement.collect {
+                onPlacement(follow(it))
+                adopted = it.revision
+            }
+        }
         scope.launch { register() }
     }
 
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/fleet/FleetShell.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/fleet/FleetShell.kt
@@ -12,6 +12,7 @@
 import org.auburnstream.fleet.FleetCommand
 import org.auburnstream.fleet.FleetNotice
 import org.auburnstream.fleet.FleetResult
+import org.auburnstream.fleet.FleetRevision
 import org.auburnstream.fleet.FleetTimings
 import org.auburnstream.model.Announcement
 import org.auburnstream.model.DaemonId
@@ -26,8 +27,10 @@
  *
  * @property leader the daemon that leads the control group as far as this one knows, or null.
  * @property propose proposes a command to the control group and waits for its result.
- * @property inProgress VMs that this daemon has a request in progress on. A request must be counted before its
- *   VM is checked against the placement, so that none that was let through is missed.
+ * @property adoptedRevision revision of the placement that the request path chooses VMs by, which can be older than
+ *   the one that was last applied. A request chosen by an older placement must already be counted by [inProgress]
+ *   once this returns the newer revision, or a drain could end under it.
+ * @property inProgress VMs that this daemon has a request in progress on.
  * @property leaseEndOf latest end of the settings lease that a daemon can hold, on this process's clock; on a new
  *   leader, one lease length after it began to lead.
  * @property onNotice receives what operators should see; called for each plan that still finds it.
@@ -35,6 +38,7 @@
 public class FleetServices(
     public val leader: () -> DaemonId?,
     public val propose: suspend (FleetCommand) -> FleetProposal,
+    public val adoptedRevision: () -> FleetRevision,
     public val inProgress: () -> Set<VmId>,
     public val leaseEndOf: (DaemonId) -> MonotonicTime,
     public val clock: () -> MonotonicTime,
@@ -95,8 +99,8 @@
 
     private fun report() {
         val leader = services.leader() ?: return
-        // The revision is read before the requests in progress: see FleetServices.inProgress.
-        val revision = host.placement.value.revision
+        // The revision is read before the requests in progress: see FleetServices.adoptedRevision.
+        val revision = services.adoptedRevision()
         val report = DrainReport(transport.self, sequence++, revision, services.inProgress())
         val messages = relay.take(leader) + FleetMessage.Drain(report)
         for (message in messages) {
