--- a/testkit/src/test/kotlin/org/auburnstream/testkit/docs/OperatingPageTest.kt
+++ b/testkit/src/test/kotlin/org/auburnstream/testkit/docs/OperatingPageTest.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.testkit.docs
 
+import org.auburnstream.control.SettingKeys
 import org.auburnstream.daemon.config.DaemonSettingDefinitions
 import org.auburnstream.daemon.observability.DaemonMetricDefinitions
 import org.auburnstream.testkit.golden.GoldenFile
@@ -16,6 +17,27 @@
         },
     )
 
+    @Test
+    fun operatorsSettingsAreThoseOfTheRegistry() = assertTable(
+        section = "operators' settings",
+        header = listOf("Key", "Values", "Unit", "Default", "Levels", "Meaning"),
+        rows = SettingKeys.all.map { key ->
+            val levels = key.levels.joinToString { it.name.lowercase().replace('_', ' ') }
+            val perTeam = if (key.perTeam) "; also for one team as `${key.name}:team`" else ""
+            val default = key.format(key.defaultValue)
+            listOf(
+                "`${key.name}`",
+                key.type.range,
+                key.unit.ifEmpty {
+                    "-"
+                },
+                default,
+                levels,
+                key.description + perTeam,
+            )
+        },
+    )
+
     @Test
     fun metricsAreThoseOfTheRegistry() = assertTable(
         section = "metrics",
