Cover losses before waves and lend only where a budget is tight

Cause: during a wave every pool borrowed a spare VM for ten-minute outages, and a loss of hours then found none.

A wave is now covered only in pools whose budget could not bear the rest of the wave twice, losses come first, and a pool that has a borrowed VM too many passes it on by one move instead of two.

--- a/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
@@ -22,7 +22,7 @@
     val lossHoldOff: Duration = 30.seconds,
     val surplusHoldOff: Duration = 30.minutes,
     val minStay: Duration = 1.hours,
-    val maxStay: Duration = 7.days,
+    val maxStay: Duration = 1.days,
     val expectsReturns: Boolean = true,
 ) {
     public companion object {
@@ -41,8 +41,8 @@
 /**
  * Lends VMs of the spare pool to pools that are short, and takes them back.
  *
- * A move costs a drain and a change of software, so [timings] damp it, and a wave is covered by one borrowed VM for
- * each pool, not by one for each VM that it maintains.
+ * A move costs a drain and a change of software, so [timings] damp it. Losses are covered first; a wave is covered by
+ * one borrowed VM for each pool whose budget could not bear the rest of the wave twice.
  *
  * @param extraDemand VMs that a pool asks for above its target at the moment.
  */
@@ -62,18 +62,29 @@
         val waveSince = state.waves.values.filter { it.status == WaveStatus.RUNNING }.minOfOrNull { it.startedAt }
         val mayMove = { vm: Vm -> vm.phase is VmPhase.Active && vm.mayMove(at, waveSince) }
         val lenders = state.vmsOf(spare.id, mayMove).toMutableList()
-        for (pool in state.pools.values.filter { it.services.isNotEmpty() }) {
-            val balance = PoolBalance(state, pool, at, timings, extraDemand(pool, at))
-            if (balance.deficit > 0) lend(lenders, balance, moves)
+        val balances =
+            state.pools.values
+                .filter { it.services.isNotEmpty() }
+                .map { PoolBalance(state, it, at, timings, extraDemand(it, at)) }
+        // A loss lasts for hours and an outage for minutes, so losses are covered first.
+        balances.filter { it.deficit > 0 }.sortedBy { it.reason is MoveReason.WaveCover }.forEach { balance ->
+            if (lenders.isEmpty() && balance.reason is MoveReason.Shortfall) lenders += surplusOf(balances, mayMove)
+            lend(lenders, balance, moves)
+        }
+        for (balance in balances) {
             if (balance.surplus > 0 && balance.inbound == 0 && missing > 0) {
                 takeBack(spare, balance, missing, now, mayMove)?.let(moves::add)
             } else {
-                surplusSince.remove(pool.id)
+                surplusSince.remove(balance.pool.id)
             }
         }
         return moves
     }
 
+    /** With no spare VM left, a pool that still has a borrowed one too many passes it on by one move instead of two. */
+    private fun surplusOf(balances: List<PoolBalance>, mayMove: (Vm) -> Boolean): List<Vm> =
+        balances.filter { it.surplus > 0 }.flatMap { it.members.filter(mayMove).take(it.surplus) }
+
     /** Chooses the lender whose rack holds the fewest VMs of the borrower. */
     private fun lend(lenders: MutableList<Vm>, balance: PoolBalance, moves: MutableList<FleetCommand.StartDrain>) {
         val racks = balance.members.groupingBy { it.domain }.eachCount()
@@ -130,7 +141,13 @@
             !it.phase.isOverdue
     }
     private val wave = state.waves.values.firstOrNull { wave -> wave.isRunningOver(members) }
-    private val cover = if (wave != null && timings.expectsReturns) MAINTENANCE_COVER else 0
+    private val cover = if (wave != null && timings.expectsReturns &&
+        isBudgetTight(state, wave, at)
+    ) {
+        MAINTENANCE_COVER
+    } else {
+        0
+    }
     private val expected = available + inbound + underMaintenance + recentlyLost
 
     val deficit: Int = (target + cover - expected).coerceAtLeast(0)
@@ -150,6 +167,20 @@
                 )
         }
 
+    /** Whether the rest of the wave could use up more than a part of what is left of a budget of the pool. */
+    private fun isBudgetTight(state: FleetState, wave: Wave, at: Instant): Boolean {
+        val pending = members.count { it.id in wave.pending }
+        return pool.services.mapNotNull { state.budgetOf(it, at) }.any { status ->
+            val budget = status.spec.budget
+            val needed = budget.maxOutage * pending
+            budget.allowance - status.spent.total < needed * COVER_MARGIN
+        }
+    }
+
+    private companion object {
+        const val COVER_MARGIN = 2
+    }
+
     private fun VmPhase.isRecentLoss(at: Instant): Boolean = this is VmPhase.Lost && at - since < timings.lossHoldOff
 
     private fun Wave.isRunningOver(members: List<Vm>): Boolean =
