Agree on the live daemons, so that a dead daemon's slots are lent to the others

Cause: the credits of targets whose allocator died were lost until it came back. The leader replicates who holds a lease; a daemon is left out only after its lease has certainly run out.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.launch
 import org.auburnstream.api.DaemonLeaseView
 import org.auburnstream.api.LeaseView
@@ -79,8 +80,12 @@
             random = operationRandom,
         )
     private val service = GroupControlService(group, state, rollOut = rollOut::awaitInForce)
+    private val configured = transport.peers + settings.id
     private val leaseEnds = LeaseEnds(LONGEST_LEASE)
 
+    /** Latest and later states, each after a command. */
+    val views: StateFlow<StateView> get() = state.view
+
     /** Settings and fleet as replicated here. */
     val view: StateView get() = state.view.value
 
@@ -109,11 +114,26 @@
     private suspend fun sampleLeases() {
         while (true) {
             val replica = status
-            leaseEnds.sample(replica.term.takeIf { replica.role == ReplicaRole.LEADER }, rollOut.leases, clock())
+            val leads = replica.role == ReplicaRole.LEADER
+            leaseEnds.sample(replica.term.takeIf { leads }, rollOut.leases, clock())
+            if (leads) agreeOnLiveDaemons()
             delay(SAMPLE_INTERVAL)
         }
     }
 
+    /** Leaves out a daemon once its lease has certainly run out, and takes it back when it holds one again. */
+    private suspend fun agreeOnLiveDaemons() {
+        val now = clock()
+        val known = view.daemons.live ?: configured
+        val holders = rollOut.leases.mapTo(HashSet()) { it.daemon }
+        val live = configured.filterTo(sortedSetOf()) { it in holders || it in known && now < leaseEnds.endOf(it, now) }
+        if (live == known) return
+        log.info("live_daemons_changed", LogKeys.Detail of live.joinToString(","))
+        val at = Clock.System.now()
+        val operation = OperationIds.create(at, operationRandom)
+        service.propose(ReplicatedCommand(operation, OperatorId(settings.id.value), at, CommandBody.Daemons(live)))
+    }
+
     suspend fun close() {
         rollOut.stop()
         group.stop()
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -14,6 +14,7 @@
 import org.auburnstream.daemon.peer.PeerChannel
 import org.auburnstream.daemon.peer.PeerCodec
 import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.daemon.state.LiveDaemons
 import org.auburnstream.daemon.state.StateView
 import org.auburnstream.daemon.target.TargetGateway
 import org.auburnstream.daemon.target.TargetListener
@@ -55,11 +56,12 @@
     private val epoch = System.currentTimeMillis()
     private val tracing = RequestTracing(settings.traceExport)
     private val gateway = TargetGateway(selector, clock)
+    private val configured = transport.peers + settings.id
     private val router =
         Router(
             self = settings.id,
             dataCentre = settings.dataCentre,
-            view = DaemonView(version = 1, configured = transport.peers + settings.id),
+            view = DaemonView(version = 0, configured = configured, leased = true),
             epoch = epoch,
             start = clock(),
             random = Random(settings.seed),
@@ -108,6 +110,7 @@
             driver.announce(it).also { follow(control.view) }
         })
     private val followed = ConcurrentHashMap<ServiceId, ServicePolicy>()
+    private var followedDaemons = 0L
     private var ticks: Job? = null
 
     /** Load of this daemon by service. */
@@ -122,8 +125,9 @@
     /** VMs that this daemon has a request in progress on. */
     fun busyVms(): Set<VmId> = driver.targets().filter { it.inUse > 0 }.mapTo(HashSet()) { it.vm }
 
-    /** Brings the services' policies up to date with the settings in [view]. */
-    fun follow(view: StateView) {
+    /** Brings the router up to date with the replicated state [view]. */
+    private fun follow(view: StateView) {
+        followDaemons(view.daemons)
         for (load in driver.load()) {
             val policy = policies.policy(view, load.service)
             if (followed.put(load.service, policy) != policy) {
@@ -132,6 +136,14 @@
         }
     }
 
+    @Synchronized
+    private fun followDaemons(daemons: LiveDaemons) {
+        if (daemons.version == followedDaemons) return
+        followedDaemons = daemons.version
+        val live = daemons.live ?: configured
+        driver.input(RoutingInput.DaemonsChanged(DaemonView(daemons.version, configured, live, leased = true)))
+    }
+
     /** Routes by [placement] from now on; null accepts what targets announce. */
     fun place(placement: Placement?) {
         driver.input(RoutingInput.PlacementChanged(placement))
@@ -144,6 +156,7 @@
         }
         ticks = driver.start(scope)
         scope.launch { followLease() }
+        scope.launch { control.views.collect { follow(it) } }
         return callers.start()
     }
 
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingsHandlers.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingsHandlers.kt
@@ -144,7 +144,9 @@
                 is ControlResult.Changed -> Reply.of(ChangeAnswer.serializer(), success(result))
                 else -> refusal(result)
             }
-        is CommandAnswer.Fleet, CommandAnswer.Unreadable -> Reply.Failure(OperatorErrors.unreadable())
+        is CommandAnswer.Fleet, CommandAnswer.Daemons, CommandAnswer.Unreadable -> Reply.Failure(
+            OperatorErrors.unreadable(),
+        )
     }
 
     private suspend fun read(next: suspend (ControlState) -> Reply): Reply = when (val reading = control.read()) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedCommand.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedCommand.kt
@@ -7,6 +7,7 @@
 import org.auburnstream.control.OperationProblem
 import org.auburnstream.fleet.FleetCommand
 import org.auburnstream.fleet.FleetResult
+import org.auburnstream.model.DaemonId
 import org.auburnstream.model.OperationId
 import org.auburnstream.model.OperatorId
 import kotlin.time.Instant
@@ -38,6 +39,11 @@
     @Serializable
     @SerialName("fleet")
     public data class Fleet(val command: FleetCommand) : CommandBody
+
+    /** The daemons whose settings lease may be live are now [live]. */
+    @Serializable
+    @SerialName("daemons")
+    public data class Daemons(val live: Set<DaemonId>) : CommandBody
 }
 
 /** Answer of the replicated state to one command. */
@@ -53,6 +59,11 @@
     @SerialName("fleet")
     public data class Fleet(val result: FleetResult) : CommandAnswer
 
+    /** The live daemons were set. */
+    @Serializable
+    @SerialName("daemons")
+    public data object Daemons : CommandAnswer
+
     /** The command was not run, because of its operation id. */
     @Serializable
     @SerialName("refused")
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
@@ -32,21 +32,22 @@
 ) : StateMachine {
     private val operations = OperationTable(policy)
     private var control = ControlState()
-    private val published = MutableStateFlow(StateView(LogIndex(0), control))
+    private var daemons = LiveDaemons()
+    private val published = MutableStateFlow(StateView(LogIndex(0), control, daemons))
 
     /** State after the last applied command. */
     public val view: StateFlow<StateView> = published.asStateFlow()
 
     override fun apply(index: LogIndex, command: ByteArray): ByteArray {
         val decoded = StateCodec.decode(ReplicatedCommand.serializer(), command)
-        val answer = if (decoded == null) encode(CommandAnswer.Unreadable) else run(decoded)
+        val answer = if (decoded == null) encode(CommandAnswer.Unreadable) else run(index, decoded)
         // The index moves with every command, also a refused one: leases wait for it.
-        published.value = StateView(index, control)
+        published.value = StateView(index, control, daemons)
         return answer
     }
 
     override fun snapshot(): ByteArray {
-        val snapshot = StateSnapshot(control.snapshot(), operations.snapshot(), fleet.snapshot())
+        val snapshot = StateSnapshot(control.snapshot(), operations.snapshot(), fleet.snapshot(), daemons)
         return StateCodec.encode(StateSnapshot.serializer(), snapshot)
     }
 
@@ -58,23 +59,24 @@
         operations.restore(decoded.operations)
         control = ControlState.of(decoded.control)
         fleet.restore(decoded.fleet)
-        published.value = StateView(index, control)
+        daemons = decoded.daemons
+        published.value = StateView(index, control, daemons)
     }
 
-    private fun run(command: ReplicatedCommand): ByteArray {
+    private fun run(index: LogIndex, command: ReplicatedCommand): ByteArray {
         val content = contentOf(command)
         return when (val admission = operations.admit(command.operation, content, command.proposedAt)) {
             is Admission.Repeated -> admission.answer
             is Admission.Refused -> encode(CommandAnswer.Refused(admission.problem))
             is Admission.First -> {
-                val answer = encode(runBody(command))
+                val answer = encode(runBody(index, command))
                 operations.record(command.operation, content, admission.created, answer)
                 answer
             }
         }
     }
 
-    private fun runBody(command: ReplicatedCommand): CommandAnswer {
+    private fun runBody(index: LogIndex, command: ReplicatedCommand): CommandAnswer {
         val context = CommandContext(command.operation, command.operator, command.proposedAt)
         return when (val body = command.body) {
             is CommandBody.Control -> {
@@ -86,6 +88,11 @@
             is CommandBody.Fleet -> {
                 CommandAnswer.Fleet(fleet.apply(body.command, command.proposedAt))
             }
+
+            is CommandBody.Daemons -> {
+                daemons = LiveDaemons(index.value, body.live)
+                CommandAnswer.Daemons
+            }
         }
     }
 
@@ -103,7 +110,11 @@
  *
  * @property appliedIndex index of the last command that it reflects.
  */
-public data class StateView(val appliedIndex: LogIndex, val control: ControlState)
+public data class StateView(
+    val appliedIndex: LogIndex,
+    val control: ControlState,
+    val daemons: LiveDaemons = LiveDaemons(),
+)
 
 /** A snapshot that this version of the software cannot read. */
 public class UnreadableSnapshotException(index: LogIndex, size: Int) :
@@ -116,4 +127,9 @@
 private class OperationContent(val operator: String, val body: CommandBody)
 
 @Serializable
-private class StateSnapshot(val control: ControlSnapshot, val operations: OperationSnapshot, val fleet: ByteArray)
+private class StateSnapshot(
+    val control: ControlSnapshot,
+    val operations: OperationSnapshot,
+    val fleet: ByteArray,
+    val daemons: LiveDaemons = LiveDaemons(),
+)
