--- a/control/src/main/kotlin/org/auburnstream/control/LeaseGrantor.kt
+++ b/control/src/main/kotlin/org/auburnstream/control/LeaseGrantor.kt
@@ -30,6 +30,9 @@
     private var term: Long? = null
     private var earlierLeasesUntil = MonotonicTime.Zero
 
+    /** When the leases granted by earlier leaders have run out. */
+    public val earlierLeaseEnd: MonotonicTime get() = earlierLeasesUntil
+
     /** Tells that this daemon leads [newTerm]; [now] must not be earlier than the election. */
     public fun onLeadership(newTerm: Long, now: MonotonicTime) {
         if (newTerm == term) return
@@ -89,6 +92,12 @@
         return holds
     }
 
+    /** Returns the latest time at which [daemon] can hold a lease, as far as this leader and earlier ones granted one. */
+    public fun leaseEndOf(daemon: DaemonId): MonotonicTime {
+        val own = holders.filterKeys { it.daemon == daemon }.values.maxOfOrNull { it.latest }
+        return maxOf(earlierLeasesUntil, own ?: earlierLeasesUntil)
+    }
+
     /** Forgets what has run out. */
     public fun prune(now: MonotonicTime) {
         holders.values.forEach { it.prune(now) }
--- a/control/src/main/kotlin/org/auburnstream/control/LeasePolicy.kt
+++ b/control/src/main/kotlin/org/auburnstream/control/LeasePolicy.kt
@@ -34,7 +34,7 @@
      * Covers the fast clock of the leader that waits, and that of an earlier leader, which measured how old its
      * quorum's confirmation was.
      */
-    internal val assumed: Duration get() = duration * (1 + 2 * clockDrift)
+    public val assumed: Duration get() = duration * (1 + 2 * clockDrift)
 
     private companion object {
         const val MAX_DRIFT = 0.1
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.replication
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -11,6 +12,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
@@ -35,6 +37,7 @@
 import org.auburnstream.storage.StorageError
 import org.auburnstream.storage.StoreResult
 import org.slf4j.LoggerFactory
+import java.security.SecureRandom
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -46,7 +49,8 @@
  *
  * @param scope life of the group's coroutines.
  * @param clock reads the monotonic clock.
- * @param random source of the election jitter and of the process's id.
+ * @param random source of the election jitter; daemons may share its seed.
+ * @param process id of this process, which must never repeat: the leader recognizes copies of requests by it.
  * @param onApplied called on the group's coroutine after entries up to the given index were applied.
  * @param onFailure called once if the store or the replica fails; the group takes no further part then.
  */
@@ -58,6 +62,7 @@
     private val configuration: GroupConfiguration,
     private val clock: () -> MonotonicTime,
     private val random: Random,
+    private val process: Long = SecureRandom().nextLong(),
     private val storeDispatcher: CoroutineDispatcher = Dispatchers.IO,
     private val onApplied: (LogIndex) -> Unit = {},
     private val onFailure: (GroupFailure) -> Unit = {},
@@ -119,7 +124,7 @@
             restored = restored,
             initialVoters = configuration.initialVoters,
             peers = transport.peers,
-            random = Random(random.nextLong()),
+            random = Random(random.nextLong() xor transport.self.value.hashCode().toLong()),
             now = clock(),
             settings = configuration.settings,
         )
@@ -183,15 +188,18 @@
             store = writer::submit,
             applied = onApplied,
         )
-        val actor = GroupActor(configuration, member.id, replica, machine, clock, random.nextLong(), links)
+        val actor = GroupActor(configuration, member.id, replica, machine, clock, process, links)
         val writing = scope.launch { writer.run() }
         try {
             serve(replica, actor)
-        } catch (e: IllegalStateException) {
-            fail(GroupFailure.Contradiction(e.message.orEmpty()))
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: RuntimeException) {
+            fail(GroupFailure.Inconsistent(e.toString()))
         } finally {
             isStopped = true
             contactTime = null
+            mutableStatus.update { it.copy(role = ReplicaRole.LEARNER, leader = null) }
             withContext(NonCancellable) { writing.cancelAndJoin() }
             actor.close()
             answerLateCalls()
@@ -278,8 +286,11 @@
             get() = error.message
     }
 
-    /** The replica found that its log contradicts itself or another replica. */
-    public data class Contradiction(override val message: String) : GroupFailure
+    /** The replica found that its log contradicts itself or another, or the state machine failed on a command. */
+    public data class Inconsistent(val detail: String) : GroupFailure {
+        override val message: String
+            get() = "replicated state is inconsistent: $detail; keep the data folder for analysis"
+    }
 }
 
 /** Members of a group and its tolerance of failures, as the leader sees them. */
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/rollout/RollOutService.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/rollout/RollOutService.kt
@@ -42,7 +42,7 @@
     private val leadership: LeadershipSource,
     private val clock: () -> MonotonicTime,
     random: Random,
-    policy: LeasePolicy = LeasePolicy(),
+    private val policy: LeasePolicy = LeasePolicy(),
 ) {
     private val inbox = Channel<Event>(INBOX_CAPACITY)
     private val lease = SettingsLease(random.nextLong(), policy)
@@ -60,6 +60,9 @@
     @Volatile
     private var granted: List<DaemonLease> = emptyList()
 
+    @Volatile
+    private var leaseEnds: LeaseEnds? = null
+
     /** Whether this daemon may act on its settings now; ask at each use. */
     public val isLive: Boolean get() = remaining > Duration.ZERO
 
@@ -73,6 +76,15 @@
     /** Leases of all daemons as of the last event; empty unless this daemon leads. */
     public val leases: List<DaemonLease> get() = granted
 
+    /**
+     * Returns the latest time at which [daemon] can hold a lease.
+     *
+     * A daemon that gets a lease later acts on everything that is committed now. Unless this daemon leads, the answer
+     * is a whole lease from now.
+     */
+    public fun leaseEndOf(daemon: DaemonId): MonotonicTime =
+        leaseEnds?.let { it.ends[daemon] ?: it.others } ?: (clock() + policy.assumed)
+
     /** Begins to hold and grant leases. */
     public fun start() {
         check(jobs.isEmpty()) { "roll-out was started before" }
@@ -137,10 +149,21 @@
         grantor.prune(now)
         lease.onApplied(replica.appliedIndex)
         expiry = lease.expiry
-        granted = if (leadingTerm == null) emptyList() else grantor.leases(now)
+        publishLeases(now)
         renewIfDue(replica, now)
     }
 
+    private fun publishLeases(now: MonotonicTime) {
+        if (leadingTerm == null) {
+            granted = emptyList()
+            leaseEnds = null
+            return
+        }
+        val leases = grantor.leases(now)
+        granted = leases
+        leaseEnds = LeaseEnds(leases.associate { it.daemon to grantor.leaseEndOf(it.daemon) }, grantor.earlierLeaseEnd)
+    }
+
     private fun followLeadership(replica: ReplicaStatus, now: MonotonicTime) {
         val term = replica.term.takeIf { replica.role == ReplicaRole.LEADER }
         if (term == leadingTerm) return
@@ -198,6 +221,8 @@
         }
     }
 
+    private class LeaseEnds(val ends: Map<DaemonId, MonotonicTime>, val others: MonotonicTime)
+
     private sealed interface Event {
         data object Wake : Event
 
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -5,6 +5,18 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.auburnstream.consensus.ConsensusMessage
+import org.auburnstream.consensus.EntryPayload
+import org.auburnstream.consensus.Envelope
+import org.auburnstream.consensus.Incarnation
+import org.auburnstream.consensus.LogEntry
+import org.auburnstream.consensus.MemberId
+import org.auburnstream.consensus.ReplicaSettings
+import org.auburnstream.daemon.peer.MAX_FRAME_BYTES
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.GroupId
+import org.auburnstream.model.LogIndex
+import org.auburnstream.model.MAX_ID_LENGTH
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
 import kotlin.test.Test
@@ -19,13 +31,17 @@
     @TempDir
     lateinit var folder: Path
 
-    private fun group(seed: Int = 1, snapshotEntries: Long = 10_000, test: suspend TestScope.(GroupFixture) -> Unit) =
-        runTest {
-            val group = GroupFixture(this, folder, seed, snapshotEntries = snapshotEntries)
-            group.start()
-            group.awaitLeader()
-            test(group)
-        }
+    private fun group(
+        seed: Int = 1,
+        snapshotEntries: Long = 10_000,
+        runnerSeed: Int? = null,
+        test: suspend TestScope.(GroupFixture) -> Unit,
+    ) = runTest {
+        val group = GroupFixture(this, folder, seed, snapshotEntries = snapshotEntries, runnerSeed = runnerSeed)
+        group.start()
+        group.awaitLeader()
+        test(group)
+    }
 
     @Test
     fun aProposalOfAnyDaemonIsAppliedEverywhereAndAnsweredByTheStateMachine() = group { group ->
@@ -108,6 +124,44 @@
         assertEquals(1, group.running().map { it.machine.commands }.toSet().size)
     }
 
+    @Test
+    fun aRestartedDaemonIsNotAnsweredWithTheRepliesOfItsEarlierLife() = group(runnerSeed = 42) { group ->
+        val name = group.names.first { it != group.awaitLeader().self }
+        assertIs<ProposeResult.Committed>(group[name].group.propose("before".encodeToByteArray(), 5.seconds))
+        group.stop(name)
+        group.restart(name)
+        delay(3.seconds)
+        assertIs<ProposeResult.Committed>(group[name].group.propose("after".encodeToByteArray(), 5.seconds))
+        assertEquals(listOf("before", "after"), group.awaitLeader().machine.commands)
+    }
+
+    @Test
+    fun theLargestMessagesFitIntoAFrameOfALink() {
+        val settings = ReplicaSettings.Default
+        val member = MemberId(DaemonId("d".repeat(MAX_ID_LENGTH)), Incarnation(Long.MAX_VALUE))
+        val last = LogIndex(Long.MAX_VALUE)
+        val command = EntryPayload.Command(ByteArray(settings.maxCommandBytes))
+        val entry = LogEntry(last, Long.MAX_VALUE, command)
+        val append = ConsensusMessage.AppendRequest(Long.MAX_VALUE, last, Long.MAX_VALUE, listOf(entry), last)
+        val group = GroupId("g".repeat(MAX_ID_LENGTH))
+        val bytes = ReplicationCodec.encode(Envelope(group, member, member.incarnation, append))
+        assertTrue(bytes.size <= MAX_FRAME_BYTES, "${bytes.size} bytes")
+    }
+
+    @Test
+    fun aLeaderWhoseDiskFailsGivesUpItsPartAndTheOthersGoOn() = group { group ->
+        val failed = group.awaitLeader()
+        failed.failSync()
+        val lost = failed.group.propose("lost".encodeToByteArray(), 2.seconds)
+        assertIs<GroupFailure.Storage>(failed.failures.single())
+        assertEquals(ProposeResult.Unknown, lost)
+        assertNull(failed.group.status.value.leader)
+        assertNull(failed.group.quorumContactTime)
+        assertEquals(ProposeResult.Rejected(RejectReason.STOPPED), failed.group.propose(ByteArray(1), 1.seconds))
+        val other = group.running().first { it != failed }
+        other.group.proposeUntilCommitted("next")
+    }
+
     @Test
     fun callsEndWhenTheGroupStops() = group { group ->
         val stopped = group[group.names.last()].group
--- a/testkit/src/main/kotlin/org/auburnstream/testkit/process/Deployment.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/Deployment.kt
@@ -25,8 +25,7 @@
     /** Sends requests to the daemons. */
     public val caller: CallerStandIn = CallerStandIn()
 
-    /** Runs `auburnctl`. */
-    public val operator: OperatorProcess = OperatorProcess(folder)
+    private val operator = OperatorProcess(folder)
 
     /** Targets' listeners of the daemons, as `address:port`. */
     public val targetListeners: List<String>
@@ -44,6 +43,10 @@
     /** Sends [request] through the daemon with index [i]. */
     public suspend fun send(i: Int, request: CallerRequest): CallerResult = caller.send(this[i].ports.callers, request)
 
+    /** Runs `auburnctl` with [arguments] against the daemon with index [i]. */
+    public suspend fun control(i: Int, vararg arguments: String): OperatorResult =
+        operator.run(this[i].ports.operators, *arguments)
+
     /**
      * Sends idempotent requests through the daemon with index [i] until one is answered.
      *
@@ -70,9 +73,14 @@
         private val ANSWER_TIMEOUT = 60.seconds
         private val POLL_INTERVAL = 20.milliseconds
 
-        /** Starts [count] daemons with their files below [folder] and waits until all are ready. */
-        public suspend fun start(folder: Path, count: Int, extraFlags: List<String> = emptyList()): Deployment {
-            val deployment = Deployment(folder, DaemonPlan.deployment(folder, count, extraFlags))
+        /** Starts [count] daemons, [voterCount] of them voters, with their files below [folder], and awaits them. */
+        public suspend fun start(
+            folder: Path,
+            count: Int,
+            extraFlags: List<String> = emptyList(),
+            voterCount: Int = count,
+        ): Deployment {
+            val deployment = Deployment(folder, DaemonPlan.deployment(folder, count, extraFlags, voterCount))
             try {
                 coroutineScope { deployment.plans.indices.forEach { i -> launch { deployment.start(i) } } }
                 deployment.plans.indices.forEach { deployment[it].awaitReady() }
