--- a/consensus/src/test/kotlin/org/auburnstream/consensus/ScriptedReplica.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/ScriptedReplica.kt
@@ -35,8 +35,13 @@
         return effects + feed(ReplicaInput.PersistCompleted(sequence))
     }
 
-    fun receive(message: ConsensusMessage, from: String = "b") =
-        feed(ReplicaInput.MessageReceived(Envelope(group, memberId(from), self.incarnation, message)))
+    fun receive(message: ConsensusMessage, from: String = "b") = feed(received(message, from))
+
+    /** Receives [message] and leaves the writes that it causes undone. */
+    fun receiveUnwritten(message: ConsensusMessage, from: String = "b") = replica.handle(received(message, from), now)
+
+    private fun received(message: ConsensusMessage, from: String) =
+        ReplicaInput.MessageReceived(Envelope(group, memberId(from), self.incarnation, message))
 }
 
 internal fun List<Effect>.appliedIndices(): List<Long> =
