--- a/cli/src/main/kotlin/org/auburnstream/cli/settings/SettingsUnset.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/settings/SettingsUnset.kt
@@ -16,8 +16,8 @@
                 words = "settings unset",
                 summary = "Remove overrides at a node, so that it inherits again.",
                 description =
-                    "Removes the overrides of one or more keys at a node, together or not at all. The node then has the\n" +
-                        "value of the nearest node above that sets the key, or the default.",
+                "Removes the overrides of one or more keys at a node, together or not at all. The node then has the\n" +
+                    "value of the nearest node above that sets the key, or the default.",
                 examples = listOf("auburnctl settings unset /nairobi/dc1 request.deadline.default"),
                 create = ::SettingsUnset,
             )
--- a/control/src/main/kotlin/org/auburnstream/control/OperationTable.kt
+++ b/control/src/main/kotlin/org/auburnstream/control/OperationTable.kt
@@ -25,13 +25,17 @@
     val window: Duration = 24.hours,
     val minimumCount: Int = 256,
     val maximumCount: Int = 65_536,
-    val maximumBytes: Long = 16L * 1_048_576,
+    val maximumBytes: Long = DEFAULT_MAXIMUM_BYTES,
     val futureTolerance: Duration = 10.minutes,
     val maximumClockStep: Duration = 10.minutes,
 ) {
     init {
         require(minimumCount <= maximumCount) { "minimumCount $minimumCount must be at most $maximumCount" }
     }
+
+    private companion object {
+        const val DEFAULT_MAXIMUM_BYTES = 16_777_216L
+    }
 }
 
 /**
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/Daemon.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.daemon
 
 import io.ktor.network.selector.SelectorManager
+import io.ktor.server.routing.Route
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -9,6 +10,8 @@
 import kotlinx.coroutines.delay
 import org.auburnstream.daemon.config.DaemonSettings
 import org.auburnstream.daemon.config.ListenerPorts
+import org.auburnstream.daemon.fleet.Platform
+import org.auburnstream.daemon.fleet.fleetRoutes
 import org.auburnstream.daemon.observability.DaemonMetrics
 import org.auburnstream.daemon.observability.EventLog
 import org.auburnstream.daemon.observability.GracefulStop
@@ -17,10 +20,15 @@
 import org.auburnstream.daemon.observability.StopResult
 import org.auburnstream.daemon.observability.UnreadyReason
 import org.auburnstream.daemon.observability.healthRoutes
+import org.auburnstream.daemon.operator.OperatorRoutes
+import org.auburnstream.daemon.operator.OperatorServices
 import org.auburnstream.daemon.operator.TokenTable
 import org.auburnstream.daemon.operator.operatorRoutes
 import org.auburnstream.daemon.peer.SocketPeerTransport
+import org.auburnstream.model.Announcement
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.PoolId
+import org.auburnstream.model.ServiceId
 import org.auburnstream.storage.ReplicaStore
 import org.auburnstream.storage.StoreResult
 import kotlin.io.path.writeText
@@ -29,13 +37,15 @@
 /**
  * One running daemon: its listeners, its links, its part in the control group and the request path.
  *
- * @param store opened store of the control group; closed by [stop].
+ * @param platform carries out what the fleet's plans permit, or null where there is none.
+ * @param stores opened stores of the replicated groups; closed by [stop].
  * @param clock reads the monotonic clock.
  */
 internal class Daemon(
     private val settings: DaemonSettings,
     tokens: TokenTable,
-    store: ReplicaStore,
+    stores: GroupStores,
+    platform: Platform? = null,
     private val clock: () -> MonotonicTime = monotonicClock(),
 ) {
     private val log = EventLog.of("daemon")
@@ -49,10 +59,25 @@
     private val metrics = DaemonMetrics()
     private val transport =
         SocketPeerTransport(settings.id, settings.peers, settings.seed, onEvent = links::onEvent)
-    private val control = ControlPlane(settings, scope, transport, store, clock)
-    private val requests = RequestPath(settings, scope, selector, transport, control, metrics, clock)
+    private val control = ControlPlane(settings, scope, transport, stores.control, clock)
+    private val ledger = LedgerPlane(settings, scope, transport, stores.ledger, clock)
+    private val requests: RequestPath =
+        RequestPath(
+            settings = settings,
+            scope = scope,
+            selector = selector,
+            transport = transport,
+            control = control,
+            ledger = ledger,
+            metrics = metrics,
+            clock = clock,
+            poolOf = ::poolOf,
+            onAnnouncement = ::passOn,
+        )
+    private val fleet: FleetPlane =
+        FleetPlane(settings, transport, control, platform, clock, inProgress = requests::busyVms)
     private val operators =
-        HttpListener(settings.bindAddress, settings.ports.operators) { operatorRoutes(control.services(tokens)) }
+        HttpListener(settings.bindAddress, settings.ports.operators) { addOperatorRoutes(control.services(tokens)) }
     private val health =
         HttpListener(settings.bindAddress, settings.ports.health) { healthRoutes(::readiness, metrics) }
 
@@ -62,9 +87,12 @@
     /** Starts every part and returns the bound ports, or the error of the store. */
     suspend fun start(): StoreResult<ListenerPorts> {
         val peerPort = transport.start(scope, settings.bindAddress, settings.ports.peers)
-        val started = control.start()
-        if (started is StoreResult.Failed) return started
-        registerStateMetrics(metrics, control, links)
+        for (started in listOf(control.start(), ledger.start())) {
+            if (started is StoreResult.Failed) return started
+        }
+        fleet.start(scope, onPlacement = requests::place)
+        registerStateMetrics(metrics, control, requests)
+        registerLinkMetrics(metrics, links)
         val ports =
             ListenerPorts(
                 callers = requests.startCallers(),
@@ -87,9 +115,21 @@
         close = ::close,
     ).run()
 
+    private fun poolOf(service: ServiceId): PoolId? = fleet.poolOf(service)
+
+    private fun passOn(announcement: Announcement) {
+        fleet.onAnnouncement(announcement)
+    }
+
+    private fun Route.addOperatorRoutes(services: OperatorServices) {
+        operatorRoutes(services)
+        fleetRoutes(OperatorRoutes(services), fleet.operations)
+    }
+
     private suspend fun close() {
         requests.close()
         operators.close()
+        ledger.close()
         control.close()
         health.close()
         transport.close()
@@ -109,3 +149,6 @@
         val IDLE_CHECK_INTERVAL = 20.milliseconds
     }
 }
+
+/** Stores of the replicated groups that a daemon takes part in. */
+internal class GroupStores(val control: ReplicaStore, val ledger: ReplicaStore)
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -3,36 +3,56 @@
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.auburnstream.daemon.caller.CallerServer
 import org.auburnstream.daemon.caller.CallerSettings
 import org.auburnstream.daemon.caller.RouterDriver
 import org.auburnstream.daemon.config.DaemonSettings
 import org.auburnstream.daemon.observability.DaemonMetrics
 import org.auburnstream.daemon.observability.RequestTracing
+import org.auburnstream.daemon.peer.PeerChannel
+import org.auburnstream.daemon.peer.PeerCodec
 import org.auburnstream.daemon.peer.PeerTransport
+import org.auburnstream.daemon.state.StateView
 import org.auburnstream.daemon.target.TargetGateway
 import org.auburnstream.daemon.target.TargetListener
+import org.auburnstream.model.Announcement
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.PoolId
 import org.auburnstream.model.RequestId
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.VmId
+import org.auburnstream.routing.Placement
 import org.auburnstream.routing.Router
 import org.auburnstream.routing.RoutingInput
 import org.auburnstream.routing.RoutingSettings
+import org.auburnstream.routing.ServiceLoad
+import org.auburnstream.routing.ServicePolicy
+import org.auburnstream.routing.TargetLoad
+import org.auburnstream.routing.credit.CreditMessage
 import org.auburnstream.routing.credit.DaemonView
 import java.security.SecureRandom
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The way of a request through this daemon: callers' listener, routing and the exchange with targets. */
 internal class RequestPath(
     settings: DaemonSettings,
     private val scope: CoroutineScope,
     selector: SelectorManager,
-    transport: PeerTransport,
-    control: ControlPlane,
+    private val transport: PeerTransport,
+    private val control: ControlPlane,
+    ledger: LedgerPlane,
     metrics: DaemonMetrics,
-    clock: () -> MonotonicTime,
+    private val clock: () -> MonotonicTime,
+    poolOf: (ServiceId) -> PoolId?,
+    onAnnouncement: (Announcement) -> Unit,
 ) {
     private val routing = RoutingSettings()
+    private val epoch = System.currentTimeMillis()
     private val tracing = RequestTracing(settings.traceExport)
     private val gateway = TargetGateway(selector, clock)
     private val router =
@@ -40,20 +60,30 @@
             self = settings.id,
             dataCentre = settings.dataCentre,
             view = DaemonView(version = 1, configured = transport.peers + settings.id),
-            epoch = System.currentTimeMillis(),
+            epoch = epoch,
             start = clock(),
             random = Random(settings.seed),
             settings = routing,
         )
-    private val driver = RouterDriver(router, gateway, clock, hops = TracingHops(tracing), tick = routing.tick)
+    private val creditCodec = PeerCodec(CreditMessage.serializer())
+    private val driver =
+        RouterDriver(
+            router = router,
+            gateway = gateway,
+            clock = clock,
+            sendCredit = { to, message -> transport.send(to, PeerChannel.CREDIT, creditCodec.encode(message)) },
+            hops = tracing,
+            tick = routing.tick,
+        )
+    private val policies = ServicePolicies(settings.region, settings.dataCentre, poolOf)
     private val gate =
         RequestGate(
             view = control::view,
             isLeaseLive = control::isLeaseLive,
-            policies = ServicePolicies(settings.region, settings.dataCentre, poolOf = { null }),
+            policies = policies,
             metrics = metrics,
             clock = clock,
-            next = driver::handle,
+            next = ledger.keyed(epoch, driver::handle),
         )
     private val requestIds = RequestIds(settings.id.value)
     private val callers =
@@ -73,18 +103,59 @@
             ),
         )
     private val targets =
-        TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = driver::announce)
+        TargetListener(host = settings.bindAddress, port = settings.ports.targets, announce = {
+            onAnnouncement(it)
+            driver.announce(it).also { follow(control.view) }
+        })
+    private val followed = ConcurrentHashMap<ServiceId, ServicePolicy>()
     private var ticks: Job? = null
 
+    /** Load of this daemon by service. */
+    fun load(): List<ServiceLoad> = driver.load()
+
+    /** Targets that this daemon knows. */
+    fun targetLoads(): List<TargetLoad> = driver.targets()
+
     /** Requests without an outcome. */
     val inProgress: Int get() = gate.inProgress
 
+    /** VMs that this daemon has a request in progress on. */
+    fun busyVms(): Set<VmId> = driver.targets().filter { it.inUse > 0 }.mapTo(HashSet()) { it.vm }
+
+    /** Brings the services' policies up to date with the settings in [view]. */
+    fun follow(view: StateView) {
+        for (load in driver.load()) {
+            val policy = policies.policy(view, load.service)
+            if (followed.put(load.service, policy) != policy) {
+                driver.input(RoutingInput.PolicyChanged(load.service, policy))
+            }
+        }
+    }
+
+    /** Routes by [placement] from now on; null accepts what targets announce. */
+    fun place(placement: Placement?) {
+        driver.input(RoutingInput.PlacementChanged(placement))
+    }
+
     /** Begins to listen for callers and returns the bound port. */
     suspend fun startCallers(): Int {
+        transport.register(PeerChannel.CREDIT) { from, payload ->
+            creditCodec.decodeOrNull(payload)?.let { driver.input(RoutingInput.CreditReceived(from, it)) }
+        }
         ticks = driver.start(scope)
+        scope.launch { followLease() }
         return callers.start()
     }
 
+    /** Queued requests are given up when the lease runs out, so the router must know its end. */
+    private suspend fun followLease() {
+        while (true) {
+            val remaining = control.leaseRemaining
+            if (remaining.isPositive()) driver.input(RoutingInput.SettingsLeaseRenewed(clock() + remaining))
+            delay(LEASE_INTERVAL)
+        }
+    }
+
     /** Begins to listen for announcements and returns the bound port. */
     suspend fun startTargets(): Int = targets.start()
 
@@ -101,6 +172,10 @@
         gateway.close()
         tracing.close()
     }
+
+    private companion object {
+        val LEASE_INTERVAL = 250.milliseconds
+    }
 }
 
 /** Gives requests ids that no other process gives: the daemon's id, a random part for each start, and a count. */
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetPlanner.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.fleet
 
 import org.auburnstream.model.DaemonId
+import org.auburnstream.model.LONGEST_REQUEST
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.VmId
 import org.auburnstream.model.WaveId
@@ -67,35 +68,36 @@
  * but the times of its requests to the platform, so a new leader's planner goes on where the last one stopped.
  *
  * @param usage what the workers reported; filled by the caller.
+ * @param moves chooses the moves between pools.
  * @param leaseEndOf latest end of the settings lease that a daemon can hold, on this process's clock.
  */
 public class FleetPlanner(
     private val timings: FleetTimings = FleetTimings.Default,
     private val usage: UsageBook = UsageBook(),
+    private val moves: MovePolicy = MovePlanner()::plan,
     private val leaseEndOf: (DaemonId) -> MonotonicTime,
 ) {
     private val outbox = PlatformOutbox(timings.retry)
     private val waves = WavePlanner()
     private val jobs = JobPlanner(usage)
-    private val moves = MovePlanner()
 
     /** Returns what to do at [now], which is [at] in the time that commands are stamped with. */
     public fun plan(state: FleetState, reports: FleetReports, at: Instant, now: MonotonicTime): FleetPlan {
         val plan = PlanBuilder()
-        planRegistrations(state, reports, plan)
+        planRegistrations(state, reports, now, plan)
         planLosses(state, reports, now, plan)
         for (vm in state.vmsInPlannedActs()) {
             planAct(state, reports, vm, at, now, plan)
         }
         waves.plan(state, at, plan)
-        moves.plan(state, at, now, plan)
+        plan.commands += moves(state, at, now)
         jobs.plan(state, at, now, plan)
         outbox.retain(plan.wanted)
         return plan.build(outbox.due(plan.wanted, now))
     }
 
-    private fun planRegistrations(state: FleetState, reports: FleetReports, plan: PlanBuilder) {
-        for (announcement in reports.announcements()) {
+    private fun planRegistrations(state: FleetState, reports: FleetReports, now: MonotonicTime, plan: PlanBuilder) {
+        for (announcement in reports.announcements(now, timings.silence)) {
             when (val review = state.review(announcement)) {
                 AnnouncementReview.Known -> Unit
                 AnnouncementReview.News -> plan.registrations += FleetCommand.RegisterVm(announcement)
--- a/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
@@ -32,13 +32,13 @@
     settings: RoutingSettings = RoutingSettings(),
 ) {
     private val credits = CreditBook(settings.credit, view, epoch)
-    private val allocator = CreditAllocator(self, settings.credit, view, start)
+    private val allocator = CreditAllocator(self, settings.credit, view, epoch, start)
     private val state = RoutingState(settings, dataCentre, credits)
     private val completion = Completion(state, random)
     private val dispatch = Dispatch(state, completion)
     private val admission = Admission(state, completion, dispatch, ::askForCredits)
 
-    private var lastInput = start
+    private var lastInput: MonotonicTime? = null
 
     /** Requests without a final result. */
     public val pending: Int get() = state.requests.size
@@ -63,7 +63,7 @@
     /** Takes in what happened at [now] and returns what to do. */
     public fun handle(input: RoutingInput, now: MonotonicTime): List<RoutingEffect> {
         state.effects.clear()
-        if (now - lastInput > state.settings.freezeGap) state.targets.distrust(now)
+        lastInput?.let { if (now - it > state.settings.freezeGap) state.targets.distrust(now) }
         lastInput = now
         checkLease(now)
         when (input) {
@@ -139,6 +139,7 @@
 
             is CreditMessage.Grants -> {
                 credits.granted(from, message)
+                askForCredits(now)
                 dispatch.startAllWaiting(now)
             }
         }
@@ -150,8 +151,7 @@
                 state.effects += RoutingEffect.SendCredit(allocatorId, request)
                 continue
             }
-            val grants = allocator.request(self, request, now) ?: continue
-            credits.granted(self, grants)
+            allocator.request(self, request, now)?.let { credits.granted(self, it) }
         }
     }
 
