--- a/routing/src/main/kotlin/org/auburnstream/routing/Admission.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Admission.kt
@@ -21,7 +21,7 @@
         val target = if (service.queue.size == 0) state.choice.choose(request, now) else null
         when {
             target == null -> enqueue(request, service, now)
-            service.canAnswer(request.deadline, Duration.ZERO, now) -> dispatch.send(request, target, now)
+            service.canAnswer(request.deadline, now) -> dispatch.send(request, target, now)
             else -> completion.giveUp(request, NotRunReason.DEADLINE_TOO_SHORT, now)
         }
     }
@@ -42,7 +42,7 @@
             if (service.queue.size == 0) continue
             if (!state.isServed(id, now)) completion.giveUpQueue(service, NotRunReason.NO_TARGET, now) { true }
             completion.giveUpQueue(service, NotRunReason.DEADLINE_TOO_SHORT, now) {
-                !service.canAnswer(it.deadline, Duration.ZERO, now)
+                !service.canAnswerAfter(Duration.ZERO, it.deadline, now)
             }
         }
     }
@@ -57,7 +57,7 @@
 
     private fun enqueue(request: PendingRequest, service: ServiceState, now: MonotonicTime) {
         val wait = service.waitFor(service.queue.ahead(request), state.slots(request.service, now))
-        if (!service.canAnswer(request.deadline, wait, now)) {
+        if (!service.canAnswerAfter(wait, request.deadline, now)) {
             return completion.giveUp(request, NotRunReason.DEADLINE_TOO_SHORT, now)
         }
         when (val offer = service.queue.offer(request, state.queueBytes())) {
--- a/routing/src/main/kotlin/org/auburnstream/routing/Dispatch.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Dispatch.kt
@@ -29,7 +29,7 @@
         while (service.queue.size > 0) {
             val start = nextStart(service, now) ?: break
             service.queue.start(start.request)
-            if (service.canAnswer(start.request.deadline, Duration.ZERO, now)) {
+            if (service.canAnswerAfter(Duration.ZERO, start.request.deadline, now)) {
                 send(start.request, start.target, now)
             } else {
                 completion.giveUp(start.request, NotRunReason.DEADLINE_TOO_SHORT, now)
@@ -96,7 +96,7 @@
         val others = state.targets.of(request.service).filter { it.vm !in request.tried }
         val another = others.any { state.choice.mayServe(it, now) }
         return harmless && attemptsLeft && another && state.leaseLive &&
-            service.canAnswer(request.deadline, Duration.ZERO, now)
+            service.canAnswer(request.deadline, now)
     }
 
     private fun retry(request: PendingRequest, service: ServiceState, now: MonotonicTime) {
--- a/routing/src/main/kotlin/org/auburnstream/routing/RunTimeEstimate.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/RunTimeEstimate.kt
@@ -20,6 +20,9 @@
     /** Smoothed run time, zero until one was observed. */
     val typical: Duration get() = mean.nanoseconds
 
+    /** Run time that few requests exceed, as the retransmission timeout of RFC 6298 is to round trips. */
+    val cautious: Duration get() = (mean + deviation * DEVIATIONS).nanoseconds
+
     fun observe(time: Duration) {
         val nanos = time.inWholeNanoseconds.toDouble()
         if (!known) {
@@ -33,6 +36,7 @@
     }
 
     private companion object {
+        const val DEVIATIONS = 4
         const val MEAN_GAIN = 0.125
         const val DEVIATION_GAIN = 0.25
     }
--- a/routing/src/main/kotlin/org/auburnstream/routing/ServiceState.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/ServiceState.kt
@@ -22,14 +22,24 @@
     }
 
     /**
-     * Returns whether a request that starts after [wait] can be answered by [deadline].
+     * Returns whether a request that starts at [now] is likely to be answered by [deadline].
      *
      * While nothing runs there is no fresh run time to judge by, so a request is let through to observe one.
      */
-    fun canAnswer(deadline: MonotonicTime, wait: Duration, now: MonotonicTime): Boolean {
+    fun canAnswer(deadline: MonotonicTime, now: MonotonicTime): Boolean {
         if (now >= deadline) return false
         if (running == 0 && queue.size == 0) return true
-        return now + wait + runTime.typical <= deadline
+        return now + runTime.typical <= deadline
+    }
+
+    /**
+     * Returns whether a request that starts after [wait] is almost certain to be answered by [deadline].
+     *
+     * Asked while others wait for the slot: a request that fails its deadline would take it from one that keeps it.
+     */
+    fun canAnswerAfter(wait: Duration, deadline: MonotonicTime, now: MonotonicTime): Boolean {
+        if (running == 0) return now < deadline
+        return now + wait + runTime.cautious <= deadline
     }
 
     /** Time in which [requests] are started on [slots] slots, by observed run times. */
