--- a/testkit/src/main/kotlin/org/auburnstream/testkit/process/JavaCommand.kt
+++ b/testkit/src/main/kotlin/org/auburnstream/testkit/process/JavaCommand.kt
@@ -15,7 +15,10 @@
 
     /** Returns the command that runs [mainClass] with [arguments] on the class path of this process. */
     public fun of(mainClass: String, arguments: List<String>, flags: List<String> = this.flags): List<String> =
-        listOf(executable()) + flags + listOf("-cp", classPath(), mainClass) + arguments
+        listOf(executable()) + flags + addedFlags() + listOf("-cp", classPath(), mainClass) + arguments
+
+    /** Flags of the variable `JAVA_OPTS`, which the launchers add as well. */
+    private fun addedFlags(): List<String> = System.getenv("JAVA_OPTS").orEmpty().split(' ').filter { it.isNotEmpty() }
 
     private fun executable(): String = Path.of(System.getProperty("java.home"), "bin", "java").toString()
 
