--- a/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
@@ -1,8 +1,12 @@
 package org.auburnstream.daemon
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.auburnstream.api.DaemonLeaseView
 import org.auburnstream.api.LeaseView
 import org.auburnstream.api.StatusView
+import org.auburnstream.control.LeasePolicy
 import org.auburnstream.control.OperationIds
 import org.auburnstream.daemon.config.DaemonSettings
 import org.auburnstream.daemon.fleet.FleetHost
@@ -13,13 +17,15 @@
 import org.auburnstream.daemon.operator.OperatorServices
 import org.auburnstream.daemon.operator.Proposal
 import org.auburnstream.daemon.operator.Reading
-import org.auburnstream.daemon.operator.RollOutProgress
 import org.auburnstream.daemon.operator.TokenTable
 import org.auburnstream.daemon.peer.PeerTransport
 import org.auburnstream.daemon.replication.GroupConfiguration
 import org.auburnstream.daemon.replication.RejectReason
+import org.auburnstream.daemon.replication.ReplicaRole
 import org.auburnstream.daemon.replication.ReplicaStatus
 import org.auburnstream.daemon.replication.ReplicatedGroupRunner
+import org.auburnstream.daemon.rollout.GroupLeadership
+import org.auburnstream.daemon.rollout.RollOutService
 import org.auburnstream.daemon.state.CommandAnswer
 import org.auburnstream.daemon.state.CommandBody
 import org.auburnstream.daemon.state.ReplicatedCommand
@@ -38,12 +44,12 @@
 import kotlin.random.asKotlinRandom
 import kotlin.time.Clock
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Duration.Companion.milliseconds
 
 /** This daemon's part in the control group, and the state that it replicates. */
 internal class ControlPlane(
     private val settings: DaemonSettings,
-    scope: CoroutineScope,
+    private val scope: CoroutineScope,
     transport: PeerTransport,
     store: ReplicaStore,
     private val clock: () -> MonotonicTime,
@@ -62,7 +68,18 @@
             random = Random(settings.seed),
             onFailure = { log.error("control_group_failed", LogKeys.Detail of it.toString()) },
         )
-    private val service = GroupControlService(group, state, rollOut = ::awaitInForce)
+    private val leadership = GroupLeadership(scope, group, quorumContact = group::quorumContactTime)
+    private val rollOut =
+        RollOutService(
+            scope = scope,
+            transport = transport,
+            status = group.status,
+            leadership = leadership,
+            clock = clock,
+            random = operationRandom,
+        )
+    private val service = GroupControlService(group, state, rollOut = rollOut::awaitInForce)
+    private val leaseEnds = LeaseEnds(LONGEST_LEASE)
 
     /** Settings and fleet as replicated here. */
     val view: StateView get() = state.view.value
@@ -71,14 +88,34 @@
     val status: ReplicaStatus get() = group.status.value
 
     /** Whether a settings lease was ever obtained. */
-    val hadLease: Boolean get() = status.leader != null
+    val hadLease: Boolean get() = rollOut.hadLease
+
+    /** How long the settings lease is still live; zero if it is not. */
+    val leaseRemaining: Duration get() = rollOut.remaining
 
     /** Whether the settings known here may be acted upon now. */
-    fun isLeaseLive(): Boolean = status.leader != null
+    fun isLeaseLive(): Boolean = rollOut.isLive
+
+    suspend fun start(): StoreResult<Unit> {
+        val started = group.start()
+        if (started is StoreResult.Done) {
+            leadership.start()
+            rollOut.start()
+            scope.launch { sampleLeases() }
+        }
+        return started
+    }
 
-    suspend fun start(): StoreResult<Unit> = group.start()
+    private suspend fun sampleLeases() {
+        while (true) {
+            val replica = status
+            leaseEnds.sample(replica.term.takeIf { replica.role == ReplicaRole.LEADER }, rollOut.leases, clock())
+            delay(SAMPLE_INTERVAL)
+        }
+    }
 
     suspend fun close() {
+        rollOut.stop()
         group.stop()
     }
 
@@ -112,18 +149,12 @@
     }
 
     /** Latest end of the settings lease that [daemon] can hold, on this process's clock. */
-    fun leaseEndOf(daemon: DaemonId): MonotonicTime = clock() + LONGEST_LEASE
+    fun leaseEndOf(daemon: DaemonId): MonotonicTime = leaseEnds.endOf(daemon, clock())
 
     /** Builds what the operators' routes need. */
     fun services(tokens: TokenTable): OperatorServices =
         OperatorServices(control = service, status = ::statusView, authenticate = tokens::authenticate)
 
-    private suspend fun awaitInForce(index: LogIndex, timeout: Duration): RollOutProgress {
-        val begin = clock()
-        group.readBarrier(timeout)
-        return RollOutProgress(view.appliedIndex >= index, clock() - begin, emptyList())
-    }
-
     private fun statusView(): StatusView {
         val replica = status
         return StatusView(
@@ -136,12 +167,18 @@
             appliedIndex = replica.appliedIndex.value,
             settingsVersion = view.control.version.value,
             epoch = view.control.epoch,
-            lease = LeaseView(live = isLeaseLive(), remainingMillis = 0),
+            lease = LeaseView(live = isLeaseLive(), remainingMillis = leaseRemaining.inWholeMilliseconds),
+            daemons =
+            rollOut.leases.map {
+                DaemonLeaseView(it.daemon.value, it.appliedIndex.value, it.remaining.inWholeMilliseconds)
+            },
         )
     }
 
     private companion object {
-        val LONGEST_LEASE = 3.seconds
+        // The lease with the drift of two clocks, which stays below a tenth.
+        val LONGEST_LEASE = LeasePolicy().duration * 1.1
+        val SAMPLE_INTERVAL = 200.milliseconds
         val GROUP = GroupId("control")
     }
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/LeaseEnds.kt
@@ -0,0 +1,46 @@
+package org.auburnstream.daemon
+
+import org.auburnstream.control.DaemonLease
+import org.auburnstream.model.DaemonId
+import org.auburnstream.model.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Remembers when each daemon's settings lease ends at the latest, for a leader that must wait it out.
+ *
+ * [sample] must be called at least every [MAX_SAMPLE_GAP]; after a longer gap, and on a new leader, leases may have
+ * been granted unseen, so every daemon is taken to hold one for [longestLease] from then.
+ *
+ * @param longestLease longest time for which a granted lease can be live.
+ */
+internal class LeaseEnds(private val longestLease: Duration) {
+    private val ends = HashMap<DaemonId, MonotonicTime>()
+    private var unseenUntil: MonotonicTime? = null
+    private var lastSample: MonotonicTime? = null
+    private var term: Long? = null
+
+    /** Takes in the [leases] that the leader of [leadingTerm] has granted; null if this daemon does not lead. */
+    @Synchronized
+    fun sample(leadingTerm: Long?, leases: List<DaemonLease>, now: MonotonicTime) {
+        val previous = lastSample
+        val isGap = previous == null || now - previous > MAX_SAMPLE_GAP
+        if (leadingTerm == null || leadingTerm != term || isGap) unseenUntil = now + longestLease
+        term = leadingTerm
+        lastSample = now
+        for (lease in leases) ends[lease.daemon] = now + lease.remaining
+    }
+
+    /** Returns the latest time at which the lease of [daemon] can end. */
+    @Synchronized
+    fun endOf(daemon: DaemonId, now: MonotonicTime): MonotonicTime {
+        val unseen = unseenUntil ?: (now + longestLease)
+        val seen = ends[daemon] ?: return unseen
+        return maxOf(seen, unseen)
+    }
+
+    companion object {
+        /** Longest time between two samples in which no grant can go unseen. */
+        val MAX_SAMPLE_GAP = 1.seconds
+    }
+}
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/StateMetrics.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/StateMetrics.kt
@@ -5,6 +5,7 @@
 import org.auburnstream.daemon.observability.MetricSample
 import org.auburnstream.daemon.replication.ReplicaRole
 import org.auburnstream.routing.TargetLoad
+import kotlin.time.DurationUnit
 
 /** Registers the metrics that are read from the control group and the request path at each scrape. */
 internal fun registerStateMetrics(metrics: DaemonMetrics, control: ControlPlane, requests: RequestPath) {
@@ -12,6 +13,9 @@
     metrics.gauge(DaemonMetricDefinitions.GroupCommitIndex) { control.status.commitIndex.value }
     metrics.gauge(DaemonMetricDefinitions.GroupAppliedIndex) { control.status.appliedIndex.value }
     metrics.gauge(DaemonMetricDefinitions.SettingsVersion) { control.view.control.version.value }
+    metrics.gauge(DaemonMetricDefinitions.SettingsLeaseRemaining) {
+        control.leaseRemaining.toDouble(DurationUnit.SECONDS)
+    }
     metrics.labelledGauge(DaemonMetricDefinitions.GroupRole) {
         ReplicaRole.entries.map { role ->
             MetricSample(listOf(role.name.lowercase()), if (control.status.role == role) 1.0 else 0.0)
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/MovePlanner.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.PoolId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -14,12 +15,14 @@
  * @property lossHoldOff age of a loss from which on it leads to a move.
  * @property surplusHoldOff time for which a pool must have had a surplus before a VM is taken back.
  * @property minStay least time between two moves of one VM.
+ * @property maxStay longest time for which a VM that was moved during a wave stays because the wave goes on.
  * @property expectsReturns true to count VMs under maintenance as available, since they are back soon.
  */
 public data class MoveTimings(
     val lossHoldOff: Duration = 30.seconds,
     val surplusHoldOff: Duration = 30.minutes,
     val minStay: Duration = 1.hours,
+    val maxStay: Duration = 1.days,
     val expectsReturns: Boolean = true,
 ) {
     public companion object {
@@ -27,7 +30,8 @@
         public val Default: MoveTimings = MoveTimings()
 
         /** Moves at once whenever a pool has too few or too many VMs; a baseline for experiments. */
-        public val Undamped: MoveTimings = MoveTimings(Duration.ZERO, Duration.ZERO, Duration.ZERO, false)
+        public val Undamped: MoveTimings =
+            MoveTimings(Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO, false)
     }
 }
 
@@ -37,8 +41,8 @@
 /**
  * Lends VMs of the spare pool to pools that are short, and takes them back.
  *
- * A move costs a drain and a change of software, so [timings] damp it, and a wave is covered by one borrowed VM for
- * each pool, not by one for each VM that it maintains.
+ * A move costs a drain and a change of software, so [timings] damp it. Losses are covered first; a wave is covered by
+ * one borrowed VM for each pool whose budget could not bear the rest of the wave twice.
  *
  * @param extraDemand VMs that a pool asks for above its target at the moment.
  */
@@ -55,19 +59,32 @@
             BufferPlanner.needOf(state).shared - state.vmsOf(spare.id) { it.phase.willServe }.size
         }
         val moves = mutableListOf<FleetCommand.StartDrain>()
-        val lenders = state.vmsOf(spare.id) { it.phase is VmPhase.Active }.toMutableList()
-        for (pool in state.pools.values.filter { it.services.isNotEmpty() }) {
-            val balance = PoolBalance(state, pool, at, timings, extraDemand(pool, at))
-            if (balance.deficit > 0) lend(lenders, balance, moves)
+        val waveSince = state.waves.values.filter { it.status == WaveStatus.RUNNING }.minOfOrNull { it.startedAt }
+        val mayMove = { vm: Vm -> vm.phase is VmPhase.Active && vm.mayMove(at, waveSince) }
+        val lenders = state.vmsOf(spare.id, mayMove).toMutableList()
+        val balances =
+            state.pools.values
+                .filter { it.services.isNotEmpty() }
+                .map { PoolBalance(state, it, at, timings, extraDemand(it, at)) }
+        // A loss lasts for hours and an outage for minutes, so losses are covered first.
+        balances.filter { it.deficit > 0 }.sortedBy { it.reason is MoveReason.WaveCover }.forEach { balance ->
+            if (lenders.isEmpty() && balance.reason is MoveReason.Shortfall) lenders += surplusOf(balances, mayMove)
+            lend(lenders, balance, moves)
+        }
+        for (balance in balances) {
             if (balance.surplus > 0 && balance.inbound == 0 && missing > 0) {
-                takeBack(spare, balance, missing, at, now)?.let(moves::add)
+                takeBack(spare, balance, missing, now, mayMove)?.let(moves::add)
             } else {
-                surplusSince.remove(pool.id)
+                surplusSince.remove(balance.pool.id)
             }
         }
         return moves
     }
 
+    /** With no spare VM left, a pool that still has a borrowed one too many passes it on by one move instead of two. */
+    private fun surplusOf(balances: List<PoolBalance>, mayMove: (Vm) -> Boolean): List<Vm> =
+        balances.filter { it.surplus > 0 }.flatMap { it.members.filter(mayMove).take(it.surplus) }
+
     /** Chooses the lender whose rack holds the fewest VMs of the borrower. */
     private fun lend(lenders: MutableList<Vm>, balance: PoolBalance, moves: MutableList<FleetCommand.StartDrain>) {
         val racks = balance.members.groupingBy { it.domain }.eachCount()
@@ -83,20 +100,25 @@
         spare: Pool,
         balance: PoolBalance,
         missing: Int,
-        at: Instant,
         now: MonotonicTime,
+        mayMove: (Vm) -> Boolean,
     ): FleetCommand.StartDrain? {
         val waited = now - surplusSince.getOrPut(balance.pool.id) { now }
         if (waited < timings.surplusHoldOff) return null
         val racks = balance.members.groupingBy { it.domain }.eachCount()
-        val candidates = balance.members.filter { it.phase is VmPhase.Active && it.mayMove(at) }
+        val candidates = balance.members.filter(mayMove)
         val vm = candidates.maxByOrNull { racks.getValue(it.domain) } ?: return null
         val reason = MoveReason.Surplus(balance.surplus, missing, waited)
         surplusSince.remove(balance.pool.id)
         return FleetCommand.StartDrain(vm.id, DrainPurpose.Move(spare.id, reason))
     }
 
-    private fun Vm.mayMove(at: Instant): Boolean = lastMove?.let { at - it.at >= timings.minStay } ?: true
+    /** A VM moves at most once during a wave, so that the wave is not paid for with moves to and fro. */
+    private fun Vm.mayMove(at: Instant, waveSince: Instant?): Boolean {
+        val movedAt = lastMove?.at ?: return true
+        val isMovedInWave = waveSince != null && movedAt >= waveSince
+        return at - movedAt >= if (isMovedInWave) timings.maxStay else timings.minStay
+    }
 }
 
 /** VMs that a pool has, will have and needs. */
@@ -119,7 +141,13 @@
             !it.phase.isOverdue
     }
     private val wave = state.waves.values.firstOrNull { wave -> wave.isRunningOver(members) }
-    private val cover = if (wave != null && timings.expectsReturns) MAINTENANCE_COVER else 0
+    private val cover = if (wave != null && timings.expectsReturns &&
+        isBudgetTight(state, wave, at)
+    ) {
+        MAINTENANCE_COVER
+    } else {
+        0
+    }
     private val expected = available + inbound + underMaintenance + recentlyLost
 
     val deficit: Int = (target + cover - expected).coerceAtLeast(0)
@@ -139,6 +167,20 @@
                 )
         }
 
+    /** Whether the rest of the wave could use up more than a part of what is left of a budget of the pool. */
+    private fun isBudgetTight(state: FleetState, wave: Wave, at: Instant): Boolean {
+        val pending = members.count { it.id in wave.pending }
+        return pool.services.mapNotNull { state.budgetOf(it, at) }.any { status ->
+            val budget = status.spec.budget
+            val needed = budget.maxOutage * pending
+            budget.allowance - status.spent.total < needed * COVER_MARGIN
+        }
+    }
+
+    private companion object {
+        const val COVER_MARGIN = 2
+    }
+
     private fun VmPhase.isRecentLoss(at: Instant): Boolean = this is VmPhase.Lost && at - since < timings.lossHoldOff
 
     private fun Wave.isRunningOver(members: List<Vm>): Boolean =
