--- a/bench/src/main/kotlin/org/auburnstream/bench/Experiments.kt
+++ b/bench/src/main/kotlin/org/auburnstream/bench/Experiments.kt
@@ -6,6 +6,8 @@
 import org.auburnstream.bench.consensus.RestCost
 import org.auburnstream.bench.consensus.RestartTime
 import org.auburnstream.bench.consensus.VoterPlacement
+import org.auburnstream.bench.control.LeaseTraffic
+import org.auburnstream.bench.control.SettingsTreeCost
 
 /** Every experiment of the command line. */
 internal val experiments: List<Experiment> =
@@ -19,6 +21,16 @@
         Experiment("consensus-voters", "losses that three and five voters survive", run = VoterPlacement::run),
         Experiment("consensus-proposals", "throughput and latency of synced proposals", run = ProposalLoad::run),
         Experiment("consensus-restart", "time to restart behind a snapshot", run = RestartTime::run),
+        Experiment(
+            "settings-tree",
+            "time and memory of the settings tree over VMs and pools",
+            run = SettingsTreeCost::run,
+        ),
+        Experiment(
+            "lease-traffic",
+            "messages and bytes of settings leases at rest, over daemons",
+            run = LeaseTraffic::run,
+        ),
         Experiment(
             name = "rest",
             description = "cost of daemons at rest as processes, over VMs and daemons",
--- a/control/src/main/kotlin/org/auburnstream/control/LeaseGrantor.kt
+++ b/control/src/main/kotlin/org/auburnstream/control/LeaseGrantor.kt
@@ -92,7 +92,7 @@
         return holds
     }
 
-    /** Returns the latest time at which [daemon] can hold a lease, as far as this leader and earlier ones granted one. */
+    /** Returns the latest end of the leases that this leader granted to [daemon], or an earlier one may have. */
     public fun leaseEndOf(daemon: DaemonId): MonotonicTime {
         val own = holders.filterKeys { it.daemon == daemon }.values.maxOfOrNull { it.latest }
         return maxOf(earlierLeasesUntil, own ?: earlierLeasesUntil)
