--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
@@ -26,6 +26,7 @@
 import org.auburnstream.routing.Ticket
 import org.auburnstream.routing.credit.CreditMessage
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Runs a [Router]: feeds it inputs one at a time and carries out its effects.
@@ -34,7 +35,8 @@
  * Safe for concurrent use.
  *
  * @param sendCredit sends a message to another daemon, best effort, without blocking.
- * @param tick time between two [RoutingInput.Tick].
+ * @param tick time between two [RoutingInput.Tick] while requests are pending.
+ * @param idleTick time between two of them otherwise; bounds how late an expired target or credit is noticed.
  */
 public class RouterDriver(
     private val router: Router,
@@ -43,6 +45,7 @@
     private val sendCredit: (DaemonId, CreditMessage) -> Unit = { _, _ -> },
     private val hops: HopTracer = HopTracer.None,
     private val tick: Duration,
+    private val idleTick: Duration = 100.milliseconds,
 ) {
     private val lock = Any()
     private val waiting = HashMap<Ticket, Channel<RoutingEffect>>()
@@ -51,12 +54,14 @@
     /** Sends the ticks until [scope] is cancelled. */
     public fun start(scope: CoroutineScope): Job = scope.launch {
         while (true) {
-            delay(tick)
+            delay(if (isIdle) idleTick else tick)
             input(RoutingInput.Tick)
             gateway.closeIdle()
         }
     }
 
+    private val isIdle: Boolean get() = synchronized(lock) { router.pending == 0 }
+
     /** Load of this daemon by service. */
     public fun load(): List<ServiceLoad> = synchronized(lock) { router.load() }
 
