--- a/storage/src/test/kotlin/org/auburnstream/storage/FileReplicaStoreTest.kt
+++ b/storage/src/test/kotlin/org/auburnstream/storage/FileReplicaStoreTest.kt
@@ -41,7 +41,7 @@
         step { persist(listOf(persist(1, 6L..9))) },
         step { persist(listOf(persist(2, 7L..8, truncate = true))) },
         step { saveSnapshot(metadata(6, 1), ByteArray(90) { 5 }) },
-        step { persist(listOf(persist(2, 9L..14))) },
+        step { persist(listOf(persist(2, 9L..22))) },
         step { installSnapshot(metadata(20, 3), ByteArray(70) { 6 }) },
         step { persist(listOf(persist(3, 21L..23))) },
         step { saveSnapshot(metadata(22, 3), ByteArray(50) { 7 }) },
@@ -80,7 +80,8 @@
         assertEquals(metadata(22, 3), last.snapshot)
         assertEquals(listOf(23L, 24L), last.entries.map { it.index.value })
         assertEquals(listOf(1L, 1, 1, 1, 1, 1, 2, 2), states[4].entries.map { it.term })
-        assertEquals((7L..14L).toList(), states[6].entries.map { it.index.value })
+        assertEquals((7L..22L).toList(), states[6].entries.map { it.index.value })
+        assertEquals(emptyList(), states[7].entries, "a snapshot of the leader replaces the whole log")
     }
 
     @Test
