Report every VM with a request in progress as busy, also one that expired as a target

Cause: a drain asked the table of targets, which drops a target that stops announcing itself while its requests run on; the VM looked idle and a planned stop could cut them off. RouterTest was seen to fail first (busy was empty). Commands that the leader plans no longer fill the table of operations.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -123,7 +123,7 @@
     val inProgress: Int get() = gate.inProgress
 
     /** VMs that this daemon has a request in progress on. */
-    fun busyVms(): Set<VmId> = driver.targets().filter { it.inUse > 0 }.mapTo(HashSet()) { it.vm }
+    fun busyVms(): Set<VmId> = driver.busyVms()
 
     /** Brings the router up to date with the replicated state [view]. */
     private fun follow(view: StateView) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/RouterDriver.kt
@@ -16,6 +16,7 @@
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.Outcome
 import org.auburnstream.model.UnknownReason
+import org.auburnstream.model.VmId
 import org.auburnstream.routing.ExchangeResult
 import org.auburnstream.routing.RequestResult
 import org.auburnstream.routing.Router
@@ -68,6 +69,9 @@
     /** The targets that this daemon knows. */
     public fun targets(): List<TargetLoad> = synchronized(lock) { router.targets(clock()) }
 
+    /** The VMs that run requests of this daemon, also those that it has given up as targets. */
+    public fun busyVms(): Set<VmId> = synchronized(lock) { router.busyVms() }
+
     /** Takes in an event other than a request. */
     public fun input(input: RoutingInput) {
         synchronized(lock) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
@@ -14,6 +14,7 @@
 import org.auburnstream.control.OperationSnapshot
 import org.auburnstream.control.OperationTable
 import org.auburnstream.daemon.fleet.FleetHost
+import org.auburnstream.fleet.FleetCommand
 import org.auburnstream.model.LogIndex
 
 /**
@@ -64,6 +65,8 @@
     }
 
     private fun run(index: LogIndex, command: ReplicatedCommand): ByteArray {
+        // The leader never resends what it plans, so those answers need not take the place of operators' ones.
+        if (!command.body.isByOperator()) return encode(runBody(index, command))
         val content = contentOf(command)
         return when (val admission = operations.admit(command.operation, content, command.proposedAt)) {
             is Admission.Repeated -> admission.answer
@@ -96,6 +99,12 @@
         }
     }
 
+    private fun CommandBody.isByOperator(): Boolean = when (this) {
+        is CommandBody.Control -> true
+        is CommandBody.Fleet -> command is FleetCommand.Operator
+        is CommandBody.Daemons -> false
+    }
+
     // A resend carries a later time of proposal, so the time is no part of what must be equal.
     private fun contentOf(command: ReplicatedCommand): ByteArray {
         val content = OperationContent(command.operator.value, command.body)
--- a/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
@@ -60,6 +60,9 @@
         )
     }
 
+    /** Returns the VMs that run requests of this daemon, also those that it has given up as targets. */
+    public fun busyVms(): Set<VmId> = credits.busyVms()
+
     /** Takes in what happened at [now] and returns what to do. */
     public fun handle(input: RoutingInput, now: MonotonicTime): List<RoutingEffect> {
         state.effects.clear()
--- a/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditBook.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditBook.kt
@@ -59,6 +59,9 @@
     /** Slots of [vm] that this daemon's requests occupy. */
     fun inUse(vm: VmId): Int = accounts[vm]?.inUse ?: 0
 
+    /** VMs with slots in use, gone targets included. */
+    fun busyVms(): Set<VmId> = accounts.values.filter { it.inUse > 0 }.mapTo(HashSet()) { it.vm }
+
     fun take(vm: VmId) {
         accounts.getValue(vm).inUse++
     }
