--- a/cli/src/main/kotlin/org/auburnstream/cli/Auburnctl.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Auburnctl.kt
@@ -115,7 +115,7 @@
 
     private companion object {
         const val DAEMON_VARIABLE = "AUBURNCTL_DAEMON"
-        const val TOKEN_VARIABLE = "AUBURNSTREAM_TOKEN"
+        const val TOKEN_VARIABLE = "AUBURNCTL_TOKEN"
         const val DEFAULT_DAEMON = "127.0.0.1:7402"
         const val MILLIS_PER_SECOND = 1_000L
         val PORTS = 1..65_535
--- a/cli/src/main/kotlin/org/auburnstream/cli/Command.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Command.kt
@@ -17,7 +17,7 @@
     @Option(
         name = "--token-file",
         metaVar = "FILE",
-        usage = "File with the operator's token. Without it, the token is taken from AUBURNSTREAM_TOKEN.",
+        usage = "File with the operator's token. Without it, the token is taken from AUBURNCTL_TOKEN.",
     )
     internal var tokenFile: String? = null
 
--- a/cli/src/main/kotlin/org/auburnstream/cli/HelpText.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/HelpText.kt
@@ -24,7 +24,7 @@
             columns(
                 listOf(
                     "AUBURNCTL_DAEMON" to "Operators' addresses of the daemons, host:port, separated by commas.",
-                    "AUBURNSTREAM_TOKEN" to "The operator's token, unless --token-file is given.",
+                    "AUBURNCTL_TOKEN" to "The operator's token, unless --token-file is given.",
                 ),
             ),
         )
--- a/cli/src/test/kotlin/org/auburnstream/cli/AuburnctlTest.kt
+++ b/cli/src/test/kotlin/org/auburnstream/cli/AuburnctlTest.kt
@@ -20,7 +20,7 @@
     private val out = mutableListOf<String>()
     private val err = mutableListOf<String>()
     private val files = mutableMapOf("token" to "${DaemonStandIn.TOKEN}\n")
-    private val environment = mutableMapOf("AUBURNSTREAM_TOKEN" to DaemonStandIn.TOKEN)
+    private val environment = mutableMapOf("AUBURNCTL_TOKEN" to DaemonStandIn.TOKEN)
 
     @AfterEach
     fun stop() = daemon.close()
@@ -105,7 +105,7 @@
             assertEquals(exit, run(line), line)
             assertTrue(err.size == 1 && '\n' !in err.single() && err.single().startsWith("auburnctl: "), "$line: $err")
         }
-        environment["AUBURNSTREAM_TOKEN"] = "wrong"
+        environment["AUBURNCTL_TOKEN"] = "wrong"
         assertEquals(ExitCode.UNAUTHORIZED, run("status"))
         assertEquals(ExitCode.UNAVAILABLE, run("settings set /r1 target.slots=5", daemons = "127.0.0.1:1"))
         assertEquals(1, daemon.version)
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
@@ -124,9 +124,12 @@
     /** Leaves out a daemon once its lease has certainly run out, and takes it back when it holds one again. */
     private suspend fun agreeOnLiveDaemons() {
         val now = clock()
-        val known = view.daemons.live ?: configured
+        val known = view.daemons.live
         val holders = rollOut.leases.mapTo(HashSet()) { it.daemon }
-        val live = configured.filterTo(sortedSetOf()) { it in holders || it in known && now < leaseEnds.endOf(it, now) }
+        val live = configured.filterTo(sortedSetOf()) {
+            it in holders ||
+                known != null && it in known && now < leaseEnds.endOf(it, now)
+        }
         if (live == known) return
         log.info("live_daemons_changed", LogKeys.Detail of live.joinToString(","))
         val at = Clock.System.now()
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestGate.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestGate.kt
@@ -9,7 +9,6 @@
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.NotRunReason
 import org.auburnstream.model.Outcome
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -29,27 +28,11 @@
     private val clock: () -> MonotonicTime,
     private val next: RequestHandler,
 ) {
-    private val running = AtomicInteger()
-
-    /** Requests without an outcome. */
-    val inProgress: Int get() = running.get()
-
     /** See [RequestHandler]. */
     suspend fun handle(request: CallerRequest, stream: suspend (TargetAnswer) -> Unit): Outcome<TargetAnswer> {
-        running.incrementAndGet()
-        try {
-            val outcome = refusal(request) ?: next(request, stream)
-            metrics.requestEnded(
-                request.service.takeIf {
-                    outcome.isKnownService()
-                },
-                outcome,
-                clock() - request.arrived,
-            )
-            return outcome
-        } finally {
-            running.decrementAndGet()
-        }
+        val outcome = refusal(request) ?: next(request, stream)
+        metrics.requestEnded(request.service.takeIf { outcome.isKnownService() }, outcome, clock() - request.arrived)
+        return outcome
     }
 
     private fun refusal(request: CallerRequest): Outcome.NotRun? {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/RequestPath.kt
@@ -7,12 +7,11 @@
 import kotlinx.coroutines.launch
 import org.auburnstream.daemon.caller.CallerServer
 import org.auburnstream.daemon.caller.CallerSettings
+import org.auburnstream.daemon.caller.CreditLink
 import org.auburnstream.daemon.caller.RouterDriver
 import org.auburnstream.daemon.config.DaemonSettings
 import org.auburnstream.daemon.observability.DaemonMetrics
 import org.auburnstream.daemon.observability.RequestTracing
-import org.auburnstream.daemon.peer.PeerChannel
-import org.auburnstream.daemon.peer.PeerCodec
 import org.auburnstream.daemon.peer.PeerTransport
 import org.auburnstream.daemon.state.LiveDaemons
 import org.auburnstream.daemon.state.StateView
@@ -31,7 +30,6 @@
 import org.auburnstream.routing.ServiceLoad
 import org.auburnstream.routing.ServicePolicy
 import org.auburnstream.routing.TargetLoad
-import org.auburnstream.routing.credit.CreditMessage
 import org.auburnstream.routing.credit.DaemonView
 import java.security.SecureRandom
 import java.util.concurrent.ConcurrentHashMap
@@ -52,7 +50,7 @@
     poolOf: (ServiceId) -> PoolId?,
     onAnnouncement: (Announcement) -> Unit,
 ) {
-    private val routing = RoutingSettings()
+    private val routing = RoutingSettings(leaseRequired = true)
     private val epoch = System.currentTimeMillis()
     private val tracing = RequestTracing(settings.traceExport)
     private val gateway = TargetGateway(selector, clock)
@@ -61,19 +59,19 @@
         Router(
             self = settings.id,
             dataCentre = settings.dataCentre,
-            view = DaemonView(version = 0, configured = configured, leased = true),
+            view = DaemonView(version = 0, configured = configured, live = emptySet(), leased = true),
             epoch = epoch,
             start = clock(),
             random = Random(settings.seed),
             settings = routing,
         )
-    private val creditCodec = PeerCodec(CreditMessage.serializer())
+    private val credits = CreditLink(transport)
     private val driver =
         RouterDriver(
             router = router,
             gateway = gateway,
             clock = clock,
-            sendCredit = { to, message -> transport.send(to, PeerChannel.CREDIT, creditCodec.encode(message)) },
+            sendCredit = credits::send,
             hops = tracing,
             tick = routing.tick,
         )
@@ -119,8 +117,8 @@
     /** Targets that this daemon knows. */
     fun targetLoads(): List<TargetLoad> = driver.targets()
 
-    /** Requests without an outcome. */
-    val inProgress: Int get() = gate.inProgress
+    /** Requests whose answer is not yet written to its end. */
+    val inProgress: Int get() = callers.inProgress
 
     /** VMs that this daemon has a request in progress on. */
     fun busyVms(): Set<VmId> = driver.busyVms()
@@ -151,9 +149,7 @@
 
     /** Begins to listen for callers and returns the bound port. */
     suspend fun startCallers(): Int {
-        transport.register(PeerChannel.CREDIT) { from, payload ->
-            creditCodec.decodeOrNull(payload)?.let { driver.input(RoutingInput.CreditReceived(from, it)) }
-        }
+        credits.start { from, message -> driver.input(RoutingInput.CreditReceived(from, message)) }
         ticks = driver.start(scope)
         scope.launch { followLease() }
         scope.launch { control.views.collect { follow(it) } }
@@ -175,7 +171,6 @@
     /** Ends every later request as not run. */
     fun refuseNewWork() {
         driver.input(RoutingInput.Stopping)
-        callers.drain()
     }
 
     suspend fun close() {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/caller/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/caller/CallerServer.kt
@@ -46,12 +46,16 @@
     private val settings: CallerSettings = CallerSettings(),
 ) {
     private val open = AtomicInteger()
+    private val responding = AtomicInteger()
     private var socket: ServerSocket? = null
     private var connections: Job? = null
 
     @Volatile
     private var draining = false
 
+    /** Requests that were read and whose answer is not yet written to its end. */
+    public val inProgress: Int get() = responding.get()
+
     /** Number of open connections. */
     public val openConnections: Int get() = open.get()
 
@@ -129,7 +133,14 @@
                 return false
             }
 
-            is ReadResult.Complete -> return respond(read, writer, input)
+            is ReadResult.Complete -> {
+                responding.incrementAndGet()
+                try {
+                    return respond(read, writer, input)
+                } finally {
+                    responding.decrementAndGet()
+                }
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/http/HeadReader.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/http/HeadReader.kt
@@ -24,7 +24,9 @@
             throw HeadTruncatedException()
         }
         val buffer = input.readBuffer as Buffer
-        if (buffer.indexOf(HeadEnd) >= 0) return true
+        val end = buffer.indexOf(HeadEnd)
+        if (end > limit) throw HeadTooLargeException(limit)
+        if (end >= 0) return true
         known = buffer.size.toInt()
         if (known > limit) throw HeadTooLargeException(limit)
     }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingProblems.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/SettingProblems.kt
@@ -45,7 +45,7 @@
         is SettingProblem.MalformedPath -> "Write /region/data-centre/pool/service/vm, or a part from the left."
         is SettingProblem.RuleBroken -> "Change the values together, or override one of them at that node."
         is SettingProblem.NodeHasOverrides -> "Unset the overrides first."
-        is SettingProblem.InvalidValue -> "Give a ${problem.type} of ${problem.range}."
+        is SettingProblem.InvalidValue -> "Give a value of type ${problem.type} from ${problem.range}."
         is SettingProblem.LevelNotAllowed -> "Set it at a node of a level that the key allows."
         is SettingProblem.BatchTooLarge -> "Split the change."
         is SettingProblem.TreeTooLarge -> "Forget nodes that are no longer in use."
