Make the others report their slots to a daemon that started anew

Cause: a restarted daemon that allocates a target's slots gives out none, its own share included, until every live daemon has reported what it holds. The others had reported to its earlier process and had no reason to do so again, so all requests through it waited for their deadline and were refused. Ruled out: targets unknown after the restart (the metrics showed one available), a lost lease (2.8 s left), the group (same applied index). Before: DaemonRestartTest failed with deadline-too-short for 30 s.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/ControlPlane.kt
@@ -81,6 +81,7 @@
         )
     private val service = GroupControlService(group, state, rollOut = rollOut::awaitInForce)
     private val configured = transport.peers + settings.id
+    private var isStartKnown = false
     private val leaseEnds = LeaseEnds(LONGEST_LEASE)
 
     /** Latest and later states, each after a command. */
@@ -116,6 +117,7 @@
             val replica = status
             val leads = replica.role == ReplicaRole.LEADER
             leaseEnds.sample(replica.term.takeIf { leads }, rollOut.leases, clock())
+            if (!isStartKnown && isLeaseLive()) isStartKnown = propose(CommandBody.DaemonStarted(settings.id))
             if (leads) agreeOnLiveDaemons()
             delay(SAMPLE_INTERVAL)
         }
@@ -130,11 +132,17 @@
             it in holders ||
                 known != null && it in known && now < leaseEnds.endOf(it, now)
         }
-        if (live == known) return
+        if (live == known || live.isEmpty()) return
         log.info("live_daemons_changed", LogKeys.Detail of live.joinToString(","))
+        propose(CommandBody.Daemons(live))
+    }
+
+    /** Proposes [body] in this daemon's own name and returns whether it was applied. */
+    private suspend fun propose(body: CommandBody): Boolean {
         val at = Clock.System.now()
         val operation = OperationIds.create(at, operationRandom)
-        service.propose(ReplicatedCommand(operation, OperatorId(settings.id.value), at, CommandBody.Daemons(live)))
+        val command = ReplicatedCommand(operation, OperatorId(settings.id.value), at, body)
+        return service.propose(command) is Proposal.Answered
     }
 
     suspend fun close() {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedCommand.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedCommand.kt
@@ -44,6 +44,11 @@
     @Serializable
     @SerialName("daemons")
     public data class Daemons(val live: Set<DaemonId>) : CommandBody
+
+    /** The process of [daemon] started anew; the others report to it again what they hold. */
+    @Serializable
+    @SerialName("daemon_started")
+    public data class DaemonStarted(val daemon: DaemonId) : CommandBody
 }
 
 /** Answer of the replicated state to one command. */
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/ReplicatedState.kt
@@ -92,6 +92,11 @@
                 CommandAnswer.Fleet(fleet.apply(body.command, command.proposedAt))
             }
 
+            is CommandBody.DaemonStarted -> {
+                daemons = LiveDaemons(index.value, daemons.live.orEmpty() + body.daemon)
+                CommandAnswer.Daemons
+            }
+
             is CommandBody.Daemons -> {
                 daemons = LiveDaemons(index.value, body.live)
                 CommandAnswer.Daemons
@@ -102,7 +107,7 @@
     private fun CommandBody.isByOperator(): Boolean = when (this) {
         is CommandBody.Control -> true
         is CommandBody.Fleet -> command is FleetCommand.Operator
-        is CommandBody.Daemons -> false
+        is CommandBody.Daemons, is CommandBody.DaemonStarted -> false
     }
 
     // A resend carries a later time of proposal, so the time is no part of what must be equal.
