Keep what the others reported of a target that a restarted daemon has not heard of yet

Cause: a restarted allocator purged a target that it did not know yet, with the reports of the others, who report once. It then waited for them for ever and gave out no slots, its own share included. Ruled out: the renewal of the view (CreditRestartTest without the delay), the links (open within 2 s), the lease. Before: CreditRestartTest with a target heard 2 s late: the restarted daemon had 0 slots, the others 2. Conclusion: DaemonRestartTest and DaemonKillTest stay listed until they have been run with this.

--- a/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditAllocator.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditAllocator.kt
@@ -54,9 +54,15 @@
     private fun answer(request: CreditMessage.Request, grants: List<CreditGrant>) =
         CreditMessage.Grants(view.version, request.epoch, request.sequence, epoch, grants)
 
-    /** Forgets the targets that are not [known] any more once nothing granted of them can be in use. */
+    /**
+     * Forgets the targets that are not [known] any more once nothing granted of them can be in use.
+     *
+     * A target reported of late is kept: the others may hear of it before this daemon does, and report it only once.
+     */
     fun purge(now: MonotonicTime, known: (VmId) -> Boolean) {
-        targets.entries.removeIf { !known(it.key) && it.value.committedToOthers(daemon = null, now) == 0 }
+        targets.entries.removeIf { (vm, target) ->
+            !known(vm) && now - target.lastRequest >= settling && target.committedToOthers(daemon = null, now) == 0
+        }
     }
 
     private fun isNewer(from: DaemonId, request: CreditMessage.Request): Boolean {
@@ -70,6 +76,7 @@
 
     private fun grant(from: DaemonId, demand: CreditDemand, now: MonotonicTime): CreditGrant {
         val target = targets.getOrPut(demand.vm) { TargetCredits(since = now) }
+        target.lastRequest = now
         target.reported += from
         target.wanting[from] = demand.wanted
         val settled = isSettled(target, now)
@@ -97,6 +104,7 @@
 
 /** What the holders of one target's slots may have in use beyond their static shares. */
 private class TargetCredits(val since: MonotonicTime) {
+    var lastRequest = since
     val reported = HashSet<DaemonId>()
     val wanting = HashMap<DaemonId, Int>()
     val sharing = HashSet<DaemonId>()
--- a/routing/src/test/kotlin/org/auburnstream/routing/credit/CreditRestartTest.kt
+++ b/routing/src/test/kotlin/org/auburnstream/routing/credit/CreditRestartTest.kt
@@ -18,7 +18,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A daemon that starts anew while nothing runs, so that the others have no need to ask for slots. */
+/** A daemon that starts anew while nothing runs, and hears of its target after the others have reported to it. */
 class CreditRestartTest {
     private val ids = listOf(DaemonId("d1"), DaemonId("d2"), DaemonId("d3"))
     private val centre = DataCentreId("dc-1")
@@ -37,6 +37,7 @@
             for (id in ids) {
                 start(id)
                 changeView()
+                run(vm, rounds = 20, unheardBy = id)
                 run(vm, rounds = 40)
                 val slots = ids.associateWith { routers.getValue(it).targets(now).single().slots }
                 assertEquals(ids.associateWith { 2 }, slots, "seed $seed: after the restart of $id")
@@ -55,12 +56,12 @@
         ids.forEach { input(it, RoutingInput.DaemonsChanged(view)) }
     }
 
-    private fun run(vm: VmId, rounds: Int) {
+    private fun run(vm: VmId, rounds: Int, unheardBy: DaemonId? = null) {
         repeat(rounds) {
             now += 100.milliseconds
             for (id in ids) {
                 input(id, RoutingInput.SettingsLeaseRenewed(now + 3.seconds))
-                input(id, RoutingInput.Announced(announcement(vm)))
+                if (id != unheardBy) input(id, RoutingInput.Announced(announcement(vm)))
                 input(id, RoutingInput.Tick)
             }
         }
