--- a/routing/src/main/kotlin/org/auburnstream/routing/Admission.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Admission.kt
@@ -41,6 +41,12 @@
         for ((id, service) in state.services()) {
             if (service.queue.size == 0) continue
             if (!state.isServed(id, now)) completion.giveUpQueue(service, NotRunReason.NO_TARGET, now) { true }
+            // Nothing tells when slots will be granted, so the caller is told to come back, maybe to another daemon.
+            if (service.running == 0 && state.slots(id, now) == 0) {
+                completion.giveUpQueue(service, NotRunReason.NO_TARGET, now) {
+                    now - it.arrived >= state.settings.slotWait
+                }
+            }
             completion.giveUpQueue(service, NotRunReason.DEADLINE_TOO_SHORT, now) {
                 !service.canAnswerAfter(Duration.ZERO, it.deadline, now)
             }
--- a/routing/src/main/kotlin/org/auburnstream/routing/RoutingSettings.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/RoutingSettings.kt
@@ -14,6 +14,7 @@
  * @property queueBytes memory of all queues of the daemon, in bytes, shared evenly by the known services.
  * @property freezeGap time without any input after which the daemon takes itself to have been frozen.
  * @property sendValidity time after which a decision to send is void unless the request was written.
+ * @property slotWait longest time that a request waits while the daemon has no slot at any target of its service.
  * @property leaseRequired whether the daemon sends nothing until it was given a settings lease.
  * @property retryAfterFloor shortest time to come back that a refused caller is told.
  * @property crossDataCentre extra time that a request to a target in another data centre is taken to cost.
@@ -24,6 +25,7 @@
     val queueBytes: Long = DEFAULT_QUEUE_BYTES,
     val freezeGap: Duration = 500.milliseconds,
     val sendValidity: Duration = 500.milliseconds,
+    val slotWait: Duration = 1.seconds,
     val leaseRequired: Boolean = false,
     val retryAfterFloor: Duration = 100.milliseconds,
     val crossDataCentre: Duration = 2.milliseconds,
--- a/routing/src/test/kotlin/org/auburnstream/routing/RouterTest.kt
+++ b/routing/src/test/kotlin/org/auburnstream/routing/RouterTest.kt
@@ -4,6 +4,7 @@
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.DataCentreId
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.NotRunReason
 import org.auburnstream.model.PoolId
 import org.auburnstream.model.RackId
 import org.auburnstream.model.ServiceId
@@ -13,7 +14,9 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class RouterTest {
@@ -39,6 +42,25 @@
         assertEquals(emptySet(), router.busyVms())
     }
 
+    @Test
+    fun requestIsNotHeldWhileTheDaemonGetsNoSlots() {
+        val view = DaemonView(0, setOf(self), live = emptySet(), leased = true)
+        val router = Router(self, centre, view, epoch = 1, start = at(Duration.ZERO), random = Random(1))
+        router.handle(RoutingInput.Announced(announcement()), at(1.seconds))
+        val arrival = RoutingInput.RequestArrived(Ticket(1), service, deadline = at(20.seconds))
+        assertEquals(emptyList(), router.handle(arrival, at(1.seconds)))
+
+        val effects = (11..20).flatMap { tenths ->
+            router.handle(RoutingInput.Announced(announcement()), at(100.milliseconds * tenths))
+            router.handle(RoutingInput.Tick, at(100.milliseconds * tenths))
+        }
+
+        val complete = assertIs<RoutingEffect.Complete>(effects.single())
+        val result = assertIs<RequestResult.NotRun>(complete.result)
+        assertEquals(NotRunReason.NO_TARGET, result.reason)
+        assertTrue(result.retryAfter.isPositive())
+    }
+
     private fun announcement() = Announcement(
         vm = vm,
         incarnation = 1,
