Make a late target wait for the daemon to give up instead of sleeping

Cause: the test's target slept 300 ms, so its verdict leaned on time. It now answers after the daemon closed the connection, which is what late means.

--- a/daemon/src/test/kotlin/org/auburnstream/daemon/target/TargetExchangeTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/target/TargetExchangeTest.kt
@@ -125,14 +125,14 @@
         val doubling =
             ScriptedTarget { request, socket ->
                 val late = request.line.contains("late")
-                if (late) Thread.sleep(LATE_MS)
+                if (late) awaitClosed(socket)
                 socket.getOutputStream().write(whole(request) + whole(request))
             }
         withPath(doubling) { path ->
             path.announce(doubling.port)
             for (number in 1..50) {
                 val name = if (number % 10 == 0) "late-$number" else "$number"
-                val deadlineMs = if (number % 10 == 0) LATE_MS / 2 else 10 * LATE_MS
+                val deadlineMs = if (number % 10 == 0) SHORT_DEADLINE_MS else LONG_DEADLINE_MS
                 val answer = path.call("/print/$name", "POST", "", "X-Request-Deadline-Ms", "$deadlineMs")
                 if (number % 10 == 0) {
                     assertTrue(answer.statusCode() in setOf(503, 504), answer.body())
@@ -205,7 +205,13 @@
     }
 
     private companion object {
-        const val LATE_MS = 300L
+        const val SHORT_DEADLINE_MS = 150L
+        const val LONG_DEADLINE_MS = 3_000L
+
+        /** Returns once the daemon has given the exchange up, which it shows by closing the connection. */
+        fun awaitClosed(socket: Socket) {
+            while (socket.getInputStream().read() >= 0) Unit
+        }
         const val BIG = 400_000
     }
 }
