Test that the request path follows the fleet's placement

Cause: leaving out the rule that a leaving VM gets no work was caught by no routing test; the drain of the fleet leaned on it. Two mutants, the rule and the refusal of those who wait, are now caught by RouterTest.

--- a/routing/src/test/kotlin/org/auburnstream/routing/RouterTest.kt
+++ b/routing/src/test/kotlin/org/auburnstream/routing/RouterTest.kt
@@ -42,6 +42,47 @@
         assertEquals(emptySet(), router.busyVms())
     }
 
+    @Test
+    fun onlyVmsThatThePlacementNamesForTheServiceGetWork() {
+        val pool = PoolId("pool-1")
+        val carried = mapOf(service to setOf(pool))
+        val cases =
+            listOf(
+                Placement(carried, mapOf(vm to pool)) to true,
+                Placement(carried, mapOf(vm to pool), leaving = setOf(vm)) to false,
+                Placement(carried, mapOf(vm to PoolId("pool-2"))) to false,
+                Placement(carried, emptyMap()) to false,
+                Placement(emptyMap(), mapOf(vm to pool)) to false,
+            )
+        router.handle(RoutingInput.Announced(announcement()), at(1.seconds))
+        cases.forEachIndexed { number, (placement, served) ->
+            router.handle(RoutingInput.PlacementChanged(placement), at(1.seconds))
+            val arrival = RoutingInput.RequestArrived(Ticket(number + 1L), service, deadline = at(20.seconds))
+            val effect = router.handle(arrival, at(1.seconds)).single()
+            assertEquals(served, effect is RoutingEffect.Send, "$placement: $effect")
+            if (!served) assertIs<RequestResult.NotRun>(assertIs<RoutingEffect.Complete>(effect).result)
+        }
+    }
+
+    @Test
+    fun waitingRequestIsRefusedAtOnceWhenItsOnlyVmBeginsToLeave() {
+        val pool = PoolId("pool-1")
+        val placement = Placement(mapOf(service to setOf(pool)), mapOf(vm to pool))
+        router.handle(RoutingInput.Announced(announcement()), at(1.seconds))
+        router.handle(RoutingInput.PlacementChanged(placement), at(1.seconds))
+        val waiting = (1L..Announcement.DEFAULT_SLOTS + 1).filter { number ->
+            val arrival = RoutingInput.RequestArrived(Ticket(number), service, deadline = at(20.seconds))
+            router.handle(arrival, at(1.seconds)).isEmpty()
+        }
+
+        val effects = router.handle(RoutingInput.PlacementChanged(placement.copy(leaving = setOf(vm))), at(1.seconds))
+
+        val refused = effects.filterIsInstance<RoutingEffect.Complete>()
+        assertEquals(waiting.map(::Ticket), refused.map { it.ticket })
+        val reasons = refused.map { assertIs<RequestResult.NotRun>(it.result).reason }
+        assertEquals(setOf(NotRunReason.NO_TARGET), reasons.toSet())
+    }
+
     @Test
     fun requestIsNotHeldWhileTheDaemonGetsNoSlots() {
         val view = DaemonView(0, setOf(self), live = emptySet(), leased = true)
