--- a/api/src/main/kotlin/org/auburnstream/api/fleet/FleetViews.kt
+++ b/api/src/main/kotlin/org/auburnstream/api/fleet/FleetViews.kt
@@ -10,7 +10,6 @@
 import org.auburnstream.fleet.JobResult
 import org.auburnstream.fleet.MoveRecord
 import org.auburnstream.fleet.PoolForecast
-import org.auburnstream.fleet.Resources
 import org.auburnstream.fleet.TeamQuota
 import org.auburnstream.fleet.VmPhase
 import org.auburnstream.fleet.WaveSpec
@@ -20,6 +19,7 @@
 import org.auburnstream.model.JobId
 import org.auburnstream.model.PoolId
 import org.auburnstream.model.RackId
+import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.Urgency
--- a/bench/src/main/kotlin/org/auburnstream/bench/consensus/VirtualGroup.kt
+++ b/bench/src/main/kotlin/org/auburnstream/bench/consensus/VirtualGroup.kt
@@ -59,7 +59,7 @@
             val place = DataCentreId("dc-${names.indexOf(name) % DATA_CENTRES + 1}")
             val member = Member(id, durable = name in durable, dataCentre = place)
             val replicaRandom = Random(random.nextLong())
-            Node(id, Replica(member, GROUP, RestoredState(), initial, peers, replicaRandom, time, settings))
+            Node(id, Replica(member, GROUP, RestoredState(), initial, { peers }, replicaRandom, time, settings))
         }
         nodes.values.forEach { it.schedule() }
     }
--- a/bench/src/main/kotlin/org/auburnstream/bench/fleet/PlanningExperiment.kt
+++ b/bench/src/main/kotlin/org/auburnstream/bench/fleet/PlanningExperiment.kt
@@ -12,7 +12,6 @@
 import org.auburnstream.fleet.JobSpec
 import org.auburnstream.fleet.MaintenanceWindow
 import org.auburnstream.fleet.Pool
-import org.auburnstream.fleet.Resources
 import org.auburnstream.fleet.ServiceSpec
 import org.auburnstream.fleet.TeamQuota
 import org.auburnstream.fleet.UsageBook
@@ -27,6 +26,7 @@
 import org.auburnstream.model.OperationId
 import org.auburnstream.model.PoolId
 import org.auburnstream.model.RackId
+import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.Urgency
--- a/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetChange.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/fleet/FleetChange.kt
@@ -16,7 +16,6 @@
 import org.auburnstream.fleet.JobSpec
 import org.auburnstream.fleet.MaintenanceWindow
 import org.auburnstream.fleet.Pool
-import org.auburnstream.fleet.Resources
 import org.auburnstream.fleet.ServiceSpec
 import org.auburnstream.fleet.TeamQuota
 import org.auburnstream.fleet.WaveChange
@@ -26,6 +25,7 @@
 import org.auburnstream.model.JobId
 import org.auburnstream.model.OperationId
 import org.auburnstream.model.PoolId
+import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.Urgency
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Formation.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Formation.kt
@@ -16,7 +16,7 @@
 internal class Formation(
     private val core: ReplicaCore,
     private val initialVoters: Set<DaemonId>,
-    private val peers: Set<DaemonId>,
+    private val peers: () -> Set<DaemonId>,
 ) {
     private val fresh = HashMap<DaemonId, FreshPeer>()
     private var groupExists = false
@@ -37,7 +37,7 @@
         nextRequest = core.now + core.settings.joinInterval
         // A member that no leader talks to may have been left out by a change that it has not seen.
         if (!isOutside && core.leader != null) return
-        for (peer in peers) {
+        for (peer in peers() - core.id.daemon) {
             val request = JoinRequest(core.self.copy(role = MemberRole.LEARNER))
             core.outbox.emit(Effect.Send(peer, Envelope(core.group, core.id, message = request)))
         }
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
@@ -16,7 +16,7 @@
  * @param self this replica; its role is ignored, the group's configuration decides.
  * @param restored what the store holds.
  * @param initialVoters daemons that form the group if it does not exist yet.
- * @param peers other daemons that can be asked for admission.
+ * @param peers other daemons that can be asked for admission; read at each request, since more may become known.
  * @param random source of the election jitter.
  * @param now reading of the clock at the start.
  */
@@ -25,7 +25,7 @@
     group: GroupId,
     restored: RestoredState,
     initialVoters: Set<DaemonId>,
-    peers: Set<DaemonId>,
+    peers: () -> Set<DaemonId>,
     random: Random,
     now: MonotonicTime,
     settings: ReplicaSettings = ReplicaSettings.Default,
@@ -33,7 +33,7 @@
     private val core = ReplicaCore(self, group, restored, settings, random, now)
     private val elector = Elector(core, ::takeLeadership)
     private val follower = Follower(core)
-    private val formation = Formation(core, initialVoters.takeIf { self.durable }.orEmpty(), peers - self.id.daemon)
+    private val formation = Formation(core, initialVoters.takeIf { self.durable }.orEmpty(), peers)
     private var leading: Leader? = null
 
     /** Current term. */
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/Cluster.kt
@@ -199,7 +199,9 @@
             val peers = nodes.map { it.daemon }.toSet()
             val member = Member(id, durable = durable)
             replica =
-                Replica(member, group, disk.restored(), initialVoters, peers, Random(random.nextInt()), time, settings)
+                Replica(member, group, disk.restored(), initialVoters, {
+                    peers
+                }, Random(random.nextInt()), time, settings)
             timerAt = null
             schedule()
         }
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/ReplicaTest.kt
@@ -155,7 +155,7 @@
             group,
             RestoredState(HardState(1), entries = listOf(genesis)),
             emptySet(),
-            emptySet(),
+            { emptySet() },
             Random(1),
             MonotonicTime.Zero,
         )
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/ScriptedReplica.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/ScriptedReplica.kt
@@ -23,7 +23,7 @@
         group,
         RestoredState(hardState, entries = entries),
         emptySet(),
-        emptySet(),
+        { emptySet() },
         Random(1),
         now,
     )
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -123,7 +123,7 @@
             group = configuration.id,
             restored = restored,
             initialVoters = configuration.initialVoters,
-            peers = transport.peers,
+            peers = { transport.peers },
             random = Random(random.nextLong() xor transport.self.value.hashCode().toLong()),
             now = clock(),
             settings = configuration.settings,
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/StateReplica.kt
@@ -0,0 +1,30 @@
+package org.auburnstream.dispatch
+
+import kotlinx.serialization.cbor.Cbor
+import org.auburnstream.consensus.StateMachine
+import org.auburnstream.model.LogIndex
+import org.auburnstream.scheduling.RecordBatch
+import org.auburnstream.scheduling.SchedulerState
+import org.auburnstream.scheduling.StateImage
+
+/** The scheduling state as the state machine of the replicated log. */
+internal class StateReplica(val state: SchedulerState) : StateMachine {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun encode(batch: RecordBatch): ByteArray = cbor.encodeToByteArray(RecordBatch.serializer(), batch)
+
+    override fun apply(index: LogIndex, command: ByteArray): ByteArray {
+        state.apply(cbor.decodeFromByteArray(RecordBatch.serializer(), command))
+        return NO_RESPONSE
+    }
+
+    override fun snapshot(): ByteArray = cbor.encodeToByteArray(StateImage.serializer(), state.image())
+
+    override fun restore(index: LogIndex, snapshot: ByteArray) {
+        state.restore(cbor.decodeFromByteArray(StateImage.serializer(), snapshot))
+    }
+
+    private companion object {
+        val NO_RESPONSE = ByteArray(0)
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
@@ -0,0 +1,149 @@
+package org.auburnstream.dispatch.log
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.spi.Configurator
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.AppenderBase
+import ch.qos.logback.core.spi.ContextAwareBase
+import org.auburnstream.daemon.observability.KeyValueLayout
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+import java.io.FileDescriptor
+import java.io.FileOutputStream
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Logback's configuration of the dispatching programs, found as a service.
+ *
+ * It takes the place of a file, whose parser would take a good part of a small VM's start.
+ */
+public class LineLogConfigurator :
+    ContextAwareBase(),
+    Configurator {
+    override fun configure(context: LoggerContext): Configurator.ExecutionStatus {
+        val appender = LineAppender()
+        appender.context = context
+        appender.start()
+        val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+        root.level = Level.INFO
+        root.addAppender(appender)
+        return Configurator.ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY
+    }
+}
+
+/**
+ * Writes lines to standard output on a thread of its own, several at a time.
+ *
+ * A line that finds the queue full is dropped and counted, so that no decision ever waits for the log.
+ */
+internal class LineAppender : AppenderBase<ILoggingEvent>() {
+    private val queue = ArrayBlockingQueue<String>(CAPACITY)
+    private val dropped = AtomicLong()
+    private val layout = KeyValueLayout()
+    private val out = FileOutputStream(FileDescriptor.out)
+
+    override fun start() {
+        layout.context = context
+        layout.start()
+        val writer = Thread(::write, "log")
+        writer.isDaemon = true
+        writer.start()
+        current = this
+        super.start()
+    }
+
+    override fun append(event: ILoggingEvent) {
+        if (!queue.offer(layout.doLayout(event))) dropped.incrementAndGet()
+    }
+
+    /** Writes what is queued, at most [MAX_LINES] lines. */
+    @Synchronized
+    fun flush(first: String = "") {
+        val text = StringBuilder(first)
+        var lines = 0
+        while (lines < MAX_LINES) {
+            text.append(queue.poll() ?: break)
+            lines += 1
+        }
+        val lost = dropped.getAndSet(0)
+        if (lost > 0) {
+            totalDropped.addAndGet(lost)
+            text.append("level=warn event=log_lines_dropped count=").append(lost).append('\n')
+        }
+        if (text.isNotEmpty()) out.write(text.toString().toByteArray())
+    }
+
+    private fun write() {
+        while (true) {
+            try {
+                val first = queue.take()
+                Thread.sleep(GATHER_MS)
+                flush(first)
+            } catch (_: InterruptedException) {
+                return
+            }
+        }
+    }
+
+    companion object {
+        /** Lines that may wait; a process under the worst load writes about this many in four seconds. */
+        private const val CAPACITY = 8_192
+        private const val MAX_LINES = 2_048
+
+        /** Time over which lines are gathered, since each write costs a system call. */
+        private const val GATHER_MS = 50L
+        val totalDropped = AtomicLong()
+
+        @Volatile
+        var current: LineAppender? = null
+    }
+}
+
+/** Log of what a process decides: one line of key=value pairs each. */
+public class LineLog(name: String) {
+    private val logger = LoggerFactory.getLogger(name)
+
+    /** Writes [event] with [fields]. */
+    public fun note(event: String, fields: List<Pair<String, Any?>>) {
+        logger.info(line(event, fields))
+    }
+
+    /** Writes [event] with [fields]. */
+    public fun note(event: String, vararg fields: Pair<String, Any?>): Unit = note(event, fields.asList())
+
+    private fun line(event: String, fields: List<Pair<String, Any?>>): String = buildString {
+        append("event=").append(event)
+        for ((key, value) in fields) {
+            append(' ').append(key).append('=')
+            val text = value.toString()
+            if (text.any {
+                    it == ' ' || it == '"' || it == '='
+                }
+            ) {
+                append('"').append(text.replace('"', '\'')).append('"')
+            } else {
+                append(text)
+            }
+        }
+    }
+
+    public companion object {
+        /** Lines that were dropped since the start. */
+        public val droppedLines: Long
+            get() = LineAppender.totalDropped.get()
+
+        /** Names this process in every line. */
+        public fun identify(process: String, dataCentre: String) {
+            val context = LoggerFactory.getILoggerFactory() as? LoggerContext ?: return
+            context.putProperty("daemon", process)
+            context.putProperty("data_centre", dataCentre)
+        }
+
+        /** Writes what is queued, before the process ends. */
+        public fun flush() {
+            LineAppender.current?.flush()
+        }
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
@@ -0,0 +1,224 @@
+package org.auburnstream.dispatch.loop
+
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.SelectionKey
+import java.nio.channels.ServerSocketChannel
+import java.nio.channels.SocketChannel
+
+/**
+ * A TCP connection of an [EventLoop] with a bounded queue of output.
+ *
+ * @property onBytes called with bytes that arrived.
+ * @property onClosed called once when the connection has ended, however it did.
+ */
+public class Connection private constructor(
+    private val loop: EventLoop,
+    private val channel: SocketChannel,
+    private val onBytes: (Connection, ByteBuffer) -> Unit,
+    private val onClosed: (Connection) -> Unit,
+) {
+    private val output = ArrayDeque<ByteBuffer>()
+    private var key: SelectionKey? = null
+    private var onConnected: (() -> Unit)? = null
+    private var closesWhenFlushed = false
+    private var isReadPaused = false
+
+    /** Whether the connection can be written to. */
+    public var isOpen: Boolean = false
+        private set
+
+    /** Whether the connection has ended. */
+    public var isClosed: Boolean = false
+        private set
+
+    /** Bytes that wait to be written. */
+    public var queuedBytes: Int = 0
+        private set
+
+    /** Queues [bytes]; they are dropped if the connection is not open. */
+    public fun write(vararg bytes: ByteArray) {
+        if (!isOpen) return
+        bytes.forEach {
+            output.add(ByteBuffer.wrap(it))
+            queuedBytes += it.size
+        }
+        flush()
+    }
+
+    /** Ends the connection after everything queued is written. */
+    public fun closeWhenFlushed() {
+        closesWhenFlushed = true
+        if (output.isEmpty()) close()
+    }
+
+    /** Stops or resumes taking bytes, so that a peer that sends too much is held back. */
+    public fun pauseReading(isPaused: Boolean) {
+        isReadPaused = isPaused
+        updateInterest()
+    }
+
+    /** Ends the connection now. */
+    public fun close() {
+        if (isClosed) return
+        isClosed = true
+        isOpen = false
+        key?.cancel()
+        try {
+            channel.close()
+        } catch (_: IOException) {
+            // The connection is given up in any case.
+        }
+        output.clear()
+        queuedBytes = 0
+        onClosed(this)
+    }
+
+    private fun opened() {
+        isOpen = true
+        updateInterest()
+    }
+
+    private fun handle(key: SelectionKey) {
+        try {
+            if (key.isConnectable && channel.finishConnect()) {
+                opened()
+                onConnected?.invoke()
+            }
+            if (key.isValid && key.isWritable) flush()
+            if (key.isValid && key.isReadable) read()
+        } catch (_: IOException) {
+            close()
+        }
+    }
+
+    private fun read() {
+        val buffer = readBuffer.get()
+        repeat(MAX_READS_PER_TURN) {
+            buffer.clear()
+            val count = channel.read(buffer)
+            if (count < 0) return close()
+            if (count == 0) return
+            buffer.flip()
+            onBytes(this, buffer)
+            if (isClosed || isReadPaused || count < buffer.capacity()) return
+        }
+    }
+
+    private fun flush() {
+        try {
+            while (output.isNotEmpty()) {
+                val batch = if (output.size == 1) null else output.take(MAX_GATHERED).toTypedArray()
+                val count = if (batch == null) channel.write(output.first()).toLong() else channel.write(batch)
+                queuedBytes -= count.toInt()
+                while (output.isNotEmpty() && !output.first().hasRemaining()) output.removeFirst()
+                if (count == 0L) break
+            }
+        } catch (_: IOException) {
+            return close()
+        }
+        if (output.isEmpty() && closesWhenFlushed) return close()
+        updateInterest()
+    }
+
+    private fun updateInterest() {
+        val current = key ?: return
+        if (!current.isValid || !isOpen) return
+        val read = if (isReadPaused) 0 else SelectionKey.OP_READ
+        val wanted = read or if (output.isEmpty()) 0 else SelectionKey.OP_WRITE
+        if (current.interestOps() != wanted) current.interestOps(wanted)
+    }
+
+    /** Opens connections. */
+    public companion object {
+        private const val MAX_READS_PER_TURN = 4
+        private const val MAX_GATHERED = 16
+        private const val READ_BUFFER_BYTES = 64 * 1024
+        private const val BACKLOG = 512
+        private val readBuffer: ThreadLocal<ByteBuffer> =
+            ThreadLocal.withInitial { ByteBuffer.allocateDirect(READ_BUFFER_BYTES) }
+
+        /** Connects to [address]; [onConnected] is called once it stands, else [onClosed]. */
+        public fun connect(
+            loop: EventLoop,
+            address: InetSocketAddress,
+            onConnected: (Connection) -> Unit,
+            onBytes: (Connection, ByteBuffer) -> Unit,
+            onClosed: (Connection) -> Unit,
+        ): Connection {
+            val channel = SocketChannel.open()
+            channel.configureBlocking(false)
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+            val connection = Connection(loop, channel, onBytes, onClosed)
+            connection.onConnected = { onConnected(connection) }
+            try {
+                val isDone = channel.connect(address)
+                val operations = if (isDone) SelectionKey.OP_READ else SelectionKey.OP_CONNECT
+                connection.key = loop.register(channel, operations, connection::handle)
+                if (isDone) {
+                    loop.post {
+                        if (!connection.isClosed) {
+                            connection.opened()
+                            onConnected(connection)
+                        }
+                    }
+                }
+            } catch (_: IOException) {
+                loop.post { connection.close() }
+            }
+            return connection
+        }
+
+        /**
+         * Accepts connections at [address] and passes each to [accept], which returns its handlers.
+         *
+         * @throws IOException if the address cannot be bound.
+         */
+        public fun listen(loop: EventLoop, address: InetSocketAddress, accept: () -> Handlers): Listener {
+            val server = ServerSocketChannel.open()
+            server.configureBlocking(false)
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+            server.bind(address, BACKLOG)
+            loop.register(server, SelectionKey.OP_ACCEPT) { acceptAll(loop, server, accept) }
+            return Listener(server)
+        }
+
+        private fun acceptAll(loop: EventLoop, server: ServerSocketChannel, accept: () -> Handlers) {
+            while (true) {
+                val channel = try {
+                    server.accept() ?: return
+                } catch (_: IOException) {
+                    return
+                }
+                channel.configureBlocking(false)
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                val handlers = accept()
+                val connection = Connection(loop, channel, handlers.onBytes, handlers.onClosed)
+                connection.key = loop.register(channel, SelectionKey.OP_READ, connection::handle)
+                connection.opened()
+                handlers.onOpened(connection)
+            }
+        }
+    }
+
+    /** Handlers of an accepted connection. */
+    public class Handlers(
+        internal val onOpened: (Connection) -> Unit,
+        internal val onBytes: (Connection, ByteBuffer) -> Unit,
+        internal val onClosed: (Connection) -> Unit,
+    )
+
+    /** A socket that accepts connections. */
+    public class Listener internal constructor(private val server: ServerSocketChannel) {
+        /** Address that is listened at. */
+        public val address: InetSocketAddress
+            get() = server.localAddress as InetSocketAddress
+
+        /** Accepts no further connection. */
+        public fun close() {
+            server.close()
+        }
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
@@ -0,0 +1,68 @@
+package org.auburnstream.dispatch.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.auburnstream.scheduling.Action
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Metrics of one dispatching process; the registry is built when the first value is noted or read. */
+public class NodeMetrics {
+    private val registry = PrometheusRegistry()
+    private val requests by lazy {
+        Counter.builder().name("auburnstream_requests_total").help("Requests answered, by listener and status.")
+            .labelNames("listener", "status").register(registry)
+    }
+    private val requestTime by lazy {
+        Histogram.builder().name("auburnstream_request_seconds").help("Time from request to answer.")
+            .labelNames("listener").classicOnly().classicUpperBounds(*SECONDS).register(registry)
+    }
+    private val orders by lazy {
+        Counter.builder().name("auburnstream_orders_total").help("Orders sent to workers and the platform, by kind.")
+            .labelNames("kind").register(registry)
+    }
+    private val commitTime by lazy {
+        Histogram.builder().name("auburnstream_commit_seconds").help("Time from proposal to commitment of a batch.")
+            .classicOnly().classicUpperBounds(*SECONDS).register(registry)
+    }
+    private val records by lazy {
+        Counter.builder().name("auburnstream_records_total").help("Records committed.").register(registry)
+    }
+
+    /** Counts an answer. */
+    public fun answered(listener: String, status: Int, elapsed: Duration) {
+        requests.labelValues(listener, status.toString()).inc()
+        requestTime.labelValues(listener).observe(elapsed.toDouble(DurationUnit.SECONDS))
+    }
+
+    /** Counts an order. */
+    public fun ordered(action: Action) {
+        orders.labelValues(action.javaClass.simpleName.lowercase()).inc()
+    }
+
+    /** Counts a batch of [count] records that took [elapsed] to commit. */
+    public fun committed(elapsed: Duration, count: Int) {
+        commitTime.observe(elapsed.toDouble(DurationUnit.SECONDS))
+        records.inc(count.toDouble())
+    }
+
+    /** Exposes [name] as what [read] returns at each scrape. */
+    public fun gauge(name: String, help: String, read: () -> Number) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(read().toDouble()) }.register(registry)
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public fun scrape(): ByteArray {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(out, registry.scrape())
+        return out.toByteArray()
+    }
+
+    private companion object {
+        val SECONDS = doubleArrayOf(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+    }
+}
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
@@ -7,6 +7,7 @@
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.JobId
 import org.auburnstream.model.PoolId
+import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.VmId
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobCommands.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobCommands.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.fleet
 
 import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.VmId
 import org.auburnstream.model.isValidId
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
@@ -2,6 +2,7 @@
 
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.PoolId
+import org.auburnstream.model.Resources
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.Urgency
 import org.auburnstream.model.VmId
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobTables.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobTables.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.Urgency
 import org.auburnstream.model.VmId
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/UsageBook.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/UsageBook.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.Serializable
 import org.auburnstream.model.JobId
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.Resources
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.VmId
 import kotlin.math.abs
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/JobTest.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/JobTest.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.model.Announcement
 import org.auburnstream.model.JobId
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.Resources
 import org.auburnstream.model.TeamId
 import org.auburnstream.model.Urgency
 import org.auburnstream.model.VmId
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Catalog.kt
@@ -0,0 +1,130 @@
+package org.auburnstream.scheduling
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.ServiceId
+
+/**
+ * Queues and services that an operator has accepted; a higher [version] replaces a lower one as a whole.
+ *
+ * Use [problem] to check a catalog before it is offered.
+ */
+@Serializable
+public data class Catalog(
+    val version: Long,
+    val queues: List<Queue>,
+    val services: List<ServiceTerms>,
+    val limits: RequestLimits = RequestLimits(),
+) {
+    /** Returns the queue [name], or null. */
+    public fun queue(name: QueueName): Queue? = queues.firstOrNull { it.name == name }
+
+    /** Returns the queue of [host] with the longest prefix that [path] begins with, or null. */
+    public fun route(host: String, path: String): Queue? = queues
+        .filter { it.host == host && path.startsWith(it.prefix) }
+        .maxByOrNull { it.prefix.length }
+
+    /** Returns what makes this catalog invalid, or null. */
+    public fun problem(): CatalogProblem? {
+        val known = services.map { it.service }.toSet()
+        val places = HashSet<Pair<String, String>>()
+        for (queue in queues) {
+            if (queue.service !in known) return CatalogProblem.UnknownService(queue.name, queue.service)
+            if (!places.add(queue.host to queue.prefix)) return CatalogProblem.SharedPlace(queue.name)
+            if (queue.timeoutMs <= 0) return CatalogProblem.NoTimeout(queue.name, queue.timeoutMs)
+        }
+        return null
+    }
+}
+
+/**
+ * Terms of one queue.
+ *
+ * @property priority 0 comes first.
+ * @property attempts runs of one task that may end as failed.
+ * @property stretch factor by which a job may take longer than its longest chain of work.
+ * @property objectiveMs time that a job may take in addition.
+ * @property timeoutMs longest time that a request may take.
+ * @property advice terms of the service that knows which workers may run the queue's steps, or null if any may.
+ */
+@Serializable
+public data class Queue(
+    val name: QueueName,
+    val host: String,
+    val prefix: String,
+    val service: ServiceId,
+    val priority: Int = 0,
+    val attempts: Int = 1,
+    val stretch: Double = 1.0,
+    val objectiveMs: Long = 0,
+    val timeoutMs: Long = 0,
+    val advice: AdviceTerms? = null,
+)
+
+/**
+ * Cost and validity of advice on workers.
+ *
+ * @property decideMs duration of a call.
+ * @property eachMs additional duration for each worker asked about.
+ * @property validMs time for which a ticket can be used.
+ */
+@Serializable
+public data class AdviceTerms(val decideMs: Long, val eachMs: Long, val validMs: Long)
+
+/**
+ * Terms of one service.
+ *
+ * @property guardsCapacity whether its workers refuse tasks beyond their capacity.
+ * @property spare whether its VMs are switched off until they are moved to another pool.
+ */
+@Serializable
+public data class ServiceTerms(
+    val service: ServiceId,
+    val guardsCapacity: Boolean = false,
+    val spare: Boolean = false,
+    val healthPath: String = "/",
+)
+
+/** Bounds of callers' requests. */
+@Serializable
+public data class RequestLimits(
+    val maxHeaderBytes: Int = DEFAULT_HEADER_BYTES,
+    val maxBodyBytes: Int = DEFAULT_BODY_BYTES,
+    val headerTimeoutMs: Long = DEFAULT_HEADER_TIMEOUT_MS,
+    val idleTimeoutMs: Long = DEFAULT_IDLE_TIMEOUT_MS,
+)
+
+/** Why a catalog cannot be accepted; [message] names the value and what to change. */
+public sealed interface CatalogProblem {
+    /** Text for the operator. */
+    public val message: String
+
+    /** A queue names a service that the catalog does not have. */
+    public data class UnknownService(val queue: QueueName, val service: ServiceId) : CatalogProblem {
+        override val message: String
+            get() = "queue $queue names service $service, which is not defined; define it or name another"
+    }
+
+    /** Two queues have the same host and prefix. */
+    public data class SharedPlace(val queue: QueueName) : CatalogProblem {
+        override val message: String
+            get() = "queue $queue has the host and prefix of another queue; give it a prefix of its own"
+    }
+
+    /** A queue has no timeout. */
+    public data class NoTimeout(val queue: QueueName, val timeoutMs: Long) : CatalogProblem {
+        override val message: String
+            get() = "queue $queue has a timeout of $timeoutMs ms; give it at least 1 ms"
+    }
+
+    /** The document cannot be read. */
+    public data class Unreadable(val detail: String) : CatalogProblem {
+        override val message: String
+            get() = "the catalog cannot be read: $detail; send a complete document"
+    }
+}
+
+// Bounds that hold until the first catalog arrives: those of a usual HTTP server.
+private const val DEFAULT_HEADER_BYTES = 16_384
+private const val DEFAULT_BODY_BYTES = 262_144
+private const val DEFAULT_HEADER_TIMEOUT_MS = 3_000L
+private const val DEFAULT_IDLE_TIMEOUT_MS = 15_000L
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -0,0 +1,63 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Contacts of one leader with the workers, and which of them may be given tasks. */
+internal class Contacts(
+    private val state: SchedulerState,
+    private val settings: SchedulingSettings,
+    private val startedAt: MonotonicTime,
+) {
+    private val byLife = HashMap<WorkerLife, WorkerContact>()
+    private var usable = emptySet<WorkerLife>()
+
+    val all: Collection<WorkerContact>
+        get() = byLife.values
+
+    fun of(life: WorkerLife, now: MonotonicTime): WorkerContact = byLife.getOrPut(life) { WorkerContact(life, now) }
+
+    fun find(life: WorkerLife): WorkerContact? = byLife[life]
+
+    fun forget(life: WorkerLife) {
+        byLife.remove(life)
+    }
+
+    /** Drops the contacts of lives that have ended and have no claims. */
+    fun prune() {
+        byLife.keys.removeAll { state.worker(it) == null && state.claimsAt(it).isEmpty() }
+    }
+
+    /** Whether [worker] was heard lately, stays, and does not fail what it starts. */
+    fun isUsable(worker: Worker, now: MonotonicTime): Boolean {
+        if (worker.isLeaving) return false
+        val contact = byLife[worker.profile.life] ?: return false
+        val heardAt = contact.heardAt ?: return false
+        if (!contact.clock.isKnown || now - heardAt > settings.reportInterval * MISSED_REPORTS) return false
+        if (contact.failedLooks >= FAILED_LOOKS_UNUSABLE || contact.health.isAside(now)) return false
+        if (contact.fullUntil?.let { now < it } == true) return false
+        // Until the worker has said under this leadership what it runs, its room is known from the log only.
+        return state.claimsAt(worker.profile.life).isEmpty() || contact.lookedAt != null || contact.orders.isNotEmpty()
+    }
+
+    /** Whether other workers are usable than at the last call. */
+    fun usableChanged(now: MonotonicTime): Boolean {
+        val current = state.workers.values.filter { isUsable(it, now) }.map { it.profile.life }.toSet()
+        val isChanged = current != usable
+        usable = current
+        return isChanged
+    }
+
+    /** Time since the start of the leadership. */
+    fun age(now: MonotonicTime): Duration = now - startedAt
+
+    private companion object {
+        // A report may be late, and one may go to a daemon that is down.
+        const val MISSED_REPORTS = 2.2
+        const val FAILED_LOOKS_UNUSABLE = 2
+    }
+}
+
+/** How long a worker that said it has no room is passed over, a little longer than a task that is being stopped. */
+internal val FULL_PAUSE: Duration = 1_000.milliseconds
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -0,0 +1,231 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Decides, for one leadership, what the group records and what workers are told.
+ *
+ * Inputs change nothing but what waits to be recorded; the records are committed in one batch at a time, and only
+ * what follows from committed records is sent out or answered. A run is claimed by a record before its order is
+ * sent, and stays claimed until a record says that it ended or certainly does not run. So any later leader knows
+ * every run that may be in progress, and a task never has two.
+ *
+ * Not thread-safe; the shell feeds events one at a time.
+ *
+ * @param state replicated state, already caught up with everything that earlier leaders committed.
+ * @param now reading of the monotonic clock at the start of the leadership.
+ */
+public class Coordinator(
+    private val state: SchedulerState,
+    private val settings: SchedulingSettings,
+    now: MonotonicTime,
+) {
+    private val actions = ArrayList<Action>()
+    private val intake = Intake(state, settings) { actions.add(it) }
+    private val contacts = Contacts(state, settings, now)
+    private val runs = RunControl(state, settings, contacts, intake::record) { actions.add(it) }
+    private val waves = WaveControl(state, settings, now)
+    private val advice = AdviceBook()
+    private var committing: RecordBatch? = null
+    private var planDirty = true
+    private var nextTick = now
+    private var nextOccurrenceMs: Long? = null
+
+    /** When [Event.Tick] is due. */
+    public val nextDeadline: MonotonicTime
+        get() = nextTick
+
+    /** Handles [event] at the readings [now] and [nowMs], the time of day; returns what the shell must do. */
+    public fun handle(event: Event, now: MonotonicTime, nowMs: Long): List<Action> {
+        when (event) {
+            is Event.JobOffered -> intake.offer(event)
+            is Event.CancelOffered -> intake.offer(event)
+            is Event.CatalogOffered -> intake.offer(event)
+            is Event.WaveOffered -> intake.offer(event, nowMs)
+            is Event.WorkerReported -> report(event, now)
+            is Event.WorkerLeft -> intake.offer(event)
+            is Event.BatchApplied -> applied(now, nowMs)
+            is Event.BatchRejected -> rejected()
+            is Event.StartAnswered -> runs.startAnswered(event, now)
+            is Event.StopAnswered -> runs.stopAnswered(event, now)
+            is Event.LookAnswered -> runs.lookAnswered(event, now)
+            is Event.PaceAnswered -> runs.paceAnswered(event)
+            is Event.AdviceAnswered -> advised(event, now)
+            is Event.UpkeepAnswered -> upkeepAnswered(event, now)
+            is Event.VmsListed -> event.vms?.let { waves.listed(it, now).forEach(intake::record) }
+            is Event.Tick -> tick(now, nowMs)
+        }
+        if (committing == null) decide(now, nowMs)
+        return actions.toList().also { actions.clear() }
+    }
+
+    private fun report(event: Event.WorkerReported, now: MonotonicTime) {
+        val life = event.profile.life
+        val contact = contacts.of(life, now)
+        val isLate = event.sequence <= contact.sequence
+        if (!isLate) {
+            contact.sequence = event.sequence
+            contact.heard(now, event.clockMs)
+        }
+        intake.offer(event)
+    }
+
+    private fun advised(event: Event.AdviceAnswered, now: MonotonicTime) {
+        advice.answered(event.step, event.advice, now)
+        planDirty = true
+    }
+
+    private fun upkeepAnswered(event: Event.UpkeepAnswered, now: MonotonicTime) {
+        val record = waves.answered(event.wave, event.vm, event.answer, now) ?: return
+        note("upkeep_answered", "wave" to event.wave, "vm" to event.vm, "answer" to event.answer)
+        intake.record(record)
+        if (event.answer != UpkeepAnswer.BEGUN) return
+        val bornMs = state.waves[event.wave]?.begun?.get(event.vm) ?: return
+        state.workers.values
+            .filter { it.profile.vm == event.vm && it.profile.life.bornMs == bornMs }
+            .forEach { intake.record(Record.WorkerGone(it.profile.life)) }
+    }
+
+    private fun tick(now: MonotonicTime, nowMs: Long) {
+        runs.tick(now)
+        if (waves.needsList(now)) {
+            waves.listRequested(now)
+            actions.add(Action.ListVms)
+        }
+        decideWaves(now, nowMs)
+        if (nextOccurrenceMs?.let { nowMs >= it } == true) planDirty = true
+        // Workers come into and fall out of use by the passing of time alone.
+        if (contacts.usableChanged(now)) planDirty = true
+        nextTick = now + TICK_INTERVAL
+    }
+
+    private fun decideWaves(now: MonotonicTime, nowMs: Long) {
+        if (!waves.isBusy || committing != null) return
+        val decision = waves.decide(now, nowMs, runs::canLose)
+        decision.records.forEach(intake::record)
+        for ((wave, vm) in decision.orders) {
+            waves.orderSent(vm, now, isFresh = false)
+            actions.add(Action.OrderUpkeep(wave, vm))
+        }
+    }
+
+    private fun applied(now: MonotonicTime, nowMs: Long) {
+        val batch = committing ?: return
+        committing = null
+        intake.committed()
+        for (record in batch.records) {
+            when (record) {
+                is Record.RunClaimed -> runs.begin(record, ticketFor(record, now), now)
+                is Record.JobCancelled -> runs.stopJob(record.id, now)
+                is Record.UpkeepBegun -> {
+                    waves.orderSent(record.vm, now, isFresh = true)
+                    actions.add(Action.OrderUpkeep(record.wave, record.vm))
+                }
+                is Record.WorkerGone -> contacts.forget(record.life)
+                is Record.RunEnded -> runs.ended(record, now)
+                is Record.RunReleased -> runs.released(record)
+                else -> Unit
+            }
+        }
+        runs.afterCommit(now)
+        planDirty = true
+        logBatch(batch, nowMs)
+    }
+
+    private fun logBatch(batch: RecordBatch, nowMs: Long) {
+        for (record in batch.records) {
+            when (record) {
+                is Record.JobAccepted -> note("job_accepted", "job" to record.id, "queue" to record.queue.name)
+                is Record.JobCancelled -> note("job_cancelled", "job" to record.id)
+                is Record.CatalogAccepted -> note("catalog_accepted", "version" to record.catalog.version)
+                is Record.WorkerSeen -> note(
+                    "worker_seen",
+                    "worker" to record.profile.life,
+                    "service" to record.profile.service,
+                    "leaving" to record.leaving,
+                )
+                is Record.WorkerGone -> note("worker_gone", "worker" to record.life)
+                is Record.RunClaimed -> note("run_claimed", "run" to record.run, "worker" to record.life)
+                is Record.RunReleased -> note("run_released", "run" to record.run, "worker" to record.life)
+                is Record.RunEnded -> noteEnd(record, nowMs)
+                is Record.WaveAccepted -> note("wave_accepted", "wave" to record.wave, "vms" to record.vms.size)
+                is Record.UpkeepBegun -> note("upkeep_begun", "wave" to record.wave, "vm" to record.vm)
+                is Record.UpkeepEnded -> note("upkeep_ended", "wave" to record.wave, "vm" to record.vm)
+                is Record.UpkeepRefused -> note("upkeep_refused", "wave" to record.wave, "vm" to record.vm)
+                is Record.UpkeepConfirmed, is Record.EndsNoted -> Unit
+            }
+        }
+    }
+
+    private fun noteEnd(record: Record.RunEnded, nowMs: Long) {
+        note("run_ended", "run" to record.run, "worker" to record.life, "end" to record.end)
+        val job = state.jobs[record.run.task.step.job] ?: return
+        if (!job.isActive && job.endedMs == nowMs) {
+            note("job_over", "job" to job.id, "phase" to job.phase, "age_ms" to nowMs - job.acceptedMs)
+        }
+    }
+
+    private fun rejected() {
+        committing = null
+        intake.rejected()
+        planDirty = true
+    }
+
+    private fun decide(now: MonotonicTime, nowMs: Long) {
+        if (planDirty) plan(now, nowMs)
+        val records = intake.take()
+        if (records.isEmpty()) return
+        val batch = RecordBatch(nowMs, records)
+        committing = batch
+        actions.add(Action.Commit(batch))
+    }
+
+    private fun plan(now: MonotonicTime, nowMs: Long) {
+        planDirty = false
+        val earlyMs = settings.earlyStart.inWholeMilliseconds / 2
+        nextOccurrenceMs = WaitingSteps.nextStartMs(state, nowMs, earlyMs)
+        val pendingClaims = intake.hasClaims
+        if (pendingClaims) return
+        val waiting = WaitingSteps.find(state, nowMs, earlyMs).filterNot { intake.isEnding(it.job.id) }
+        if (waiting.isEmpty()) return
+        val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !waves.isHeld(worker.profile) }
+        askAdvice(waiting, isUsable, now)
+        val planner = Planner(state, isUsable, { step, worker -> mayRun(step, worker, now) }, runs::isStopping)
+        val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
+        plan.claims.forEach(intake::record)
+        plan.evictions.forEach { runs.evict(it, now) }
+    }
+
+    private fun mayRun(step: WaitingStep, worker: WorkerProfile, now: MonotonicTime): Boolean =
+        step.queue.advice == null || advice.ticket(step.id, worker.life.worker, now) != null
+
+    private fun askAdvice(waiting: List<WaitingStep>, isUsable: (Worker) -> Boolean, now: MonotonicTime) {
+        val advised = waiting.filter { it.queue.advice != null }
+        if (advised.isEmpty()) return
+        advice.retain { id -> state.active[id.job] != null }
+        for (step in advised.sortedBy { it.dueMs }) {
+            val candidates = state.workers.values
+                .filter { it.profile.service == step.queue.service && isUsable(it) }
+                .map { it.profile.life.worker }
+            val asked = advice.due(step.id, candidates, now)
+            if (asked.isEmpty()) continue
+            advice.asked(step.id, asked, now)
+            actions.add(Action.AskAdvice(step.id, asked))
+        }
+    }
+
+    private fun ticketFor(record: Record.RunClaimed, now: MonotonicTime): String? =
+        advice.ticket(record.run.task.step, record.life.worker, now)
+
+    private fun note(event: String, vararg fields: Pair<String, Any?>) {
+        actions.add(Action.Note(event, fields.toList()))
+    }
+
+    private companion object {
+        /** Longest time that passing time alone takes to be noticed. */
+        val TICK_INTERVAL: Duration = 100.milliseconds
+        const val MAX_CLAIMS = 400
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Ids.kt
@@ -0,0 +1,60 @@
+package org.auburnstream.scheduling
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.JobId
+import kotlin.jvm.JvmInline
+
+/** Identifies a worker; an id may be taken up again by a later life. */
+@Serializable
+@JvmInline
+public value class WorkerId(public val value: String) : Comparable<WorkerId> {
+    override fun compareTo(other: WorkerId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Name of a queue in the catalog. */
+@Serializable
+@JvmInline
+public value class QueueName(public val value: String) : Comparable<QueueName> {
+    override fun compareTo(other: QueueName): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/**
+ * Identifies one life of a worker.
+ *
+ * @property bornMs start of the life in Unix milliseconds; a later life of the same id has a higher value.
+ */
+@Serializable
+public data class WorkerLife(@SerialName("w") val worker: WorkerId, @SerialName("b") val bornMs: Long) {
+    override fun toString(): String = "$worker/$bornMs"
+}
+
+/** Identifies a step of one occurrence of a job. */
+@Serializable
+public data class StepId(
+    @SerialName("j") val job: JobId,
+    @SerialName("o") val occurrence: Int,
+    @SerialName("s") val step: Int,
+) {
+    override fun toString(): String = "$job.$occurrence.$step"
+}
+
+/** Identifies a task of a step. */
+@Serializable
+public data class TaskId(@SerialName("s") val step: StepId, @SerialName("i") val index: Int) {
+    override fun toString(): String = "$step.$index"
+}
+
+/**
+ * Identifies one start of a task.
+ *
+ * @property number counts the starts from 1; the members of a gang share it.
+ */
+@Serializable
+public data class RunId(@SerialName("t") val task: TaskId, @SerialName("n") val number: Int) {
+    override fun toString(): String = "$task#$number"
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
@@ -0,0 +1,144 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import kotlin.time.Duration.Companion.seconds
+
+/** Collects what is to be recorded, and answers calls once their records are committed. */
+internal class Intake(
+    private val state: SchedulerState,
+    private val settings: SchedulingSettings,
+    private val act: (Action) -> Unit,
+) {
+    private var records = ArrayList<Record>()
+    private var calls = ArrayList<CallId>()
+    private val pendingJobs = HashSet<JobId>()
+    private val pendingCancels = HashSet<JobId>()
+    private val pendingWorkers = HashMap<WorkerLife, Boolean>()
+    private var pendingCatalog: Long? = null
+    private val pendingWaves = HashSet<Long>()
+    private var committingCalls: List<CallId> = emptyList()
+    private var committingRecords: List<Record> = emptyList()
+
+    /** Whether claims wait to be recorded, so that the state does not show all room that is taken. */
+    val hasClaims: Boolean
+        get() = records.any { it is Record.RunClaimed }
+
+    /** Whether the job is being cancelled. */
+    fun isEnding(id: JobId): Boolean = id in pendingCancels
+
+    fun record(record: Record) {
+        records.add(record)
+    }
+
+    fun offer(event: Event.JobOffered) {
+        if (event.id in state.jobs) return accept(event.call)
+        if (event.id !in pendingJobs) {
+            if (isOverloaded(event.queue)) {
+                val reply = Reply.NotAccepted(RefusalReason.OVERLOADED, OVERLOAD_PAUSE)
+                return act(Action.Answer(event.call, reply))
+            }
+            pendingJobs.add(event.id)
+            records.add(Record.JobAccepted(event.id, event.queue, event.description))
+        }
+        calls.add(event.call)
+    }
+
+    fun offer(event: Event.CancelOffered) {
+        val job = state.jobs[event.id]
+        when {
+            job == null && event.id !in pendingJobs -> return act(Action.Answer(event.call, Reply.NoSuchJob))
+            job != null && !job.isActive -> return accept(event.call)
+            pendingCancels.add(event.id) -> records.add(Record.JobCancelled(event.id))
+        }
+        calls.add(event.call)
+    }
+
+    fun offer(event: Event.CatalogOffered) {
+        val stored = state.catalog?.version ?: Long.MIN_VALUE
+        val newest = maxOf(stored, pendingCatalog ?: Long.MIN_VALUE)
+        if (event.catalog.version <= stored) return accept(event.call)
+        if (event.catalog.version > newest) {
+            pendingCatalog = event.catalog.version
+            records.add(Record.CatalogAccepted(event.catalog, event.document))
+        }
+        calls.add(event.call)
+    }
+
+    fun offer(event: Event.WaveOffered, nowMs: Long) {
+        if (event.wave in state.waves) return accept(event.call)
+        if (pendingWaves.add(event.wave)) {
+            val dueMs = nowMs + event.duration.inWholeMilliseconds
+            records.add(Record.WaveAccepted(event.wave, event.vms, dueMs, maxOf(1, event.cap)))
+        }
+        calls.add(event.call)
+    }
+
+    fun offer(event: Event.WorkerReported) {
+        val profile = event.profile
+        val life = profile.life
+        val known = state.workers[life.worker]
+        if (known != null && known.profile.life.bornMs > life.bornMs) return accept(event.call)
+        val isCurrent = known?.profile == profile && (known.isLeaving || !event.isLeaving)
+        if (isCurrent) return accept(event.call)
+        val pending = pendingWorkers[life]
+        if (pending == null || (event.isLeaving && !pending)) {
+            pendingWorkers[life] = event.isLeaving
+            records.add(Record.WorkerSeen(profile, event.isLeaving))
+        }
+        calls.add(event.call)
+    }
+
+    fun offer(event: Event.WorkerLeft) {
+        val life = state.workers[event.worker]?.profile?.life
+        if (life == null || (event.bornMs != null && event.bornMs != life.bornMs)) return accept(event.call)
+        records.add(Record.WorkerGone(life))
+        calls.add(event.call)
+    }
+
+    /** Takes the records of the next batch, with the calls that wait for them. */
+    fun take(): List<Record> {
+        if (records.isEmpty()) return emptyList()
+        val taken = records
+        records = ArrayList()
+        committingCalls = calls
+        calls = ArrayList()
+        committingRecords = taken
+        return taken
+    }
+
+    fun committed() {
+        committingCalls.forEach(::accept)
+        clear()
+    }
+
+    fun rejected() {
+        val reply = Reply.NotAccepted(RefusalReason.NO_LEADER, LEADER_PAUSE)
+        committingCalls.forEach { act(Action.Answer(it, reply)) }
+        clear()
+    }
+
+    private fun clear() {
+        for (record in committingRecords) {
+            when (record) {
+                is Record.JobAccepted -> pendingJobs.remove(record.id)
+                is Record.JobCancelled -> pendingCancels.remove(record.id)
+                is Record.WorkerSeen -> pendingWorkers.remove(record.profile.life)
+                is Record.WaveAccepted -> pendingWaves.remove(record.wave)
+                is Record.CatalogAccepted -> if (pendingCatalog == record.catalog.version) pendingCatalog = null
+                else -> Unit
+            }
+        }
+        committingCalls = emptyList()
+        committingRecords = emptyList()
+    }
+
+    private fun isOverloaded(queue: Queue): Boolean = state.waiting(queue.name) >= settings.maxWaitingJobs
+
+    private fun accept(call: CallId) = act(Action.Answer(call, Reply.Accepted))
+
+    private companion object {
+        // A full queue has work for several seconds, and an election takes one or two.
+        val OVERLOAD_PAUSE = 5.seconds
+        val LEADER_PAUSE = 1.seconds
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -0,0 +1,130 @@
+package org.auburnstream.scheduling
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.JobId
+
+/**
+ * Replicated state of an accepted job.
+ *
+ * @property queue terms of the queue when the job was accepted; they hold on if the queue is removed.
+ * @property acceptedMs when the job was accepted, in Unix milliseconds.
+ * @property endedMs when the job was over, in Unix milliseconds, or 0.
+ * @property hasStarted whether a run of any task was ever claimed.
+ */
+@Serializable
+public class Job(
+    public val id: JobId,
+    public val queue: Queue,
+    public val description: JobDescription,
+    public val acceptedMs: Long,
+) {
+    /** Where the job is. */
+    public var phase: JobPhase = JobPhase.ACTIVE
+        internal set
+    public var endedMs: Long = 0
+        internal set
+    public var hasStarted: Boolean = false
+        internal set
+
+    internal val open: MutableMap<Int, Occurrence> = HashMap()
+
+    /** Occurrences below this number are done; later ones may be as well. */
+    internal var nextOccurrence: Int = 0
+    internal val done: MutableSet<Int> = HashSet()
+
+    /** Whether the job still has work. */
+    public val isActive: Boolean
+        get() = phase == JobPhase.ACTIVE
+
+    /** Occurrences that have begun and are not done, by number. */
+    public val occurrences: Map<Int, Occurrence>
+        get() = open
+
+    /** Whether all tasks of [occurrence] are done. */
+    public fun isDone(occurrence: Int): Boolean = occurrence < nextOccurrence || occurrence in done
+
+    /** Returns the step [id], which begins with this call if its occurrence has not begun. */
+    internal fun step(id: StepId): StepProgress =
+        open.getOrPut(id.occurrence) { Occurrence(description) }.steps[id.step]
+
+    internal fun finish(occurrence: Int) {
+        open.remove(occurrence)
+        done.add(occurrence)
+        while (done.remove(nextOccurrence)) nextOccurrence += 1
+    }
+
+    internal val isWholeDone: Boolean
+        get() = nextOccurrence >= description.occurrences
+}
+
+/** Where an accepted job is. */
+@Serializable
+public enum class JobPhase {
+    /** Waits, runs, or has occurrences that are not due. */
+    ACTIVE,
+
+    /** All tasks are done. */
+    COMPLETE,
+
+    /** A task failed as often as it may. */
+    FAILED,
+
+    /** A caller cancelled the job. */
+    CANCELLED,
+}
+
+/** Progress of one occurrence of a job's steps. */
+@Serializable
+public class Occurrence internal constructor(public val steps: List<StepProgress>) {
+    internal constructor(description: JobDescription) :
+        this(description.steps.map { StepProgress(List(it.count) { Task() }) })
+
+    internal val isDone: Boolean
+        get() = steps.all { it.isDone }
+}
+
+/** Progress of the tasks of one step. */
+@Serializable
+public class StepProgress internal constructor(public val tasks: List<Task>) {
+    /** Number of tasks that are not done. */
+    internal var undone: Int = tasks.size
+
+    /** Gang runs that ended as failed, by their number. */
+    internal val failedRuns: MutableSet<Int> = HashSet()
+
+    /** Latest saved state of a gang, valid for each member; empty if there is none. */
+    public var saved: String = ""
+        internal set
+
+    /** Whether all tasks are done. */
+    public val isDone: Boolean
+        get() = undone == 0
+}
+
+/**
+ * Progress of one task.
+ *
+ * @property claims runs that may be in progress.
+ */
+@Serializable
+public class Task internal constructor(public val claims: MutableList<Claim> = ArrayList(1)) {
+    /** Whether a run ended as done. */
+    public var isDone: Boolean = false
+        internal set
+
+    /** Number of the latest run, or 0. */
+    public var lastRun: Int = 0
+        internal set
+
+    /** Runs that ended as failed. */
+    public var failures: Int = 0
+        internal set
+
+    /** Latest saved state; empty if there is none. */
+    public var saved: String = ""
+        internal set
+}
+
+/** A run that may be in progress at [life]. */
+@Serializable
+public data class Claim(val number: Int, val life: WorkerLife)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PaceControl.kt
@@ -0,0 +1,70 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Decides how fast the tasks that fill a worker may work beside its serving tasks.
+ *
+ * Answers the load pattern of serving tasks whose tail grows within seconds because of what fills beside them: all
+ * fills of the worker are slowed at the first look over the target, and sped up one step at a time while the tail
+ * stays well below it.
+ */
+internal class PaceControl(private val life: WorkerLife) {
+    private val percent = HashMap<RunId, Int>()
+    private var nextRaise: MonotonicTime? = null
+
+    /** Whether a target was missed at the latest look. */
+    var isOver = false
+        private set
+
+    /** Returns the new share of each fill whose share changes. */
+    fun decide(rows: List<RunningRow>, steps: Map<RunId, StepDescription>, now: MonotonicTime): Map<RunId, Int> {
+        val serving = rows.filter { (steps[it.run]?.tailTargetMs ?: 0) > 0 }
+        val fills = rows.filter { steps[it.run]?.fillsUnused == true }.map { it.run }
+        percent.keys.retainAll(fills.toSet())
+        if (fills.isEmpty()) return emptyMap()
+        val worst = serving.maxOfOrNull { it.figure.toDouble() / steps.getValue(it.run).tailTargetMs } ?: 0.0
+        isOver = worst > SLOW_DOWN_AT
+        val raise = nextRaise?.let { now >= it } ?: true
+        val changes = HashMap<RunId, Int>()
+        for (run in fills) {
+            val current = percent.getOrPut(run) { FULL }
+            val next = when {
+                worst > STOP_AT -> 0
+                isOver -> (current * SLOW_DOWN_FACTOR).toInt().let { if (it < LEAST) 0 else it }
+                worst < SPEED_UP_BELOW && raise -> minOf(FULL, current + SPEED_UP_STEP)
+                else -> current
+            }
+            if (next != current) changes[run] = next
+        }
+        if (isOver) {
+            nextRaise = now + RAISE_PAUSE_OVER
+        } else if (changes.isNotEmpty()) {
+            nextRaise = now + RAISE_PAUSE
+        }
+        return changes
+    }
+
+    /** Notes that the worker has taken over [share] for [run]. */
+    fun applied(run: RunId, share: Int) {
+        percent[run] = share
+    }
+
+    override fun toString(): String = "$life $percent"
+
+    private companion object {
+        const val FULL = 100
+        const val LEAST = 10
+
+        // Slowing begins below the target, because a tail is a rough figure of the last half second.
+        const val SLOW_DOWN_AT = 0.95
+        const val STOP_AT = 1.3
+        const val SPEED_UP_BELOW = 0.75
+        const val SLOW_DOWN_FACTOR = 0.5
+        const val SPEED_UP_STEP = 20
+        val RAISE_PAUSE: Duration = 900.milliseconds
+        val RAISE_PAUSE_OVER: Duration = 2_000.milliseconds
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -0,0 +1,178 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.RackId
+import org.auburnstream.model.ServiceId
+
+/**
+ * Decides which waiting tasks start where, from the state alone.
+ *
+ * Answers the load pattern of queues that ask in turn for several times what their pool holds: lasting tasks come
+ * first, then lower [Queue.priority], then the jobs that can still keep their objective by the least work left, so
+ * that as many as possible keep it; jobs that are late come last, oldest first. A gang or a wide step that does not
+ * fit is passed over by smaller ones only for [HEAD_OF_LINE_MS], after which its service is kept for it.
+ *
+ * @property isUsable whether a worker may be given tasks.
+ * @property mayRun whether a worker may run a step, as far as advice tells.
+ * @property isStopping whether a run that is in progress will end soon, since it was ordered to.
+ */
+internal class Planner(
+    private val state: SchedulerState,
+    private val isUsable: (Worker) -> Boolean,
+    private val mayRun: (WaitingStep, WorkerProfile) -> Boolean,
+    private val isStopping: (RunId, WorkerLife) -> Boolean,
+) {
+    /** Returns the runs to claim at [nowMs] and the runs to stop for them. */
+    fun plan(nowMs: Long, waiting: List<WaitingStep>, limit: Int): Plan {
+        if (waiting.isEmpty()) return Plan(emptyList(), emptyList())
+        val rooms = RoomLedger(state, isUsable)
+        val claims = ArrayList<Record.RunClaimed>()
+        val evictions = ArrayList<Eviction>()
+        val kept = HashSet<ServiceId>()
+        for (step in waiting.sortedWith(orderAt(nowMs))) {
+            if (claims.size >= limit) break
+            val isUrgent = step.description.lasting
+            if (step.queue.service in kept && !isUrgent) continue
+            val placed = if (step.description.gang) {
+                placeGang(step, rooms)
+            } else {
+                placeTasks(
+                    step,
+                    rooms,
+                    limit - claims.size,
+                )
+            }
+            claims.addAll(placed)
+            val missing = step.tasks.size - placed.size
+            if (missing == 0) continue
+            if (isUrgent) evictions.addAll(evict(step, missing, rooms))
+            val hasWaited = nowMs - step.job.acceptedMs > HEAD_OF_LINE_MS
+            val isWhole = step.description.gang || placed.isEmpty()
+            if (isWhole && hasWaited && step.dueMs > nowMs && isFeasible(step, rooms)) kept.add(step.queue.service)
+        }
+        return Plan(claims, evictions)
+    }
+
+    private fun orderAt(nowMs: Long): Comparator<WaitingStep> = compareBy<WaitingStep> { !it.description.lasting }
+        .thenBy { it.queue.priority }
+        .thenBy { isLate(it, nowMs) }
+        .thenBy { if (isLate(it, nowMs)) it.dueMs else it.workMs }
+        .thenBy { it.job.acceptedMs }
+
+    private fun isLate(step: WaitingStep, nowMs: Long): Boolean = nowMs + step.description.estimateMs > step.dueMs
+
+    private fun isFeasible(step: WaitingStep, rooms: RoomLedger): Boolean =
+        rooms.of(step.queue.service).any { it.couldFit(step.description) }
+
+    private fun placeTasks(step: WaitingStep, rooms: RoomLedger, limit: Int): List<Record.RunClaimed> {
+        val claims = ArrayList<Record.RunClaimed>()
+        val candidates = candidates(step, rooms)
+        val rack = if (step.description.prefersOneRack) commonRack(step, candidates) else null
+        for (index in step.tasks) {
+            if (claims.size >= limit) break
+            val room = choose(step, candidates, rack) ?: break
+            room.take(step.id, step.description)
+            val last = step.progress.tasks.getOrNull(index)?.lastRun ?: 0
+            claims.add(Record.RunClaimed(RunId(TaskId(step.id, index), last + 1), room.worker.life))
+        }
+        return claims
+    }
+
+    private fun placeGang(step: WaitingStep, rooms: RoomLedger): List<Record.RunClaimed> {
+        val candidates = candidates(step, rooms)
+        val racks = if (step.description.prefersOneRack) candidates.mapNotNull { it.rack }.distinct() else emptyList()
+        for (rack in racks) {
+            val within = candidates.filter { it.rack == rack }
+            placeAll(step, within)?.let { return it }
+        }
+        return placeAll(step, candidates).orEmpty()
+    }
+
+    /** Places every task of the step, or none. */
+    private fun placeAll(step: WaitingStep, candidates: List<Room>): List<Record.RunClaimed>? {
+        val number = 1 + (step.progress.tasks.maxOfOrNull { it.lastRun } ?: 0)
+        val taken = ArrayList<Room>()
+        for (index in step.tasks) {
+            val room = choose(step, candidates, rack = null)
+            if (room == null) {
+                taken.forEach { it.give(step.id, step.description) }
+                return null
+            }
+            room.take(step.id, step.description)
+            taken.add(room)
+        }
+        return taken.mapIndexed { index, room ->
+            Record.RunClaimed(RunId(TaskId(step.id, index), number), room.worker.life)
+        }
+    }
+
+    private fun candidates(step: WaitingStep, rooms: RoomLedger): List<Room> =
+        rooms.of(step.queue.service).filter { mayRun(step, it.worker) }
+
+    private fun commonRack(step: WaitingStep, candidates: List<Room>): RackId? {
+        val used = candidates.firstOrNull { it.count(step.id) > 0 }?.rack
+        if (used != null) return used
+        return candidates.groupBy { it.rack }.maxByOrNull { (_, rooms) -> rooms.sumOf { it.free.millicores } }?.key
+    }
+
+    private fun choose(step: WaitingStep, candidates: List<Room>, rack: RackId?): Room? {
+        val description = step.description
+        val preferred = description.dataRack ?: rack
+        var best: Room? = null
+        var bestScore = Long.MIN_VALUE
+        for (room in candidates) {
+            if (!room.fits(step.id, description)) continue
+            val near = if (preferred != null && room.rack == preferred) NEAR_BONUS else 0
+            val score = near + if (description.fillsUnused) room.unused else room.free.millicores
+            if (score > bestScore) {
+                best = room
+                bestScore = score
+            }
+        }
+        return best
+    }
+
+    /** Chooses runs to stop so that lasting tasks, which must not stay away, find room. */
+    private fun evict(step: WaitingStep, missing: Int, rooms: RoomLedger): List<Eviction> {
+        val evictions = ArrayList<Eviction>()
+        val candidates = candidates(step, rooms).filter { it.couldFit(step.description) }.toMutableList()
+        repeat(minOf(missing, candidates.size)) {
+            val choice = candidates.mapNotNull { room -> victims(step, room)?.let { room to it } }
+                .minByOrNull { (_, victims) -> victims.size } ?: return evictions
+            val (room, victims) = choice
+            candidates.remove(room)
+            victims.forEach { evictions.add(Eviction(it, room.worker.life, step.id)) }
+        }
+        return evictions
+    }
+
+    private fun victims(step: WaitingStep, room: Room): List<RunId>? {
+        if (room.count(step.id) >= maxOf(1, step.description.maxPerWorker)) return null
+        val life = room.worker.life
+        var free = room.free
+        val victims = ArrayList<RunId>()
+        val (stopping, others) = state.claimsAt(life).entries.partition { isStopping(it.key, life) }
+        stopping.forEach { free += it.value.reserved }
+        val stoppable = others.filter { (_, other) -> !other.lasting && !other.gang }
+            .sortedBy { (run, other) -> if (other.savesProgress) 0 else run.task.step.step + 1 }
+        for ((run, other) in stoppable) {
+            if (step.description.reserved.fitsIn(free)) break
+            free += other.reserved
+            victims.add(run)
+        }
+        return victims.takeIf { step.description.reserved.fitsIn(free) }
+    }
+
+    private companion object {
+        /** Time for which smaller steps may pass one that does not fit; a few times the usual task. */
+        const val HEAD_OF_LINE_MS = 3_000L
+
+        /** Outweighs any difference in free processor time, in millicores. */
+        const val NEAR_BONUS = 1_000_000_000L
+    }
+}
+
+/** What a [Planner] decided. */
+internal class Plan(val claims: List<Record.RunClaimed>, val evictions: List<Eviction>)
+
+/** A run to stop so that [beneficiary] finds room. */
+internal data class Eviction(val run: RunId, val life: WorkerLife, val beneficiary: StepId)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -0,0 +1,350 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Carries claims to their end: orders the starts and stops, renews leases, and records what ended or cannot run.
+ *
+ * An order that was not answered may be carried out later. The run is then stopped first: a worker that has
+ * answered the stop refuses a start that arrives after it, so the next look shows what became of the run. Claims
+ * of earlier leaders are settled by the first look that a worker answers, because the look raises the fence.
+ */
+internal class RunControl(
+    private val state: SchedulerState,
+    private val settings: SchedulingSettings,
+    private val contacts: Contacts,
+    private val record: (Record) -> Unit,
+    private val act: (Action) -> Unit,
+) {
+    private val recorded = HashSet<Pair<RunId, WorkerLife>>()
+    private val paces = HashMap<WorkerLife, PaceControl>()
+
+    /** Sends the order for a claim that was committed. */
+    fun begin(claim: Record.RunClaimed, ticket: String?, now: MonotonicTime) {
+        val worker = state.worker(claim.life)
+        val job = state.active[claim.run.task.step.job]
+        val isClaimed = claim.run in state.claimsAt(claim.life)
+        if (!isClaimed) return
+        val contact = contacts.of(claim.life, now)
+        if (worker == null || job == null || worker.isLeaving || !contact.clock.isKnown) {
+            return release(claim.run, claim.life, "worker or job gone")
+        }
+        val order = Order(now)
+        contact.orders[claim.run] = order
+        val description = job.description.steps[claim.run.task.step.step]
+        val progress = job.step(claim.run.task.step)
+        val saved = if (description.gang) progress.saved else progress.tasks[claim.run.task.index].saved
+        val until = contact.clock.grant(now, settings.maxLease)
+        act(Action.Start(worker.profile, claim.run, job.description.payload, until, saved, ticket))
+    }
+
+    /** Whether the run is being stopped. */
+    fun isStopping(run: RunId, life: WorkerLife): Boolean = contacts.find(life)?.orders?.get(run)?.wantsStop ?: false
+
+    /** Orders the end of every run of a job that is over. */
+    fun stopJob(id: JobId, now: MonotonicTime) {
+        for (life in state.claimedLives) {
+            state.claimsAt(life).keys.filter { it.task.step.job == id }.forEach { stop(it, life, now) }
+        }
+    }
+
+    fun evict(eviction: Eviction, now: MonotonicTime) {
+        val order = contacts.find(eviction.life)?.orders?.get(eviction.run)
+        if (order?.wantsStop == true) return
+        note("run_evicted", "run" to eviction.run, "worker" to eviction.life, "for" to eviction.beneficiary)
+        stop(eviction.run, eviction.life, now)
+    }
+
+    fun startAnswered(event: Event.StartAnswered, now: MonotonicTime) {
+        val contact = contacts.find(event.life) ?: return
+        val order = contact.orders[event.run] ?: return
+        val answer = event.answer
+        if (answer != null) contact.heard(now, answer.clockMs)
+        if (answer?.result != OrderResult.DONE) {
+            note("start_failed", "run" to event.run, "worker" to event.life, "answer" to answer?.result)
+        }
+        when (answer?.result) {
+            null -> stop(event.run, event.life, now)
+            OrderResult.DONE -> {
+                order.startedAt = order.startedAt ?: now
+                if (order.wantsStop) sendStop(event.run, event.life, order, now)
+                scheduleLook(contact, now)
+            }
+            OrderResult.OTHER_LIFE -> gone(event.life)
+            OrderResult.NO_ROOM -> {
+                contact.fullUntil = now + FULL_PAUSE
+                release(event.run, event.life, "no room")
+            }
+            OrderResult.UNHEALTHY -> {
+                if (contact.health.refused(now)) note("worker_set_aside", "worker" to event.life, "cause" to "refused")
+                release(event.run, event.life, "unhealthy")
+            }
+            OrderResult.FENCED, OrderResult.OUTDATED, OrderResult.LATE, OrderResult.NO_TICKET, OrderResult.REFUSED ->
+                release(event.run, event.life, answer.result.name.lowercase())
+        }
+    }
+
+    fun stopAnswered(event: Event.StopAnswered, now: MonotonicTime) {
+        val contact = contacts.find(event.life) ?: return
+        val answer = event.answer ?: return
+        contact.heard(now, answer.clockMs)
+        if (answer.result == OrderResult.OTHER_LIFE) return gone(event.life)
+        val order = contact.orders[event.run] ?: return
+        if (answer.result == OrderResult.DONE && order.stoppedAt == null) order.stoppedAt = now
+        scheduleLook(contact, now)
+    }
+
+    fun lookAnswered(event: Event.LookAnswered, now: MonotonicTime) {
+        val contact = contacts.find(event.life) ?: return
+        val sentAt = contact.lookingSince ?: return
+        contact.lookingSince = null
+        val answer = event.answer
+        if (answer == null) {
+            contact.failedLooks += 1
+            contact.nextLook = now + settings.retryInterval
+            if (contact.failedLooks == 1) note("worker_silent", "worker" to event.life)
+            return
+        }
+        val isOther = answer.otherLife || (answer.bornMs != null && answer.bornMs != event.life.bornMs)
+        if (isOther) return gone(event.life)
+        if (contact.failedLooks >
+            0
+        ) {
+            note("worker_answers", "worker" to event.life, "failed_looks" to contact.failedLooks)
+        }
+        contact.failedLooks = 0
+        contact.heard(now, answer.clockMs)
+        if (answer.isFenced) {
+            contact.nextLook = now + settings.retryInterval
+            return
+        }
+        if (contact.lookedAt == null) contact.clock.assumeGranted(now, settings.maxLease)
+        contact.lookedAt = sentAt
+        contact.running = answer.running
+        takeEnds(contact, answer)
+        reconcile(contact, answer, sentAt, now)
+        pace(contact, answer, now)
+        contact.nextLook = now
+    }
+
+    fun paceAnswered(event: Event.PaceAnswered) {
+        if (event.answer?.result == OrderResult.OTHER_LIFE) gone(event.life)
+    }
+
+    fun ended(end: Record.RunEnded, now: MonotonicTime) {
+        recorded.remove(end.run to end.life)
+        val contact = contacts.find(end.life)
+        contact?.orders?.remove(end.run)
+        val job = end.run.task.step.job
+        when (end.end) {
+            RunEnd.DONE -> contact?.health?.succeeded()
+            RunEnd.FAILED -> if (contact?.health?.failed(job, now) == true) {
+                note("worker_set_aside", "worker" to end.life, "cause" to "failed runs")
+            }
+            else -> Unit
+        }
+        if (state.jobs[job]?.isActive == false) stopJob(job, now)
+        if (end.end == RunEnd.DONE) stopCopies(end, now)
+    }
+
+    fun released(release: Record.RunReleased) {
+        recorded.remove(release.run to release.life)
+        contacts.find(release.life)?.orders?.remove(release.run)
+    }
+
+    /** Sends the looks that waited for a commit. */
+    fun afterCommit(now: MonotonicTime) {
+        contacts.all.forEach { if (it.nextLook <= now) look(it, now) }
+    }
+
+    fun tick(now: MonotonicTime) {
+        contacts.prune()
+        for (life in state.claimedLives.toList()) {
+            val contact = contacts.of(life, now)
+            if (state.worker(life) == null || (contact.failedLooks > 0 && contact.hasLapsed(now, settings))) {
+                lapse(contact)
+                continue
+            }
+            repeatStops(contact, now)
+            look(contact, now)
+        }
+    }
+
+    /**
+     * Whether the lasting tasks of [worker] may end now without a step missing more than it may.
+     *
+     * @param lost lives whose tasks end as well.
+     */
+    fun canLose(worker: Worker, lost: Set<WorkerLife>): Boolean {
+        val life = worker.profile.life
+        val contact = contacts.find(life)
+        // An order that is not answered may bring a task there after the count.
+        if (contact?.orders?.values?.any { it.startedAt == null } == true) return false
+        val steps = state.claimsAt(life).entries
+            .filter { (_, step) -> step.lasting && step.mayMiss > 0 }
+            .groupBy { it.key.task.step }
+        return steps.all { (id, runs) -> away(id, lost + life) <= runs.first().value.mayMiss }
+    }
+
+    /** Tasks of the step that are not at work, or are at one of the [lost] lives. */
+    private fun away(id: StepId, lost: Set<WorkerLife>): Int {
+        val job = state.active[id.job] ?: return 0
+        val count = job.description.steps[id.step].count
+        val progress = job.occurrences[id.occurrence]?.steps?.get(id.step) ?: return count
+        return progress.tasks.withIndex().count { (index, task) ->
+            val claim = task.claims.firstOrNull()
+            claim == null || claim.life in lost || !isAtWork(RunId(TaskId(id, index), claim.number), claim.life)
+        }
+    }
+
+    private fun isAtWork(run: RunId, life: WorkerLife): Boolean {
+        val contact = contacts.find(life) ?: return false
+        if (contact.failedLooks > 0 || state.worker(life)?.isLeaving != false) return false
+        return contact.running.any { it.run == run && it.percent >= AT_WORK_PERCENT }
+    }
+
+    private fun takeEnds(contact: WorkerContact, answer: LookAnswer) {
+        val life = contact.life
+        val noted = maxOf(contact.endsTaken, state.worker(life)?.endsNoted ?: 0)
+        val fresh = answer.ended.filter { it.number > noted }
+        if (fresh.isEmpty()) return
+        for (row in fresh) {
+            recorded.add(row.run to life)
+            record(Record.RunEnded(row.run, life, row.end, row.saved))
+        }
+        contact.endsTaken = fresh.maxOf { it.number }
+        record(Record.EndsNoted(life, contact.endsTaken))
+    }
+
+    /** Compares what the worker runs with what it should, as of a look sent at [sentAt]. */
+    private fun reconcile(contact: WorkerContact, answer: LookAnswer, sentAt: MonotonicTime, now: MonotonicTime) {
+        val life = contact.life
+        val running = answer.running.associateBy { it.run }
+        val listed = answer.ended.map { it.run }.toSet()
+        val claims = state.claimsAt(life)
+        for (run in claims.keys.toList()) {
+            val order = contact.orders[run]
+            val isHere = run in running
+            if (isHere) {
+                if (order == null) contact.orders[run] = Order(now).also { it.startedAt = sentAt }
+                if (order != null && order.startedAt == null) order.startedAt = sentAt
+            }
+            val isSettled = when {
+                isHere || run in listed || (run to life) in recorded -> false
+                // The fence that came with the look keeps out what an earlier leader sent.
+                order == null -> true
+                order.stoppedAt != null -> order.stoppedAt!! <= sentAt
+                else -> order.startedAt?.let { it <= sentAt } ?: false
+            }
+            if (isSettled) release(run, life, "not listed")
+            val isOver = state.active[run.task.step.job] == null || isTaskDone(run)
+            if (isHere && isOver) stop(run, life, now)
+        }
+        running.keys.filter { it !in claims && (it to life) !in recorded }.forEach { run ->
+            note("unknown_run", "run" to run, "worker" to life)
+            state.worker(life)?.let { act(Action.Stop(it.profile, run)) }
+        }
+    }
+
+    private fun isTaskDone(run: RunId): Boolean {
+        val job = state.jobs[run.task.step.job] ?: return true
+        return job.isDone(run.task.step.occurrence) || state.task(run.task)?.isDone == true
+    }
+
+    private fun pace(contact: WorkerContact, answer: LookAnswer, now: MonotonicTime) {
+        val claims = state.claimsAt(contact.life)
+        if (claims.values.none { it.fillsUnused }) return
+        val worker = state.worker(contact.life) ?: return
+        val control = paces.getOrPut(contact.life) { PaceControl(contact.life) }
+        control.decide(answer.running, claims, now).forEach { (run, percent) ->
+            control.applied(run, percent)
+            note("run_paced", "run" to run, "worker" to contact.life, "percent" to percent)
+            act(Action.Pace(worker.profile, run, percent))
+        }
+    }
+
+    private fun stopCopies(end: Record.RunEnded, now: MonotonicTime) {
+        val task = state.task(end.run.task) ?: return
+        if (task.isDone) task.claims.forEach { stop(RunId(end.run.task, it.number), it.life, now) }
+    }
+
+    private fun stop(run: RunId, life: WorkerLife, now: MonotonicTime) {
+        val contact = contacts.of(life, now)
+        val order = contact.orders.getOrPut(run) { Order(now) }
+        order.wantsStop = true
+        sendStop(run, life, order, now)
+    }
+
+    private fun sendStop(run: RunId, life: WorkerLife, order: Order, now: MonotonicTime) {
+        val worker = state.worker(life) ?: return
+        val isRecent = order.stopSentAt?.let { now - it < settings.orderTimeout } ?: false
+        if (isRecent) return
+        order.stopSentAt = now
+        act(Action.Stop(worker.profile, run))
+    }
+
+    private fun repeatStops(contact: WorkerContact, now: MonotonicTime) {
+        for ((run, order) in contact.orders) {
+            if (order.wantsStop && order.stoppedAt == null) sendStop(run, contact.life, order, now)
+        }
+        // A job may be over by a record whose stops were lost with an earlier leader.
+        state.claimsAt(contact.life).keys
+            .filter { state.active[it.task.step.job] == null && contact.orders[it]?.wantsStop != true }
+            .forEach { stop(it, contact.life, now) }
+    }
+
+    private fun look(contact: WorkerContact, now: MonotonicTime) {
+        val worker = state.worker(contact.life) ?: return
+        val isDue = contact.lookingSince == null && now >= contact.nextLook
+        if (!isDue || state.claimsAt(contact.life).isEmpty()) return
+        // Ends that wait to be recorded would make the worker answer at once, with nothing new.
+        if (recorded.any { it.second == contact.life }) return
+        contact.lookingSince = now
+        val until = if (contact.clock.isKnown) contact.clock.grant(now, settings.maxLease) else null
+        act(Action.Look(worker.profile, until, worker.endsNoted, waitFor(contact)))
+    }
+
+    private fun waitFor(contact: WorkerContact): Duration {
+        val claims = state.claimsAt(contact.life)
+        val isUnsettled = contact.lookedAt == null || contact.failedLooks > 0 ||
+            claims.keys.any { contact.orders[it]?.stoppedAt != null }
+        if (isUnsettled) return Duration.ZERO
+        val isShared = claims.values.any { it.fillsUnused } && claims.values.any { it.tailTargetMs > 0 }
+        val isOver = paces[contact.life]?.isOver == true
+        return when {
+            isShared && isOver -> settings.servingLookWait / 2
+            isShared -> settings.servingLookWait
+            else -> settings.lookWait
+        }
+    }
+
+    private fun scheduleLook(contact: WorkerContact, now: MonotonicTime) {
+        if (contact.lookingSince == null) contact.nextLook = minOf(contact.nextLook, now)
+        look(contact, now)
+    }
+
+    private fun lapse(contact: WorkerContact) {
+        state.claimsAt(contact.life).keys.toList().forEach { release(it, contact.life, "lease ran out") }
+    }
+
+    private fun gone(life: WorkerLife) {
+        if (state.worker(life) == null) return
+        note("other_life_answered", "worker" to life)
+        record(Record.WorkerGone(life))
+    }
+
+    private fun release(run: RunId, life: WorkerLife, cause: String) {
+        if (!recorded.add(run to life)) return
+        note("run_not_there", "run" to run, "worker" to life, "cause" to cause)
+        record(Record.RunReleased(run, life))
+    }
+
+    private fun note(event: String, vararg fields: Pair<String, Any?>) = act(Action.Note(event, fields.toList()))
+
+    private companion object {
+        const val AT_WORK_PERCENT = 100
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -0,0 +1,281 @@
+package org.auburnstream.scheduling
+
+import kotlinx.serialization.Serializable
+import org.auburnstream.model.JobId
+import org.auburnstream.model.VmId
+
+/**
+ * Replicated state of jobs, workers, waves and the catalog.
+ *
+ * Every replica applies the same batches in the same order and holds the same state. Not thread-safe.
+ *
+ * @property retentionMs time for which the state of a job that is over can be read.
+ */
+public class SchedulerState(private val retentionMs: Long) {
+    /** Catalog in force, or null before the first. */
+    public var catalog: Catalog? = null
+        private set
+
+    /** Text of [catalog] as the operator sent it. */
+    public var document: String = ""
+        private set
+    private val jobTable = LinkedHashMap<JobId, Job>()
+    private val workerTable = LinkedHashMap<WorkerId, Worker>()
+    private val waveTable = LinkedHashMap<Long, Wave>()
+    private val activeJobs = LinkedHashMap<JobId, Job>()
+    private val claimTable = HashMap<WorkerLife, LinkedHashMap<RunId, StepDescription>>()
+    private val overJobs = ArrayDeque<Job>()
+
+    /** Jobs that were accepted and are not forgotten. */
+    public val jobs: Map<JobId, Job>
+        get() = jobTable
+
+    /** Jobs that still have work, oldest first. */
+    public val active: Map<JobId, Job>
+        get() = activeJobs
+
+    /** Latest life of each worker that has not ended. */
+    public val workers: Map<WorkerId, Worker>
+        get() = workerTable
+
+    /** Maintenance waves by number. */
+    public val waves: Map<Long, Wave>
+        get() = waveTable
+
+    /** Lives that may run something. */
+    public val claimedLives: Set<WorkerLife>
+        get() = claimTable.keys
+
+    /** Runs that may be in progress at [life], with the description of their step. */
+    public fun claimsAt(life: WorkerLife): Map<RunId, StepDescription> = claimTable[life].orEmpty()
+
+    /** Returns the worker whose current life is [life], or null. */
+    public fun worker(life: WorkerLife): Worker? = workerTable[life.worker]?.takeIf { it.profile.life == life }
+
+    /** Returns the progress of [id], or null if its job is forgotten or its occurrence has not begun or is done. */
+    public fun task(id: TaskId): Task? =
+        jobTable[id.step.job]?.open?.get(id.step.occurrence)?.steps?.getOrNull(id.step.step)?.tasks?.getOrNull(id.index)
+
+    /** Returns how many accepted jobs of [queue] have not started any task; jobs with a schedule do not count. */
+    public fun waiting(queue: QueueName): Int =
+        activeJobs.values.count { it.queue.name == queue && !it.hasStarted && it.description.schedule == null }
+
+    /** Applies [batch]. */
+    public fun apply(batch: RecordBatch) {
+        batch.records.forEach { apply(it, batch.atMs) }
+        forget(batch.atMs)
+    }
+
+    /** Returns the state for a snapshot. */
+    public fun image(): StateImage =
+        StateImage(catalog, document, jobTable.values.toList(), workerTable.values.toList(), waveTable.values.toList())
+
+    /** Replaces the state by [image]. */
+    public fun restore(image: StateImage) {
+        listOf(jobTable, workerTable, waveTable, activeJobs, claimTable).forEach { it.clear() }
+        overJobs.clear()
+        catalog = image.catalog
+        document = image.document
+        image.workers.forEach { workerTable[it.profile.life.worker] = it }
+        image.waves.forEach { waveTable[it.number] = it }
+        for (job in image.jobs) {
+            jobTable[job.id] = job
+            if (job.isActive) activeJobs[job.id] = job
+            job.open.forEach { (number, occurrence) -> index(job, number, occurrence) }
+        }
+        image.jobs.filterNot { it.isActive }.sortedBy { it.endedMs }.forEach(overJobs::addLast)
+    }
+
+    private fun index(job: Job, number: Int, occurrence: Occurrence) {
+        occurrence.steps.forEachIndexed { step, progress ->
+            progress.tasks.forEachIndexed { index, task ->
+                task.claims.forEach {
+                    val run = RunId(TaskId(StepId(job.id, number, step), index), it.number)
+                    claimsOf(it.life)[run] = job.description.steps[step]
+                }
+            }
+        }
+    }
+
+    private fun apply(record: Record, atMs: Long) {
+        when (record) {
+            is Record.CatalogAccepted -> accept(record)
+            is Record.JobAccepted -> accept(record, atMs)
+            is Record.JobCancelled -> activeJobs[record.id]?.let { end(it, JobPhase.CANCELLED, atMs) }
+            is Record.WorkerSeen -> see(record)
+            is Record.WorkerGone -> if (worker(record.life) != null) remove(record.life)
+            is Record.RunClaimed -> claim(record)
+            is Record.RunReleased -> release(record.run, record.life)
+            is Record.RunEnded -> end(record, atMs)
+            is Record.EndsNoted -> worker(record.life)?.let { it.endsNoted = maxOf(it.endsNoted, record.number) }
+            is Record.WaveAccepted -> waveTable.getOrPut(record.wave) {
+                Wave(record.wave, record.vms.distinct(), record.dueMs, record.cap)
+            }
+            is Record.UpkeepBegun -> waveTable[record.wave]?.begun?.set(record.vm, record.bornMs)
+            is Record.UpkeepConfirmed -> waveTable[record.wave]?.confirmed?.add(record.vm)
+            is Record.UpkeepEnded -> waveTable[record.wave]?.ended?.add(record.vm)
+            is Record.UpkeepRefused -> waveTable[record.wave]?.begun?.remove(record.vm)
+        }
+    }
+
+    private fun accept(record: Record.CatalogAccepted) {
+        val current = catalog
+        if (current != null && record.catalog.version <= current.version) return
+        catalog = record.catalog
+        document = record.document
+    }
+
+    private fun accept(record: Record.JobAccepted, atMs: Long) {
+        if (record.id in jobTable) return
+        val job = Job(record.id, record.queue, record.description, atMs)
+        jobTable[job.id] = job
+        activeJobs[job.id] = job
+    }
+
+    private fun see(record: Record.WorkerSeen) {
+        val life = record.profile.life
+        val known = workerTable[life.worker]
+        when {
+            known == null -> workerTable[life.worker] = Worker(record.profile, record.leaving)
+            known.profile.life == life -> {
+                known.profile = record.profile
+                known.isLeaving = known.isLeaving || record.leaving
+            }
+            known.profile.life.bornMs < life.bornMs -> {
+                remove(known.profile.life)
+                workerTable[life.worker] = Worker(record.profile, record.leaving)
+            }
+        }
+    }
+
+    private fun remove(life: WorkerLife) {
+        workerTable.remove(life.worker)
+        claimTable[life]?.keys?.toList()?.forEach { release(it, life) }
+    }
+
+    private fun claim(record: Record.RunClaimed) {
+        val id = record.run.task
+        val job = activeJobs[id.step.job] ?: return
+        val isMoot = job.isDone(id.step.occurrence) || worker(record.life) == null
+        if (isMoot) return
+        val task = job.step(id.step).tasks[id.index]
+        task.claims.add(Claim(record.run.number, record.life))
+        task.lastRun = maxOf(task.lastRun, record.run.number)
+        job.hasStarted = true
+        claimsOf(record.life)[record.run] = job.description.steps[id.step.step]
+    }
+
+    private fun release(run: RunId, life: WorkerLife) {
+        val claims = claimTable[life] ?: return
+        claims.remove(run)
+        if (claims.isEmpty()) claimTable.remove(life)
+        task(run.task)?.claims?.removeAll { it.number == run.number && it.life == life }
+    }
+
+    private fun end(record: Record.RunEnded, atMs: Long) {
+        val wasClaimed = record.run in claimsAt(record.life)
+        release(record.run, record.life)
+        val id = record.run.task
+        val job = jobTable[id.step.job] ?: return
+        val task = task(id) ?: return
+        val step = job.step(id.step)
+        val description = job.description.steps[id.step.step]
+        if (record.saved.isNotEmpty()) {
+            task.saved = record.saved
+            step.saved = record.saved
+        }
+        when (record.end) {
+            RunEnd.DONE -> if (wasClaimed && !description.lasting) finish(job, id, description, atMs)
+            RunEnd.FAILED -> fail(job, record.run, description, atMs)
+            RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.BROKEN, RunEnd.ALONE -> Unit
+        }
+    }
+
+    private fun finish(job: Job, id: TaskId, description: StepDescription, atMs: Long) {
+        val step = job.step(id.step)
+        // One member that is done speaks for the whole gang.
+        val tasks = if (description.gang) step.tasks else listOf(step.tasks[id.index])
+        tasks.filterNot { it.isDone }.forEach {
+            it.isDone = true
+            step.undone -= 1
+        }
+        val occurrence = job.open[id.step.occurrence] ?: return
+        if (!occurrence.isDone) return
+        job.finish(id.step.occurrence)
+        if (job.isActive && job.isWholeDone) end(job, JobPhase.COMPLETE, atMs)
+    }
+
+    private fun fail(job: Job, run: RunId, description: StepDescription, atMs: Long) {
+        if (description.lasting) return
+        val step = job.step(run.task.step)
+        val task = step.tasks[run.task.index]
+        if (description.gang) step.failedRuns.add(run.number) else task.failures += 1
+        val failures = if (description.gang) step.failedRuns.size else task.failures
+        val isLast = failures >= job.queue.attempts && !task.isDone && task.claims.isEmpty()
+        if (isLast && job.isActive) end(job, JobPhase.FAILED, atMs)
+    }
+
+    private fun end(job: Job, phase: JobPhase, atMs: Long) {
+        job.phase = phase
+        job.endedMs = atMs
+        activeJobs.remove(job.id)
+        overJobs.addLast(job)
+    }
+
+    private fun forget(atMs: Long) {
+        while (overJobs.isNotEmpty() && overJobs.first().endedMs + retentionMs < atMs) {
+            jobTable.remove(overJobs.removeFirst().id)
+        }
+    }
+
+    private fun claimsOf(life: WorkerLife): LinkedHashMap<RunId, StepDescription> =
+        claimTable.getOrPut(life) { LinkedHashMap() }
+}
+
+/**
+ * State of one worker life.
+ *
+ * @property profile what the worker says of itself.
+ * @property isLeaving whether the worker has said that it ends soon.
+ * @property endsNoted number of the last end that is recorded.
+ */
+@Serializable
+public class Worker internal constructor(
+    public var profile: WorkerProfile,
+    public var isLeaving: Boolean,
+    public var endsNoted: Long = 0,
+)
+
+/**
+ * A maintenance wave.
+ *
+ * @property dueMs when it should be complete, in Unix milliseconds.
+ * @property cap most VMs in maintenance at a time.
+ * @property begun VMs whose maintenance was ordered, with the birth of the life that ran there then.
+ * @property confirmed VMs whose maintenance has begun for certain.
+ * @property ended VMs whose maintenance is over or that have left.
+ */
+@Serializable
+public class Wave internal constructor(
+    public val number: Long,
+    public val vms: List<VmId>,
+    public val dueMs: Long,
+    public val cap: Int,
+    public val begun: MutableMap<VmId, Long> = LinkedHashMap(),
+    public val confirmed: MutableSet<VmId> = LinkedHashSet(),
+    public val ended: MutableSet<VmId> = LinkedHashSet(),
+) {
+    /** Whether the maintenance of every VM is over. */
+    public val isComplete: Boolean
+        get() = ended.size == vms.size
+}
+
+/** Content of a snapshot. */
+@Serializable
+public class StateImage(
+    public val catalog: Catalog?,
+    public val document: String,
+    public val jobs: List<Job>,
+    public val workers: List<Worker>,
+    public val waves: List<Wave>,
+)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
@@ -0,0 +1,109 @@
+package org.auburnstream.scheduling
+
+/**
+ * Tasks of one step that could start now.
+ *
+ * @property tasks indexes of tasks that are not done and have no run in progress.
+ * @property dueMs when the job, or the occurrence, should be over, in Unix milliseconds.
+ * @property workMs processor time of what is left of the occurrence, in millicores x ms.
+ */
+internal class WaitingStep(
+    val job: Job,
+    val id: StepId,
+    val description: StepDescription,
+    val progress: StepProgress,
+    val queue: Queue,
+    val tasks: List<Int>,
+    val dueMs: Long,
+    val workMs: Long,
+)
+
+/** Finds the steps that could start, from the state alone. */
+internal object WaitingSteps {
+    /** Returns the steps with tasks that could start at [nowMs]; [earlyMs] is the time by which one may be early. */
+    fun find(state: SchedulerState, nowMs: Long, earlyMs: Long): List<WaitingStep> {
+        val found = ArrayList<WaitingStep>()
+        for (job in state.active.values) {
+            val queue = state.catalog?.queue(job.queue.name) ?: job.queue
+            val schedule = job.description.schedule
+            if (schedule == null) {
+                collect(job, queue, occurrence = 0, job.acceptedMs, found)
+                continue
+            }
+            for (number in job.nextOccurrence until schedule.occurrences) {
+                val dueMs = schedule.dueMs(number)
+                if (dueMs - earlyMs > nowMs) break
+                if (!job.isDone(number)) collect(job, queue, number, dueMs, found)
+            }
+        }
+        return found
+    }
+
+    /** When the next occurrence of any job may start, in Unix milliseconds, or null if none is to come. */
+    fun nextStartMs(state: SchedulerState, nowMs: Long, earlyMs: Long): Long? = state.active.values
+        .mapNotNull { job ->
+            val schedule = job.description.schedule ?: return@mapNotNull null
+            val next = (job.nextOccurrence until schedule.occurrences).firstOrNull {
+                schedule.dueMs(it) - earlyMs > nowMs
+            }
+            next?.let { schedule.dueMs(it) - earlyMs }
+        }
+        .minOrNull()
+
+    private fun collect(job: Job, queue: Queue, occurrence: Int, fromMs: Long, found: MutableList<WaitingStep>) {
+        val steps = job.description.steps
+        val progress = job.occurrences[occurrence]?.steps
+        var dueMs = 0L
+        var workMs = 0L
+        steps.forEachIndexed { number, description ->
+            val ready = description.dependsOn.all { progress != null && progress[it].isDone }
+            if (!ready) return@forEachIndexed
+            val own = progress?.get(number)
+            if (own != null && own.isDone) return@forEachIndexed
+            val tasks = startable(description, own, queue)
+            if (tasks.isEmpty()) return@forEachIndexed
+            if (dueMs == 0L) {
+                dueMs = fromMs + queue.objectiveMs + (chainMs(steps) * queue.stretch).toLong()
+                workMs = workLeft(steps, progress)
+            }
+            val id = StepId(job.id, occurrence, number)
+            found.add(
+                WaitingStep(job, id, description, own ?: StepProgress(emptyList()), queue, tasks, dueMs, workMs),
+            )
+        }
+    }
+
+    private fun startable(description: StepDescription, progress: StepProgress?, queue: Queue): List<Int> {
+        if (progress == null) return List(description.count) { it }
+        if (description.gang) {
+            // A gang starts as a whole, once nothing of an earlier run is in progress.
+            if (progress.tasks.any { it.claims.isNotEmpty() }) return emptyList()
+            if (progress.failedRuns.size >= queue.attempts && !description.lasting) return emptyList()
+            return List(description.count) { it }
+        }
+        val indexes = ArrayList<Int>()
+        progress.tasks.forEachIndexed { index, task ->
+            val mayTry = description.lasting || task.failures < queue.attempts
+            if (!task.isDone && task.claims.isEmpty() && mayTry) indexes.add(index)
+        }
+        return indexes
+    }
+
+    /** Returns the longest chain of estimated durations, the first term of a job's objective. */
+    fun chainMs(steps: List<StepDescription>): Long {
+        val ends = LongArray(steps.size)
+        steps.forEachIndexed { number, step ->
+            ends[number] = step.estimateMs + (step.dependsOn.maxOfOrNull { ends[it] } ?: 0)
+        }
+        return ends.maxOrNull() ?: 0
+    }
+
+    private fun workLeft(steps: List<StepDescription>, progress: List<StepProgress>?): Long {
+        var work = 0L
+        steps.forEachIndexed { number, step ->
+            val undone = progress?.get(number)?.undone ?: step.count
+            work += undone * step.estimateMs * step.demand.millicores
+        }
+        return work
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -0,0 +1,210 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.VmId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Takes the VMs of maintenance waves down one after the other, within their cap and the availability of lasting steps.
+ *
+ * The next VM is emptied first: it gets no new tasks, and its maintenance is ordered once nothing runs there that
+ * would be lost, or once the wave's time leaves no more patience.
+ */
+internal class WaveControl(
+    private val state: SchedulerState,
+    private val settings: SchedulingSettings,
+    private val startedAt: MonotonicTime,
+) {
+    private val emptying = HashMap<VmId, MonotonicTime>()
+    private val ordered = HashMap<VmId, Ordered>()
+    private val refusedUntil = HashMap<VmId, MonotonicTime>()
+    private var listedAt: MonotonicTime? = null
+
+    /** Whether a list of the VMs is needed to learn what became of an order. */
+    fun needsList(now: MonotonicTime): Boolean {
+        val isStale = listedAt?.let { now - it > LIST_INTERVAL } ?: true
+        return isStale && state.waves.values.any { wave ->
+            !wave.isComplete && wave.begun.keys.any { it !in wave.ended && isOverdue(it, now) }
+        }
+    }
+
+    /** Whether the VM of [worker] is being emptied or in maintenance. */
+    fun isHeld(worker: WorkerProfile): Boolean {
+        val vm = worker.vm ?: return false
+        return vm in emptying || vm in ordered
+    }
+
+    /** Whether any wave is in progress. */
+    val isBusy: Boolean
+        get() = state.waves.values.any { !it.isComplete }
+
+    fun listRequested(now: MonotonicTime) {
+        listedAt = now
+    }
+
+    /**
+     * Returns the records and orders that are due.
+     *
+     * @param canLose whether a worker's lasting tasks may end now, beside those of the lives that are given.
+     */
+    fun decide(now: MonotonicTime, nowMs: Long, canLose: (Worker, Set<WorkerLife>) -> Boolean): WaveDecision {
+        val records = ArrayList<Record>()
+        val orders = ArrayList<Pair<Long, VmId>>()
+        if (now - startedAt < settings.succession) return WaveDecision(records, orders)
+        val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
+        for (wave in state.waves.values) {
+            if (wave.isComplete) continue
+            val down = wave.begun.keys.filter { it !in wave.ended }
+            down.forEach { vm ->
+                val bornMs = workers[vm]?.profile?.life?.bornMs ?: 0
+                val isConfirmed = vm in wave.confirmed
+                if (isConfirmed && bornMs > wave.begun.getValue(vm)) {
+                    records.add(Record.UpkeepEnded(wave.number, vm))
+                    ordered.remove(vm)
+                } else if (!isConfirmed && retryIsDue(vm, now)) {
+                    orders.add(wave.number to vm)
+                }
+            }
+            begin(wave, down.size, workers, now, nowMs, canLose, records)
+        }
+        return WaveDecision(records, orders)
+    }
+
+    fun orderSent(vm: VmId, now: MonotonicTime, isFresh: Boolean) {
+        val isRepeat = vm in ordered
+        val order = ordered.getOrPut(vm) { Ordered(now, isAnswered = false) }
+        order.sentAt = now
+        // An order that this leader did not begin itself may have reached the platform before.
+        if (isRepeat || !isFresh) order.wasUncertain = true
+    }
+
+    /** Returns the record that follows from the platform's [answer], or null. */
+    fun answered(wave: Long, vm: VmId, answer: UpkeepAnswer, now: MonotonicTime): Record? {
+        val order = ordered[vm]
+        return when (answer) {
+            UpkeepAnswer.BEGUN -> {
+                order?.isAnswered = true
+                order?.sentAt = now
+                Record.UpkeepConfirmed(wave, vm)
+            }
+            UpkeepAnswer.BUSY -> {
+                // An earlier copy, or an earlier leader, may have begun the maintenance; a repeat tells once it is over.
+                val mayHaveBegun = order == null || order.wasUncertain
+                if (mayHaveBegun) {
+                    order?.sentAt = now
+                    null
+                } else {
+                    ordered.remove(vm)
+                    refusedUntil[vm] = now + REFUSAL_PAUSE
+                    Record.UpkeepRefused(wave, vm)
+                }
+            }
+            UpkeepAnswer.UNKNOWN_VM -> {
+                ordered.remove(vm)
+                Record.UpkeepEnded(wave, vm)
+            }
+            UpkeepAnswer.FENCED, UpkeepAnswer.UNCERTAIN -> {
+                order?.wasUncertain = true
+                null
+            }
+        }
+    }
+
+    /** Returns the records that follow from the platform's list. */
+    fun listed(vms: List<ListedVm>, now: MonotonicTime): List<Record> {
+        val byId = vms.associateBy { it.vm }
+        val records = ArrayList<Record>()
+        for (wave in state.waves.values) {
+            for (vm in wave.begun.keys.filter { it !in wave.ended && isOverdue(it, now) }) {
+                val entry = byId[vm]
+                val isBack = vm in wave.confirmed && entry?.state == VmCondition.UP
+                if (entry == null || isBack) {
+                    records.add(Record.UpkeepEnded(wave.number, vm))
+                    ordered.remove(vm)
+                }
+            }
+        }
+        return records
+    }
+
+    private fun begin(
+        wave: Wave,
+        down: Int,
+        workers: Map<VmId?, Worker>,
+        now: MonotonicTime,
+        nowMs: Long,
+        canLose: (Worker, Set<WorkerLife>) -> Boolean,
+        records: MutableList<Record>,
+    ) {
+        var room = wave.cap - down
+        val left = wave.vms.filter { it !in wave.begun && it !in wave.ended && isAllowed(it, now) }
+        if (room <= 0 || left.isEmpty()) return
+        emptying.keys.filter { it !in wave.vms || it in wave.begun }.forEach { emptying.remove(it) }
+        val patience = patience(wave, left.size, nowMs)
+        // What was ordered may still look at work; it counts as lost from the order on.
+        val leaving = state.waves.values.flatMap { it.begun.keys - it.ended }.mapNotNull { workers[it]?.profile?.life }
+        val lost = HashSet(leaving)
+        val order = left.sortedWith(compareBy({ it !in emptying }, { vm -> workers[vm]?.let(::load) ?: 0L }))
+        for (vm in order) {
+            if (room == 0) break
+            val worker = workers[vm]
+            if (worker != null && !canLose(worker, lost)) {
+                emptying.remove(vm)
+                continue
+            }
+            room -= 1
+            val since = emptying.getOrPut(vm) { now }
+            val isReady = worker == null || isEmpty(worker) || now - since >= patience
+            if (!isReady) continue
+            emptying.remove(vm)
+            worker?.let { lost.add(it.profile.life) }
+            records.add(Record.UpkeepBegun(wave.number, vm, worker?.profile?.life?.bornMs ?: 0))
+        }
+    }
+
+    /** Time that may be spent on emptying each VM that is left. */
+    private fun patience(wave: Wave, left: Int, nowMs: Long): Duration {
+        val rounds = (left + wave.cap - 1) / maxOf(1, wave.cap)
+        val each = (wave.dueMs - nowMs).milliseconds / maxOf(1, rounds) - settings.upkeepTime - ORDER_TIME
+        return each.coerceIn(Duration.ZERO, MAX_PATIENCE)
+    }
+
+    /** Runs that would be lost, and those that would have to start elsewhere. */
+    private fun load(worker: Worker): Long = state.claimsAt(worker.profile.life).values.sumOf { step ->
+        if (step.fillsUnused) 0L else step.demand.millicores
+    }
+
+    private fun isEmpty(worker: Worker): Boolean = state.claimsAt(worker.profile.life).values.all { it.lasting }
+
+    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusedUntil[vm]?.let { now >= it } ?: true
+
+    private fun retryIsDue(vm: VmId, now: MonotonicTime): Boolean {
+        val order = ordered[vm] ?: return true
+        return !order.isAnswered && now - order.sentAt > ORDER_RETRY
+    }
+
+    private fun isOverdue(vm: VmId, now: MonotonicTime): Boolean {
+        val order = ordered[vm] ?: return now - startedAt > settings.upkeepTime + OVERDUE_MARGIN
+        return now - order.sentAt > settings.upkeepTime + OVERDUE_MARGIN
+    }
+
+    private class Ordered(var sentAt: MonotonicTime, var isAnswered: Boolean) {
+        var wasUncertain = false
+    }
+
+    private companion object {
+        val LIST_INTERVAL: Duration = 2.seconds
+        val REFUSAL_PAUSE: Duration = 1.seconds
+        val ORDER_RETRY: Duration = 1.seconds
+        val ORDER_TIME: Duration = 300.milliseconds
+        val OVERDUE_MARGIN: Duration = 3.seconds
+
+        /** Longest time to empty one VM; a few times the usual task. */
+        val MAX_PATIENCE: Duration = 4.seconds
+    }
+}
+
+/** What a [WaveControl] decided: records to commit, then maintenance to order for (wave, VM). */
+internal class WaveDecision(val records: List<Record>, val orders: List<Pair<Long, VmId>>)
