--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -239,11 +239,22 @@
             metrics.answered("control", response.status, loop.now - since)
             respond(response)
         }
-        if (leadership != null) return handler.handle(ListenerKind.CONTROL, request, access, answer)
+        if (leadership != null) {
+            handler.handle(ListenerKind.CONTROL, request, access) {
+                answer(it ?: handler.unknown(ListenerKind.CONTROL, request))
+            }
+            return
+        }
         val leader = leaderSeen ?: return answer(handler.noLeader(ListenerKind.CONTROL, request))
         val message = Messages.encode(ForwardedRequest(ListenerKind.CONTROL.name, request))
         val isSent = network.call(leader, message, FORWARD_TIMEOUT) { bytes ->
-            answer(bytes?.let(Messages::response) ?: handler.unknown(ListenerKind.CONTROL, request))
+            val reply = bytes?.let(Messages::reply)
+            answer(
+                when {
+                    reply == null -> handler.unknown(ListenerKind.CONTROL, request)
+                    else -> reply.response ?: handler.noLeader(ListenerKind.CONTROL, request)
+                },
+            )
         }
         if (!isSent) answer(handler.noLeader(ListenerKind.CONTROL, request))
     }
@@ -251,8 +262,11 @@
     private fun forwarded(bytes: ByteArray, reply: (ByteArray) -> Unit) {
         val message = Messages.request(bytes) ?: return
         val kind = ListenerKind.entries.firstOrNull { it.name == message.listener } ?: return
-        if (leadership == null) return reply(Messages.encode(handler.noLeader(kind, message.request)))
-        handler.handle(kind, message.request, access) { reply(Messages.encode(it)) }
+        if (leadership == null) return reply(Messages.encode(ForwardedReply(null)))
+        handler.handle(kind, message.request, access) { response ->
+            val known = response ?: handler.unknown(kind, message.request)
+            reply(Messages.encode(ForwardedReply(known)))
+        }
     }
 
     private fun housekeeping() {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
@@ -141,31 +141,60 @@
             }
             respond(response)
         }
-        forward(request, since, patience, answer)
+        Forwarding(request, since, patience, answer).advance()
     }
 
-    private fun forward(
-        request: HttpRequest,
-        since: MonotonicTime,
-        patience: Duration,
-        answer: (HttpResponse) -> Unit,
+    /**
+     * Brings one request to the leader, whichever process that is meanwhile.
+     *
+     * A request that can be repeated is sent again when its answer is lost with a link or a leadership, so that the
+     * caller need not find out that the leader has changed.
+     */
+    private inner class Forwarding(
+        private val request: HttpRequest,
+        private val since: MonotonicTime,
+        private val patience: Duration,
+        private val answer: (HttpResponse) -> Unit,
     ) {
-        val elapsed = loop.now - since
-        val leader = leader()
-        if (leader == null) {
-            // An election is over within this time in most cases; a caller that came back would wait longer.
-            if (elapsed >= minOf(LEADER_WAIT, patience / 2)) {
-                return answer(handler.noLeader(ListenerKind.CALLERS, request))
+        private val isRepeatable = handler.isRepeatable(ListenerKind.CALLERS, request)
+        private val message = Messages.encode(ForwardedRequest(ListenerKind.CALLERS.name, request))
+        private var mayHaveRun = false
+        private var leaderlessSince: MonotonicTime? = null
+
+        fun advance() {
+            val left = patience - (loop.now - since) - ANSWER_MARGIN
+            if (left <= Duration.ZERO || callers.isClosed) return giveUp()
+            val leader = leader() ?: return awaitLeader(left)
+            leaderlessSince = null
+            val isSent = network.call(leader, message, minOf(left, ATTEMPT_TIMEOUT)) { bytes -> take(bytes) }
+            if (!isSent) awaitLeader(left)
+        }
+
+        private fun take(bytes: ByteArray?) {
+            val reply = bytes?.let(Messages::reply)
+            val response = reply?.response
+            when {
+                response != null && response.status != HTTP_UNKNOWN -> answer(response)
+                reply != null && response == null -> awaitLeader(patience)
+                else -> {
+                    mayHaveRun = true
+                    if (isRepeatable) awaitLeader(patience) else giveUp()
+                }
             }
-            loop.after(LEADER_CHECK) { forward(request, since, patience, answer) }
-            return
         }
-        val message = Messages.encode(ForwardedRequest(ListenerKind.CALLERS.name, request))
-        val left = maxOf(patience - elapsed - ANSWER_MARGIN, ANSWER_MARGIN)
-        val isSent = network.call(leader, message, left) { bytes ->
-            answer(bytes?.let(Messages::response) ?: handler.unknown(ListenerKind.CALLERS, request))
+
+        /** Waits a moment for a leader, but not longer than an election takes in most cases. */
+        private fun awaitLeader(left: Duration) {
+            val waitingSince = leaderlessSince ?: loop.now.also { leaderlessSince = it }
+            val isHopeless = !mayHaveRun && loop.now - waitingSince >= LEADER_WAIT
+            if (isHopeless || left <= LEADER_CHECK) return giveUp()
+            loop.after(LEADER_CHECK, ::advance)
+        }
+
+        private fun giveUp() {
+            val kind = ListenerKind.CALLERS
+            answer(if (mayHaveRun) handler.unknown(kind, request) else handler.noLeader(kind, request))
         }
-        if (!isSent) answer(handler.noLeader(ListenerKind.CALLERS, request))
     }
 
     private fun housekeeping() {
@@ -179,6 +208,7 @@
         const val HTTP_OK = 200
         const val HTTP_ERRORS = 400
         const val HTTP_UNAVAILABLE = 503
+        const val HTTP_UNKNOWN = 504
         const val READINESS_BYTES = 4096
         const val READINESS_CONNECTIONS = 32
 
@@ -188,7 +218,12 @@
 
         /** Time without a leader after which the process asks for no further callers: two elections. */
         val READY_WITHOUT_LEADER: Duration = 4.seconds
-        val LEADER_WAIT: Duration = 800.milliseconds
+
+        /** An election takes one to two seconds; a caller that is sent away and comes back waits longer. */
+        val LEADER_WAIT: Duration = 1_500.milliseconds
+
+        /** Time after which a leader's answer is asked for again; a few times a commit on a slow disk. */
+        val ATTEMPT_TIMEOUT: Duration = 1_000.milliseconds
         val LEADER_CHECK: Duration = 50.milliseconds
 
         /** Time for the answer to reach the caller. */
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
@@ -20,12 +20,16 @@
 
 /** Serves requests of callers, workers and operators at the leader. */
 public interface RequestHandler {
-    /** Serves [request], which arrived at [listener], through [leader]; [respond] takes effect once. */
+    /**
+     * Serves [request], which arrived at [listener], through [leader].
+     *
+     * @param respond gets the answer once, or null if the leadership ended before the fate of the request was known.
+     */
     public fun handle(
         listener: ListenerKind,
         request: HttpRequest,
         leader: LeaderAccess,
-        respond: (HttpResponse) -> Unit,
+        respond: (HttpResponse?) -> Unit,
     )
 
     /** Answer when the request certainly was not run because no process leads at present. */
@@ -34,6 +38,9 @@
     /** Answer when it is not known whether the request was run. */
     public fun unknown(listener: ListenerKind, request: HttpRequest): HttpResponse
 
+    /** Whether [request] can be handed in again without any further effect. */
+    public fun isRepeatable(listener: ListenerKind, request: HttpRequest): Boolean
+
     /** Time that the caller of [request] waits for the answer, in milliseconds, or null if it does not say. */
     public fun patienceMs(request: HttpRequest): Long?
 }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/GroupStatus.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/GroupStatus.kt
@@ -36,6 +36,14 @@
 @Serializable
 internal class ForwardedRequest(@SerialName("l") val listener: String, @SerialName("r") val request: HttpRequest)
 
+/**
+ * Answer to a [ForwardedRequest].
+ *
+ * @property response what the leader answered, or null if the process that was asked does not lead.
+ */
+@Serializable
+internal class ForwardedReply(@SerialName("r") val response: HttpResponse?)
+
 /** CBOR of the messages between processes. */
 internal object Messages {
     private val cbor = Cbor {
@@ -47,15 +55,15 @@
 
     fun encode(request: ForwardedRequest): ByteArray = cbor.encodeToByteArray(ForwardedRequest.serializer(), request)
 
-    fun encode(response: HttpResponse): ByteArray = cbor.encodeToByteArray(HttpResponse.serializer(), response)
+    fun encode(reply: ForwardedReply): ByteArray = cbor.encodeToByteArray(ForwardedReply.serializer(), reply)
 
     fun status(bytes: ByteArray): GroupStatus? = decode { cbor.decodeFromByteArray(GroupStatus.serializer(), bytes) }
 
     fun request(bytes: ByteArray): ForwardedRequest? =
         decode { cbor.decodeFromByteArray(ForwardedRequest.serializer(), bytes) }
 
-    fun response(bytes: ByteArray): HttpResponse? =
-        decode { cbor.decodeFromByteArray(HttpResponse.serializer(), bytes) }
+    fun reply(bytes: ByteArray): ForwardedReply? =
+        decode { cbor.decodeFromByteArray(ForwardedReply.serializer(), bytes) }
 
     private fun <T> decode(block: () -> T): T? = try {
         block()
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -26,6 +26,10 @@
     private val listener = Connection.listen(loop, address) { Exchange().handlers }
     private var isDraining = false
 
+    /** Whether the server has ended. */
+    public var isClosed: Boolean = false
+        private set
+
     /** Address that is listened at. */
     public val address: InetSocketAddress
         get() = listener.address
@@ -51,6 +55,7 @@
 
     /** Stops listening and closes every connection. */
     public fun close() {
+        isClosed = true
         listener.close()
         open.toList().forEach { it.close() }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -114,6 +114,7 @@
     private fun applied(now: MonotonicTime, nowMs: Long) {
         val batch = committing ?: return
         committing = null
+        runs.settled()
         intake.committed()
         for (record in batch.records) {
             when (record) {
@@ -169,6 +170,7 @@
 
     private fun rejected() {
         committing = null
+        runs.settled()
         intake.rejected()
         planDirty = true
     }
@@ -179,6 +181,7 @@
         if (records.isEmpty()) return
         val batch = RecordBatch(nowMs, records)
         committing = batch
+        runs.committing(batch)
         actions.add(Action.Commit(batch))
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -22,6 +22,23 @@
     private val recorded = HashSet<Pair<RunId, WorkerLife>>()
     private val paces = HashMap<WorkerLife, PaceControl>()
 
+    /**
+     * Claims whose batch is being committed.
+     *
+     * The state may show them before this side has sent their orders, so nothing may be concluded from their absence.
+     */
+    private var unsent: Set<RunId> = emptySet()
+
+    /** Notes the claims of a batch that is about to be committed. */
+    fun committing(batch: RecordBatch) {
+        unsent = batch.records.filterIsInstance<Record.RunClaimed>().map { it.run }.toSet()
+    }
+
+    /** Notes that the orders of the batch's claims go out now, or that it was rejected. */
+    fun settled() {
+        unsent = emptySet()
+    }
+
     /** Sends the order for a claim that was committed. */
     fun begin(claim: Record.RunClaimed, ticket: String?, now: MonotonicTime) {
         val worker = state.worker(claim.life)
@@ -47,7 +64,7 @@
     /** Orders the end of every run of a job that is over. */
     fun stopJob(id: JobId, now: MonotonicTime) {
         for (life in state.claimedLives) {
-            state.claimsAt(life).keys.filter { it.task.step.job == id }.forEach { stop(it, life, now) }
+            state.claimsAt(life).keys.filter { it.task.step.job == id && it !in unsent }.forEach { stop(it, life, now) }
         }
     }
 
@@ -233,7 +250,7 @@
                 if (order != null && order.startedAt == null) order.startedAt = sentAt
             }
             val isSettled = when {
-                isHere || run in listed || (run to life) in recorded -> false
+                run in unsent || isHere || run in listed || (run to life) in recorded -> false
                 // The fence that came with the look keeps out what an earlier leader sent.
                 order == null -> true
                 order.stoppedAt != null -> order.stoppedAt!! <= sentAt
@@ -241,7 +258,7 @@
             }
             if (isSettled) release(run, life, "not listed")
             val isOver = state.active[run.task.step.job] == null || isTaskDone(run)
-            if (isHere && isOver) stop(run, life, now)
+            if (isHere && isOver && run !in unsent) stop(run, life, now)
         }
         running.keys.filter { it !in claims && (it to life) !in recorded }.forEach { run ->
             note("unknown_run", "run" to run, "worker" to life)
@@ -292,7 +309,7 @@
         }
         // A job may be over by a record whose stops were lost with an earlier leader.
         state.claimsAt(contact.life).keys
-            .filter { state.active[it.task.step.job] == null && contact.orders[it]?.wantsStop != true }
+            .filter { it !in unsent && state.active[it.task.step.job] == null && contact.orders[it]?.wantsStop != true }
             .forEach { stop(it, contact.life, now) }
     }
 
@@ -327,7 +344,7 @@
     }
 
     private fun lapse(contact: WorkerContact) {
-        state.claimsAt(contact.life).keys.toList().forEach { release(it, contact.life, "lease ran out") }
+        state.claimsAt(contact.life).keys.filter { it !in unsent }.forEach { release(it, contact.life, "lease ran out") }
     }
 
     private fun gone(life: WorkerLife) {
