Let a leader check its members on a deadline of its own

Cause: every broadcast for a read or a commit moved the next heartbeat, and the checks that resend to a member and replace a lost voter ran only when a heartbeat was due by time. Ruled out: links, codecs, and the wiped member's own store, which all worked once the leadership changed.

--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Leader.kt
@@ -17,8 +17,14 @@
     private val membership = MembershipDriver(core, progress) { append(EntryPayload.Membership(it)) }
     private val firstIndex = log.lastIndex + 1
 
-    var nextHeartbeat: MonotonicTime = core.now
-        private set
+    private var nextHeartbeat: MonotonicTime = core.now
+
+    /** Kept apart from heartbeats, which reads and commits bring forward again and again. */
+    private var nextCheck: MonotonicTime = core.now
+
+    /** When [tick] is due. */
+    val deadline: MonotonicTime
+        get() = minOf(nextHeartbeat, nextCheck)
 
     /** When the latest heartbeat that a quorum answered was sent, or null before the first. */
     val quorumContactTime: MonotonicTime?
@@ -40,8 +46,9 @@
     }
 
     fun tick() {
-        if (core.now < nextHeartbeat) return
-        broadcast()
+        if (core.now >= nextHeartbeat) broadcast()
+        if (core.now < nextCheck) return
+        nextCheck = core.now + core.settings.heartbeatInterval
         progress.forEach { (id, peer) -> resend(id, peer) }
         if (hasCommittedOwnEntry) membership.tick()
     }
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
@@ -67,7 +67,7 @@
     /** When [handle] must be called at the latest, with [ReplicaInput.Tick] if nothing else arrives. */
     public val nextDeadline: MonotonicTime
         get() {
-            val own = leading?.nextHeartbeat ?: core.electionDeadline
+            val own = leading?.deadline ?: core.electionDeadline
             return minOf(formation.deadline, own)
         }
 
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/MembershipTest.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/MembershipTest.kt
@@ -80,6 +80,24 @@
         }
     }
 
+    @Test
+    fun aLostVoterIsReplacedWhileReadsKeepTheLeaderBroadcasting() {
+        repeat(10) { seed ->
+            val cluster = ready(seed)
+            val lost = cluster.nodes.take(3).filter { it != cluster.leader }.random(cluster.random)
+
+            fun readAgain() {
+                cluster.leader?.read {}
+                cluster.at(5.milliseconds) { readAgain() }
+            }
+            readAgain()
+            lost.crash()
+            cluster.run(2.seconds)
+            cluster.awaitSafe()
+            assertFalse(lost.daemon.value in voters(cluster), "seed $seed")
+        }
+    }
+
     @Test
     fun theLeaderMayBeKilledAtAnyStepOfAChange() {
         val steps = (0..40).map { it.milliseconds } + listOf(60, 90, 150, 250).map { it.milliseconds }
