Lend VMs to the service whose queue cannot start its waiting tasks

Cause: each queue asks in turn for more than its pool holds while the spare VMs stay off. Batch tasks are packed so that borrowed VMs run empty, lasting ones spread since planned work ends all tasks of a VM.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.scheduling
 
+import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
 import kotlin.time.Duration
 
@@ -37,6 +38,9 @@
     /** Order the maintenance of [vm]. */
     public data class OrderUpkeep(val wave: Long, val vm: VmId) : Action
 
+    /** Order the move of [vm] to the pool of [service]. */
+    public data class OrderMove(val vm: VmId, val service: ServiceId) : Action
+
     /** Ask the platform for its VMs. */
     public data object ListVms : Action
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -1,6 +1,8 @@
 package org.auburnstream.scheduling
 
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.VmId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -27,6 +29,8 @@
     private val contacts = Contacts(state, settings, now)
     private val runs = RunControl(state, settings, contacts, intake::record) { actions.add(it) }
     private val waves = WaveControl(state, settings, now)
+    private val pools = PoolControl(state, settings, now)
+    private val firstOrders = HashSet<VmId>()
     private val advice = AdviceBook()
     private var committing: RecordBatch? = null
     private var planDirty = true
@@ -54,7 +58,11 @@
             is Event.PaceAnswered -> runs.paceAnswered(event)
             is Event.AdviceAnswered -> advised(event, now)
             is Event.UpkeepAnswered -> upkeepAnswered(event, now)
-            is Event.VmsListed -> event.vms?.let { waves.listed(it, now).forEach(intake::record) }
+            is Event.MoveAnswered -> moveAnswered(event, now)
+            is Event.VmsListed -> event.vms?.let {
+                waves.listed(it, now).forEach(intake::record)
+                pools.listed(it)
+            }
             is Event.Tick -> tick(now, nowMs)
         }
         if (committing == null) decide(now, nowMs)
@@ -90,11 +98,13 @@
 
     private fun tick(now: MonotonicTime, nowMs: Long) {
         runs.tick(now)
-        if (waves.needsList(now)) {
+        if (waves.needsList(now) || pools.needsList(now)) {
             waves.listRequested(now)
+            pools.listRequested(now)
             actions.add(Action.ListVms)
         }
         decideWaves(now, nowMs)
+        decidePools(now)
         if (nextOccurrenceMs?.let { nowMs >= it } == true) planDirty = true
         // Workers come into and fall out of use by the passing of time alone.
         if (contacts.usableChanged(now)) planDirty = true
@@ -111,6 +121,34 @@
         }
     }
 
+    private fun decidePools(now: MonotonicTime) {
+        // A decision must see every claim and every earlier decision.
+        if (committing != null || intake.hasRecords) return
+        val decision = pools.decide(now)
+        decision.records.filterNot { it is Record.MoveBegun && isInMaintenance(it.vm) }.forEach(intake::record)
+        for ((vm, service) in decision.orders) orderMove(vm, service, isFirst = false, now)
+    }
+
+    private fun isInMaintenance(vm: VmId): Boolean =
+        state.waves.values.any { vm in it.begun && vm !in it.ended }
+
+    private fun orderMove(vm: VmId, service: ServiceId, isFirst: Boolean, now: MonotonicTime) {
+        if (isFirst) firstOrders.add(vm) else firstOrders.remove(vm)
+        pools.orderSent(vm, now)
+        actions.add(Action.OrderMove(vm, service))
+    }
+
+    private fun moveAnswered(event: Event.MoveAnswered, now: MonotonicTime) {
+        val move = state.moves[event.vm] ?: return
+        val record = pools.answered(event.vm, event.answer, event.vm in firstOrders, now) ?: return
+        note("move_answered", "vm" to event.vm, "to" to move.to, "answer" to event.answer)
+        intake.record(record)
+        if (record !is Record.MoveConfirmed) return
+        state.workers.values
+            .filter { it.profile.vm == event.vm && it.profile.life.bornMs == move.bornMs }
+            .forEach { intake.record(Record.WorkerGone(it.profile.life)) }
+    }
+
     private fun applied(now: MonotonicTime, nowMs: Long) {
         val batch = committing ?: return
         committing = null
@@ -124,6 +162,7 @@
                     waves.orderSent(record.vm, now, isFresh = true)
                     actions.add(Action.OrderUpkeep(record.wave, record.vm))
                 }
+                is Record.MoveBegun -> orderMove(record.vm, record.to, isFirst = true, now)
                 is Record.WorkerGone -> contacts.forget(record.life)
                 is Record.RunEnded -> runs.ended(record, now)
                 is Record.RunReleased -> runs.released(record)
@@ -155,7 +194,10 @@
                 is Record.UpkeepBegun -> note("upkeep_begun", "wave" to record.wave, "vm" to record.vm)
                 is Record.UpkeepEnded -> note("upkeep_ended", "wave" to record.wave, "vm" to record.vm)
                 is Record.UpkeepRefused -> note("upkeep_refused", "wave" to record.wave, "vm" to record.vm)
-                is Record.UpkeepConfirmed, is Record.EndsNoted -> Unit
+                is Record.MoveBegun -> note("move_begun", "vm" to record.vm, "from" to record.from, "to" to record.to)
+                is Record.MoveEnded -> note("move_ended", "vm" to record.vm)
+                is Record.MoveRefused -> note("move_refused", "vm" to record.vm)
+                is Record.MoveConfirmed, is Record.UpkeepConfirmed, is Record.EndsNoted -> Unit
             }
         }
     }
@@ -192,11 +234,12 @@
         val pendingClaims = intake.hasClaims
         if (pendingClaims) return
         val waiting = WaitingSteps.find(state, nowMs, earlyMs).filterNot { intake.isEnding(it.job.id) }
-        if (waiting.isEmpty()) return
-        val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !waves.isHeld(worker.profile) }
+        if (waiting.isEmpty()) return pools.noteUnplaced(emptyMap(), now)
+        val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !waves.isHeld(worker.profile) && !pools.isHeld(worker.profile) }
         askAdvice(waiting, isUsable, now)
         val planner = Planner(state, isUsable, { step, worker -> mayRun(step, worker, now) }, runs::isStopping)
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
+        pools.noteUnplaced(plan.unplaced, now)
         plan.claims.forEach(intake::record)
         plan.evictions.forEach { runs.evict(it, now) }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
@@ -72,6 +72,9 @@
     /** The platform answered an order for the maintenance of [vm]. */
     public data class UpkeepAnswered(val wave: Long, val vm: VmId, val answer: UpkeepAnswer) : Event
 
+    /** The platform answered an order for the move of [vm]. */
+    public data class MoveAnswered(val vm: VmId, val answer: UpkeepAnswer) : Event
+
     /** The platform listed its VMs; null if it did not. */
     public data class VmsListed(val vms: List<ListedVm>?) : Event
 
@@ -145,9 +148,9 @@
 /** Workers that may run a step, with their tickets. */
 public data class Advice(val tickets: Map<WorkerId, String>, val validMs: Long)
 
-/** What became of an order for maintenance. */
+/** What became of an order for the maintenance or the move of a VM. */
 public enum class UpkeepAnswer {
-    /** The maintenance has begun, or was done before. */
+    /** What was ordered has begun, or was done before. */
     BEGUN,
 
     /** The VM is not up, or is leaving. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
@@ -23,6 +23,10 @@
     val hasClaims: Boolean
         get() = records.any { it is Record.RunClaimed }
 
+    /** Whether anything waits to be recorded. */
+    val hasRecords: Boolean
+        get() = records.isNotEmpty()
+
     /** Whether the job is being cancelled. */
     fun isEnding(id: JobId): Boolean = id in pendingCancels
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -23,7 +23,8 @@
 ) {
     /** Returns the runs to claim at [nowMs] and the runs to stop for them. */
     fun plan(nowMs: Long, waiting: List<WaitingStep>, limit: Int): Plan {
-        if (waiting.isEmpty()) return Plan(emptyList(), emptyList())
+        if (waiting.isEmpty()) return Plan(emptyList(), emptyList(), emptyMap())
+        val unplaced = HashMap<ServiceId, Unplaced>()
         val rooms = RoomLedger(state, isUsable)
         val claims = ArrayList<Record.RunClaimed>()
         val evictions = ArrayList<Eviction>()
@@ -31,7 +32,10 @@
         for (step in waiting.sortedWith(orderAt(nowMs))) {
             if (claims.size >= limit) break
             val isUrgent = step.description.lasting
-            if (step.queue.service in kept && !isUrgent) continue
+            if (step.queue.service in kept && !isUrgent) {
+                unplaced.merge(step.queue.service, unplacedOf(step, step.tasks.size), Unplaced::plus)
+                continue
+            }
             val placed = if (step.description.gang) {
                 placeGang(step, rooms)
             } else {
@@ -44,12 +48,19 @@
             claims.addAll(placed)
             val missing = step.tasks.size - placed.size
             if (missing == 0) continue
+            unplaced.merge(step.queue.service, unplacedOf(step, missing), Unplaced::plus)
             if (isUrgent) evictions.addAll(evict(step, missing, rooms))
             val hasWaited = nowMs - step.job.acceptedMs > HEAD_OF_LINE_MS
             val isWhole = step.description.gang || placed.isEmpty()
             if (isWhole && hasWaited && step.dueMs > nowMs && isFeasible(step, rooms)) kept.add(step.queue.service)
         }
-        return Plan(claims, evictions)
+        return Plan(claims, evictions, unplaced)
+    }
+
+    private fun unplacedOf(step: WaitingStep, missing: Int): Unplaced {
+        val perWorker = step.description.maxPerWorker
+        val workers = if (perWorker == 0) 0 else (missing + perWorker - 1) / perWorker
+        return Unplaced(missing * step.description.reserved.millicores, workers)
     }
 
     private fun orderAt(nowMs: Long): Comparator<WaitingStep> = compareBy<WaitingStep> { !it.description.lasting }
@@ -121,8 +132,7 @@
         var bestScore = Long.MIN_VALUE
         for (room in candidates) {
             if (!room.fits(step.id, description)) continue
-            val near = if (preferred != null && room.rack == preferred) NEAR_BONUS else 0
-            val score = near + if (description.fillsUnused) room.unused else room.free.millicores
+            val score = score(room, step, preferred)
             if (score > bestScore) {
                 best = room
                 bestScore = score
@@ -131,6 +141,24 @@
         return best
     }
 
+    /**
+     * Rates a worker with room; the highest is taken.
+     *
+     * Batch tasks go where the least room is left, so that borrowed workers run empty and can go back. Lasting tasks
+     * spread, because planned work ends all tasks of a worker at once and a step may miss few.
+     */
+    private fun score(room: Room, step: WaitingStep, preferred: RackId?): Long {
+        val description = step.description
+        val near = if (preferred != null && room.rack == preferred) NEAR_BONUS else 0
+        val own = if (room.worker.vm in state.homes) 0 else HOME_BONUS
+        val fit = when {
+            description.fillsUnused -> room.unused
+            description.lasting -> room.free.millicores - room.count(step.id) * SPREAD_PENALTY
+            else -> -room.free.millicores
+        }
+        return near + own + fit
+    }
+
     /** Chooses runs to stop so that lasting tasks, which must not stay away, find room. */
     private fun evict(step: WaitingStep, missing: Int, rooms: RoomLedger): List<Eviction> {
         val evictions = ArrayList<Eviction>()
@@ -167,12 +195,20 @@
         const val HEAD_OF_LINE_MS = 3_000L
 
         /** Outweighs any difference in free processor time, in millicores. */
-        const val NEAR_BONUS = 1_000_000_000L
+        const val NEAR_BONUS = 1_000_000_000_000L
+
+        /** Outweighs any number of other tasks of the step. */
+        const val HOME_BONUS = 100_000_000_000L
+        const val SPREAD_PENALTY = 1_000_000_000L
     }
 }
 
 /** What a [Planner] decided. */
-internal class Plan(val claims: List<Record.RunClaimed>, val evictions: List<Eviction>)
+internal class Plan(
+    val claims: List<Record.RunClaimed>,
+    val evictions: List<Eviction>,
+    val unplaced: Map<ServiceId, Unplaced>,
+)
 
 /** A run to stop so that [beneficiary] finds room. */
 internal data class Eviction(val run: RunId, val life: WorkerLife, val beneficiary: StepId)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -0,0 +1,218 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.VmId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Decides which VMs are lent to the service whose queue asks for more than its pool holds, and when they go back.
+ *
+ * Answers the load pattern of queues that ask in turn for several times their mean: a service that cannot start its
+ * waiting tasks borrows VMs that are switched off, then VMs of other services that run nothing and have nothing
+ * waiting. A borrowed VM goes back once it has run nothing for a while. Hysteresis keeps a VM from moving for each
+ * small change: a shortage must last, and a VM stays a few times as long as its move takes.
+ */
+internal class PoolControl(
+    private val state: SchedulerState,
+    private val settings: SchedulingSettings,
+    private val startedAt: MonotonicTime,
+) {
+    private val shortages = HashMap<ServiceId, Shortage>()
+    private val idleSince = HashMap<VmId, MonotonicTime>()
+    private val orderedAt = HashMap<VmId, MonotonicTime>()
+    private val refusedUntil = HashMap<VmId, MonotonicTime>()
+    private var spares: List<ListedVm> = emptyList()
+    private var listedAt: MonotonicTime? = null
+
+    /** Whether the VM of [worker] is being moved. */
+    fun isHeld(worker: WorkerProfile): Boolean = worker.vm in state.moves
+
+    /** Whether a list of the VMs that are switched off is needed. */
+    fun needsList(now: MonotonicTime): Boolean {
+        if (spareService() == null || now - startedAt < LIST_DELAY) return false
+        val last = listedAt ?: return true
+        return shortages.isNotEmpty() && now - last > LIST_INTERVAL
+    }
+
+    fun listRequested(now: MonotonicTime) {
+        listedAt = now
+    }
+
+    fun listed(vms: List<ListedVm>) {
+        val spare = spareService() ?: return
+        spares = vms.filter { it.pool == spare.value && it.state != VmCondition.MOVING }
+    }
+
+    /** Notes what could not be placed: processor time by service and the most VMs that one step still needs. */
+    fun noteUnplaced(unplaced: Map<ServiceId, Unplaced>, now: MonotonicTime) {
+        shortages.keys.retainAll(unplaced.keys)
+        unplaced.forEach { (service, need) -> shortages.getOrPut(service) { Shortage(now) }.need = need }
+    }
+
+    /** Returns the moves to begin, to confirm and to order now. */
+    fun decide(now: MonotonicTime): PoolDecision {
+        val decision = PoolDecision()
+        if (now - startedAt < settings.succession) return decision
+        finish(decision)
+        repeatOrders(now, decision)
+        noteIdle(now)
+        borrow(now, decision)
+        giveBack(now, decision)
+        return decision
+    }
+
+    fun orderSent(vm: VmId, now: MonotonicTime) {
+        orderedAt[vm] = now
+    }
+
+    /** Returns the record that follows from the platform's [answer], or null. */
+    fun answered(vm: VmId, answer: UpkeepAnswer, isFirst: Boolean, now: MonotonicTime): Record? = when (answer) {
+        UpkeepAnswer.BEGUN -> Record.MoveConfirmed(vm)
+        UpkeepAnswer.UNKNOWN_VM -> refuse(vm, now)
+        // A copy that was not answered may have begun the move; a repeat tells once it is over.
+        UpkeepAnswer.BUSY -> if (isFirst) refuse(vm, now) else null
+        UpkeepAnswer.FENCED, UpkeepAnswer.UNCERTAIN -> null
+    }
+
+    private fun refuse(vm: VmId, now: MonotonicTime): Record {
+        refusedUntil[vm] = now + REFUSAL_PAUSE
+        spares = spares.filterNot { it.vm == vm }
+        return Record.MoveRefused(vm)
+    }
+
+    private fun finish(decision: PoolDecision) {
+        val workers = state.workers.values.associateBy { it.profile.vm }
+        val spare = spareService()
+        for ((vm, move) in state.moves) {
+            if (!move.isConfirmed) continue
+            val arrived = workers[vm]?.profile?.let { it.service == move.to && it.life.bornMs > move.bornMs } ?: false
+            // A VM that is switched off reports nothing.
+            if (arrived || move.to == spare) decision.records.add(Record.MoveEnded(vm))
+            if (move.to == spare) spares = spares.filterNot { it.vm == vm } + ListedVm(vm, move.to.value, VmCondition.UP, null)
+        }
+    }
+
+    private fun repeatOrders(now: MonotonicTime, decision: PoolDecision) {
+        for ((vm, move) in state.moves) {
+            val isDue = orderedAt[vm]?.let { now - it > ORDER_RETRY } ?: true
+            if (!move.isConfirmed && isDue) decision.orders.add(vm to move.to)
+        }
+    }
+
+    private fun noteIdle(now: MonotonicTime) {
+        val idle = state.workers.values
+            .filter { it.profile.vm != null && !it.isLeaving && state.claimsAt(it.profile.life).isEmpty() }
+            .mapNotNull { it.profile.vm }
+            .toSet()
+        idleSince.keys.retainAll(idle)
+        idle.forEach { idleSince.getOrPut(it) { now } }
+    }
+
+    private fun borrow(now: MonotonicTime, decision: PoolDecision) {
+        val spare = spareService()
+        for ((service, shortage) in shortages.entries.sortedByDescending { it.value.need.millicores }) {
+            if (now - shortage.since < SHORTAGE_LASTS) continue
+            val coming = state.moves.values.count { it.to == service }
+            val free = spares.filter { it.vm !in state.moves && isAllowed(it.vm, now) && !decision.begins(it.vm) }
+            val size = typicalCapacity(service) ?: continue
+            val byWork = (shortage.need.millicores + size - 1) / size
+            var wanted = maxOf(byWork.toInt(), shortage.need.workers) - coming
+            for (vm in free) {
+                if (wanted <= 0 || spare == null) break
+                decision.begin(vm.vm, spare, service, bornMs = 0)
+                spares = spares.filterNot { it.vm == vm.vm }
+                wanted -= 1
+            }
+            for (worker in donors(service, now)) {
+                if (wanted <= 0) break
+                val vm = worker.profile.vm ?: continue
+                if (decision.begins(vm)) continue
+                decision.begin(vm, worker.profile.service, service, worker.profile.life.bornMs)
+                wanted -= 1
+            }
+        }
+    }
+
+    /** Workers of other services that run nothing and whose queue has nothing waiting. */
+    private fun donors(service: ServiceId, now: MonotonicTime): List<Worker> {
+        val pools = state.workers.values.groupBy { it.profile.service }
+        return state.workers.values.filter { worker ->
+            val vm = worker.profile.vm
+            val idle = idleSince[vm]
+            val pool = worker.profile.service
+            vm != null && pool != service && pool !in shortages && vm !in state.moves && isAllowed(vm, now) &&
+                idle != null && now - idle > DONOR_IDLE && pools.getValue(pool).size > LEAST_POOL
+        }
+    }
+
+    private fun giveBack(now: MonotonicTime, decision: PoolDecision) {
+        for ((vm, home) in state.homes) {
+            val worker = state.workers.values.firstOrNull { it.profile.vm == vm } ?: continue
+            val service = worker.profile.service
+            val idle = idleSince[vm] ?: continue
+            val stays = vm in state.moves || decision.begins(vm) || service == home || service in shortages
+            val patience = if (home in shortages) DONOR_IDLE else RETURN_IDLE
+            if (stays || now - idle < patience || !isAllowed(vm, now)) continue
+            decision.begin(vm, service, home, worker.profile.life.bornMs)
+        }
+    }
+
+    private fun spareService(): ServiceId? = state.catalog?.services?.firstOrNull { it.spare }?.service
+
+    private fun typicalCapacity(service: ServiceId): Long? {
+        val known = state.workers.values.filter { it.profile.service == service }.ifEmpty { state.workers.values }
+        return known.maxOfOrNull { it.profile.capacity.millicores }?.takeIf { it > 0 }
+    }
+
+    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusedUntil[vm]?.let { now >= it } ?: true
+
+    private class Shortage(val since: MonotonicTime) {
+        var need = Unplaced()
+    }
+
+    private companion object {
+        /** Time after the start at which the platform knows all VMs. */
+        val LIST_DELAY: Duration = 1.seconds
+        val LIST_INTERVAL: Duration = 10.seconds
+
+        /** Longer than a task takes to be placed after another has ended, and short against a move. */
+        val SHORTAGE_LASTS: Duration = 150.milliseconds
+        val DONOR_IDLE: Duration = 1.seconds
+
+        /** A few times the time of a move, so that a VM is not sent to and fro. */
+        val RETURN_IDLE: Duration = 3.seconds
+        val REFUSAL_PAUSE: Duration = 3.seconds
+        val ORDER_RETRY: Duration = 2.seconds
+
+        /** A pool keeps this many VMs for what comes next. */
+        const val LEAST_POOL = 2
+    }
+}
+
+/** What a [PoolControl] decided: records to commit, then moves to order. */
+internal class PoolDecision {
+    val records = ArrayList<Record>()
+    val orders = ArrayList<Pair<VmId, ServiceId>>()
+    private val begun = HashSet<VmId>()
+
+    fun begins(vm: VmId): Boolean = vm in begun
+
+    fun begin(vm: VmId, from: ServiceId, to: ServiceId, bornMs: Long) {
+        begun.add(vm)
+        records.add(Record.MoveBegun(vm, from, to, bornMs))
+    }
+}
+
+/**
+ * Waiting tasks of one service that no worker has room for.
+ *
+ * @property millicores processor time that they ask for.
+ * @property workers most workers that one step needs, because of its bound for each.
+ */
+internal class Unplaced(val millicores: Long = 0, val workers: Int = 0) {
+    operator fun plus(other: Unplaced): Unplaced =
+        Unplaced(millicores + other.millicores, maxOf(workers, other.workers))
+}
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.auburnstream.model.JobId
+import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
 
 /**
@@ -95,6 +96,26 @@
     @Serializable
     @SerialName("o")
     public data class UpkeepRefused(val wave: Long, val vm: VmId) : Record
+
+    /** The move of [vm] from one service's pool to another is about to be ordered. */
+    @Serializable
+    @SerialName("m")
+    public data class MoveBegun(val vm: VmId, val from: ServiceId, val to: ServiceId, val bornMs: Long) : Record
+
+    /** The platform has confirmed that [vm] moves. */
+    @Serializable
+    @SerialName("mk")
+    public data class MoveConfirmed(val vm: VmId) : Record
+
+    /** The VM has arrived, or is switched off. */
+    @Serializable
+    @SerialName("md")
+    public data class MoveEnded(val vm: VmId) : Record
+
+    /** The order for [vm] was refused and the VM stays. */
+    @Serializable
+    @SerialName("mo")
+    public data class MoveRefused(val vm: VmId) : Record
 }
 
 /** How a run ended, as its worker tells. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.auburnstream.model.JobId
+import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
 
 /**
@@ -22,6 +23,8 @@
     private val jobTable = LinkedHashMap<JobId, Job>()
     private val workerTable = LinkedHashMap<WorkerId, Worker>()
     private val waveTable = LinkedHashMap<Long, Wave>()
+    private val moveTable = LinkedHashMap<VmId, Move>()
+    private val homeTable = LinkedHashMap<VmId, ServiceId>()
     private val activeJobs = LinkedHashMap<JobId, Job>()
     private val claimTable = HashMap<WorkerLife, LinkedHashMap<RunId, StepDescription>>()
     private val overJobs = ArrayDeque<Job>()
@@ -42,6 +45,14 @@
     public val waves: Map<Long, Wave>
         get() = waveTable
 
+    /** Moves of VMs between pools that are in progress. */
+    public val moves: Map<VmId, Move>
+        get() = moveTable
+
+    /** Services that lent a VM which is in another pool, by VM. */
+    public val homes: Map<VmId, ServiceId>
+        get() = homeTable
+
     /** Lives that may run something. */
     public val claimedLives: Set<WorkerLife>
         get() = claimTable.keys
@@ -68,16 +79,26 @@
 
     /** Returns the state for a snapshot. */
     public fun image(): StateImage =
-        StateImage(catalog, document, jobTable.values.toList(), workerTable.values.toList(), waveTable.values.toList())
+        StateImage(
+            catalog = catalog,
+            document = document,
+            jobs = jobTable.values.toList(),
+            workers = workerTable.values.toList(),
+            waves = waveTable.values.toList(),
+            moves = HashMap(moveTable),
+            homes = HashMap(homeTable),
+        )
 
     /** Replaces the state by [image]. */
     public fun restore(image: StateImage) {
-        listOf(jobTable, workerTable, waveTable, activeJobs, claimTable).forEach { it.clear() }
+        listOf(jobTable, workerTable, waveTable, moveTable, homeTable, activeJobs, claimTable).forEach { it.clear() }
         overJobs.clear()
         catalog = image.catalog
         document = image.document
         image.workers.forEach { workerTable[it.profile.life.worker] = it }
         image.waves.forEach { waveTable[it.number] = it }
+        moveTable.putAll(image.moves)
+        homeTable.putAll(image.homes)
         for (job in image.jobs) {
             jobTable[job.id] = job
             if (job.isActive) activeJobs[job.id] = job
@@ -114,6 +135,10 @@
             is Record.UpkeepBegun -> waveTable[record.wave]?.begun?.set(record.vm, record.bornMs)
             is Record.UpkeepConfirmed -> waveTable[record.wave]?.confirmed?.add(record.vm)
             is Record.UpkeepEnded -> waveTable[record.wave]?.ended?.add(record.vm)
+            is Record.MoveBegun -> moveTable[record.vm] = Move(record.from, record.to, record.bornMs)
+            is Record.MoveConfirmed -> moveTable[record.vm]?.isConfirmed = true
+            is Record.MoveEnded -> moveTable.remove(record.vm)?.let { settle(record.vm, it) }
+            is Record.MoveRefused -> moveTable.remove(record.vm)
             is Record.UpkeepRefused -> waveTable[record.wave]?.begun?.remove(record.vm)
         }
     }
@@ -153,6 +178,11 @@
         claimTable[life]?.keys?.toList()?.forEach { release(it, life) }
     }
 
+    private fun settle(vm: VmId, move: Move) {
+        val home = homeTable.getOrPut(vm) { move.from }
+        if (home == move.to) homeTable.remove(vm)
+    }
+
     private fun claim(record: Record.RunClaimed) {
         val id = record.run.task
         val job = activeJobs[id.step.job] ?: return
@@ -278,4 +308,20 @@
     public val jobs: List<Job>,
     public val workers: List<Worker>,
     public val waves: List<Wave>,
+    public val moves: Map<VmId, Move> = emptyMap(),
+    public val homes: Map<VmId, ServiceId> = emptyMap(),
+)
+
+/**
+ * A VM on its way from one service's pool to another.
+ *
+ * @property bornMs birth of the life that ran there when the move began, or 0.
+ * @property isConfirmed whether the platform has confirmed the move.
+ */
+@Serializable
+public class Move internal constructor(
+    public val from: ServiceId,
+    public val to: ServiceId,
+    public val bornMs: Long,
+    public var isConfirmed: Boolean = false,
 )
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -139,7 +139,7 @@
         records: MutableList<Record>,
     ) {
         var room = wave.cap - down
-        val left = wave.vms.filter { it !in wave.begun && it !in wave.ended && isAllowed(it, now) }
+        val left = wave.vms.filter { it !in wave.begun && it !in wave.ended && it !in state.moves && isAllowed(it, now) }
         if (room <= 0 || left.isEmpty()) return
         emptying.keys.filter { it !in wave.vms || it in wave.begun }.forEach { emptying.remove(it) }
         val patience = patience(wave, left.size, nowMs)
