--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -27,7 +27,9 @@
     private val actions = ArrayList<Action>()
     private val intake = Intake(state, settings) { actions.add(it) }
     private val contacts = Contacts(state, settings, now)
-    private val runs = RunControl(state, settings, contacts, intake::record) { actions.add(it) }
+    private val durations = DurationBook()
+    private val runs = RunControl(state, settings, contacts, durations, intake::record) { actions.add(it) }
+    private val waitingSteps = WaitingSteps(durations)
     private val waves = WaveControl(state, settings, now)
     private val pools = PoolControl(state, settings, now)
     private val firstOrders = HashSet<VmId>()
@@ -233,7 +235,7 @@
         nextOccurrenceMs = WaitingSteps.nextStartMs(state, nowMs, earlyMs)
         val pendingClaims = intake.hasClaims
         if (pendingClaims) return
-        val waiting = WaitingSteps.find(state, nowMs, earlyMs).filterNot { intake.isEnding(it.job.id) }
+        val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { intake.isEnding(it.job.id) }
         if (waiting.isEmpty()) return pools.noteUnplaced(emptyMap(), now)
         val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !waves.isHeld(worker.profile) && !pools.isHeld(worker.profile) }
         askAdvice(waiting, isUsable, now)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/DurationBook.kt
@@ -0,0 +1,67 @@
+package org.auburnstream.scheduling
+
+import kotlin.math.exp
+import kotlin.math.ln
+
+/**
+ * Learns how long the tasks of each queue take, and how far their callers' estimates can be trusted.
+ *
+ * Durations and the errors of estimates are taken as lognormal. The estimate of a task is the mean of the queue's
+ * usual duration and the caller's figure on the logarithmic scale, each weighted by the other's variance (the
+ * posterior mean of two normal sources). A queue without ends is taken at its callers' word.
+ */
+internal class DurationBook {
+    private val queues = HashMap<QueueName, Statistics>()
+
+    /** Notes that a task of [queue] with the caller's [estimateMs] took [actualMs]. */
+    fun ended(queue: QueueName, estimateMs: Long, actualMs: Long) {
+        val statistics = queues.getOrPut(queue) { Statistics() }
+        val actual = ln(maxOf(1L, actualMs).toDouble())
+        statistics.durations.add(actual)
+        if (estimateMs > 0) statistics.errors.add(actual - ln(estimateMs.toDouble()))
+    }
+
+    /** Returns the likely duration in ms of a task of [queue] with the caller's [estimateMs], 0 if there is none. */
+    fun estimate(queue: QueueName, estimateMs: Long): Long {
+        val statistics = queues[queue]
+        if (statistics == null || statistics.durations.count < LEAST_ENDS) return estimateMs
+        val usual = statistics.durations.mean
+        if (estimateMs <= 0) return exp(usual).toLong()
+        val trust = statistics.durations.variance / (statistics.durations.variance + statistics.errors.variance)
+        return exp(trust * (ln(estimateMs.toDouble()) + statistics.errors.mean) + (1 - trust) * usual).toLong()
+    }
+
+    private class Statistics {
+        val durations = Moments()
+        val errors = Moments()
+    }
+
+    /** Mean and variance with exponential forgetting, after Welford. */
+    private class Moments {
+        var count = 0
+            private set
+        var mean = 0.0
+            private set
+        private var squares = 0.0
+
+        val variance: Double
+            get() = maxOf(LEAST_VARIANCE, if (count < 2) 1.0 else squares)
+
+        fun add(value: Double) {
+            count += 1
+            val weight = maxOf(1.0 / count, FORGETTING)
+            val delta = value - mean
+            mean += weight * delta
+            squares += weight * (delta * (value - mean) - squares)
+        }
+    }
+
+    private companion object {
+        /** Ends from which a mean tells more than a single caller. */
+        const val LEAST_ENDS = 10
+
+        /** Weight of the newest end, so that the last hundred or so count. */
+        const val FORGETTING = 0.01
+        const val LEAST_VARIANCE = 0.01
+    }
+}
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -69,7 +69,7 @@
         .thenBy { if (isLate(it, nowMs)) it.dueMs else it.workMs }
         .thenBy { it.job.acceptedMs }
 
-    private fun isLate(step: WaitingStep, nowMs: Long): Boolean = nowMs + step.description.estimateMs > step.dueMs
+    private fun isLate(step: WaitingStep, nowMs: Long): Boolean = nowMs + step.remainingMs > step.dueMs
 
     private fun isFeasible(step: WaitingStep, rooms: RoomLedger): Boolean =
         rooms.of(step.queue.service).any { it.couldFit(step.description) }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -118,7 +118,8 @@
             val coming = state.moves.values.count { it.to == service }
             val free = spares.filter { it.vm !in state.moves && isAllowed(it.vm, now) && !decision.begins(it.vm) }
             val size = typicalCapacity(service) ?: continue
-            val byWork = (shortage.need.millicores + size - 1) / size
+            val headroom = (loadOf(service) * HEADROOM).toLong()
+            val byWork = (shortage.need.millicores + headroom + size - 1) / size
             var wanted = maxOf(byWork.toInt(), shortage.need.workers) - coming
             for (vm in free) {
                 if (wanted <= 0 || spare == null) break
@@ -160,6 +161,10 @@
         }
     }
 
+    private fun loadOf(service: ServiceId): Long = state.workers.values
+        .filter { it.profile.service == service }
+        .sumOf { worker -> state.claimsAt(worker.profile.life).values.sumOf { it.reserved.millicores } }
+
     private fun spareService(): ServiceId? = state.catalog?.services?.firstOrNull { it.spare }?.service
 
     private fun typicalCapacity(service: ServiceId): Long? {
@@ -179,7 +184,7 @@
         val LIST_INTERVAL: Duration = 10.seconds
 
         /** Longer than a task takes to be placed after another has ended, and short against a move. */
-        val SHORTAGE_LASTS: Duration = 150.milliseconds
+        val SHORTAGE_LASTS: Duration = 50.milliseconds
         val DONOR_IDLE: Duration = 1.seconds
 
         /** A few times the time of a move, so that a VM is not sent to and fro. */
@@ -187,6 +192,9 @@
         val REFUSAL_PAUSE: Duration = 3.seconds
         val ORDER_RETRY: Duration = 2.seconds
 
+        /** Share of the load in progress by which a queue that is short of room is likely to grow during a move. */
+        const val HEADROOM = 0.2
+
         /** A pool keeps this many VMs for what comes next. */
         const val LEAST_POOL = 2
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -16,6 +16,7 @@
     private val state: SchedulerState,
     private val settings: SchedulingSettings,
     private val contacts: Contacts,
+    private val durations: DurationBook,
     private val record: (Record) -> Unit,
     private val act: (Action) -> Unit,
 ) {
@@ -154,8 +155,9 @@
     fun ended(end: Record.RunEnded, now: MonotonicTime) {
         recorded.remove(end.run to end.life)
         val contact = contacts.find(end.life)
-        contact?.orders?.remove(end.run)
+        val startedAt = contact?.orders?.remove(end.run)?.startedAt
         val job = end.run.task.step.job
+        if (end.end == RunEnd.DONE && startedAt != null) learn(end.run, now - startedAt)
         when (end.end) {
             RunEnd.DONE -> contact?.health?.succeeded()
             RunEnd.FAILED -> if (contact?.health?.failed(job, now) == true) {
@@ -167,6 +169,13 @@
         if (end.end == RunEnd.DONE) stopCopies(end, now)
     }
 
+    private fun learn(run: RunId, elapsed: Duration) {
+        val job = state.jobs[run.task.step.job] ?: return
+        val step = job.description.steps[run.task.step.step]
+        if (step.lasting || run.number > 1) return
+        durations.ended(job.queue.name, step.estimateMs, elapsed.inWholeMilliseconds)
+    }
+
     fun released(release: Record.RunReleased) {
         recorded.remove(release.run to release.life)
         contacts.find(release.life)?.orders?.remove(release.run)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
@@ -6,6 +6,7 @@
  * @property tasks indexes of tasks that are not done and have no run in progress.
  * @property dueMs when the job, or the occurrence, should be over, in Unix milliseconds.
  * @property workMs processor time of what is left of the occurrence, in millicores x ms.
+ * @property remainingMs longest chain of work from this step on.
  */
 internal class WaitingStep(
     val job: Job,
@@ -16,10 +17,11 @@
     val tasks: List<Int>,
     val dueMs: Long,
     val workMs: Long,
+    val remainingMs: Long,
 )
 
-/** Finds the steps that could start, from the state alone. */
-internal object WaitingSteps {
+/** Finds the steps that could start, from the state and what was learned of durations. */
+internal class WaitingSteps(private val durations: DurationBook) {
     /** Returns the steps with tasks that could start at [nowMs]; [earlyMs] is the time by which one may be early. */
     fun find(state: SchedulerState, nowMs: Long, earlyMs: Long): List<WaitingStep> {
         val found = ArrayList<WaitingStep>()
@@ -39,36 +41,29 @@
         return found
     }
 
-    /** When the next occurrence of any job may start, in Unix milliseconds, or null if none is to come. */
-    fun nextStartMs(state: SchedulerState, nowMs: Long, earlyMs: Long): Long? = state.active.values
-        .mapNotNull { job ->
-            val schedule = job.description.schedule ?: return@mapNotNull null
-            val next = (job.nextOccurrence until schedule.occurrences).firstOrNull {
-                schedule.dueMs(it) - earlyMs > nowMs
-            }
-            next?.let { schedule.dueMs(it) - earlyMs }
-        }
-        .minOrNull()
-
     private fun collect(job: Job, queue: Queue, occurrence: Int, fromMs: Long, found: MutableList<WaitingStep>) {
         val steps = job.description.steps
         val progress = job.occurrences[occurrence]?.steps
-        var dueMs = 0L
-        var workMs = 0L
+        var chains: LongArray? = null
         steps.forEachIndexed { number, description ->
             val ready = description.dependsOn.all { progress != null && progress[it].isDone }
-            if (!ready) return@forEachIndexed
             val own = progress?.get(number)
-            if (own != null && own.isDone) return@forEachIndexed
+            if (!ready || own?.isDone == true) return@forEachIndexed
             val tasks = startable(description, own, queue)
             if (tasks.isEmpty()) return@forEachIndexed
-            if (dueMs == 0L) {
-                dueMs = fromMs + queue.objectiveMs + (chainMs(steps) * queue.stretch).toLong()
-                workMs = workLeft(steps, progress)
-            }
-            val id = StepId(job.id, occurrence, number)
+            val after = chains ?: chainsFrom(queue, steps).also { chains = it }
             found.add(
-                WaitingStep(job, id, description, own ?: StepProgress(emptyList()), queue, tasks, dueMs, workMs),
+                WaitingStep(
+                    job = job,
+                    id = StepId(job.id, occurrence, number),
+                    description = description,
+                    progress = own ?: StepProgress(emptyList()),
+                    queue = queue,
+                    tasks = tasks,
+                    dueMs = fromMs + queue.objectiveMs + (after.max() * queue.stretch).toLong(),
+                    workMs = workLeft(queue, steps, progress),
+                    remainingMs = after[number],
+                ),
             )
         }
     }
@@ -89,21 +84,37 @@
         return indexes
     }
 
-    /** Returns the longest chain of estimated durations, the first term of a job's objective. */
-    fun chainMs(steps: List<StepDescription>): Long {
-        val ends = LongArray(steps.size)
-        steps.forEachIndexed { number, step ->
-            ends[number] = step.estimateMs + (step.dependsOn.maxOfOrNull { ends[it] } ?: 0)
+    /** Returns for each step the longest chain of likely durations that begins with it. */
+    private fun chainsFrom(queue: Queue, steps: List<StepDescription>): LongArray {
+        val chains = LongArray(steps.size) { durations.estimate(queue.name, steps[it].estimateMs) }
+        for (number in steps.indices.reversed()) {
+            for (earlier in steps[number].dependsOn) {
+                val own = durations.estimate(queue.name, steps[earlier].estimateMs)
+                chains[earlier] = maxOf(chains[earlier], own + chains[number])
+            }
         }
-        return ends.maxOrNull() ?: 0
+        return chains
     }
 
-    private fun workLeft(steps: List<StepDescription>, progress: List<StepProgress>?): Long {
+    private fun workLeft(queue: Queue, steps: List<StepDescription>, progress: List<StepProgress>?): Long {
         var work = 0L
         steps.forEachIndexed { number, step ->
             val undone = progress?.get(number)?.undone ?: step.count
-            work += undone * step.estimateMs * step.demand.millicores
+            work += undone * durations.estimate(queue.name, step.estimateMs) * step.demand.millicores
         }
         return work
     }
+
+    companion object {
+        /** When the next occurrence of any job may start, in Unix milliseconds, or null if none is to come. */
+        fun nextStartMs(state: SchedulerState, nowMs: Long, earlyMs: Long): Long? = state.active.values
+            .mapNotNull { job ->
+                val schedule = job.description.schedule ?: return@mapNotNull null
+                val next = (job.nextOccurrence until schedule.occurrences).firstOrNull {
+                    schedule.dueMs(it) - earlyMs > nowMs
+                }
+                next?.let { schedule.dueMs(it) - earlyMs }
+            }
+            .minOrNull()
+    }
 }
