--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -36,6 +36,7 @@
     private val advice = AdviceBook()
     private var committing: RecordBatch? = null
     private var planDirty = true
+    private var vmsDue = false
     private var nextTick = now
     private var nextOccurrenceMs: Long? = null
 
@@ -105,8 +106,7 @@
             pools.listRequested(now)
             actions.add(Action.ListVms)
         }
-        decideWaves(now, nowMs)
-        decidePools(now)
+        vmsDue = true
         if (nextOccurrenceMs?.let { nowMs >= it } == true) planDirty = true
         // Workers come into and fall out of use by the passing of time alone.
         if (contacts.usableChanged(now)) planDirty = true
@@ -114,7 +114,7 @@
     }
 
     private fun decideWaves(now: MonotonicTime, nowMs: Long) {
-        if (!waves.isBusy || committing != null) return
+        if (!waves.isBusy) return
         val decision = waves.decide(now, nowMs, runs::canLose)
         decision.records.forEach(intake::record)
         for ((wave, vm) in decision.orders) {
@@ -124,8 +124,6 @@
     }
 
     private fun decidePools(now: MonotonicTime) {
-        // A decision must see every claim and every earlier decision.
-        if (committing != null || intake.hasRecords) return
         val decision = pools.decide(now)
         decision.records.filterNot { it is Record.MoveBegun && isInMaintenance(it.vm) }.forEach(intake::record)
         for ((vm, service) in decision.orders) orderMove(vm, service, isFirst = false, now)
@@ -220,6 +218,12 @@
     }
 
     private fun decide(now: MonotonicTime, nowMs: Long) {
+        // Between two batches the state shows every claim, and no plan can take a VM that is about to go.
+        if (vmsDue) {
+            vmsDue = false
+            decideWaves(now, nowMs)
+            decidePools(now)
+        }
         if (planDirty) plan(now, nowMs)
         val records = intake.take()
         if (records.isEmpty()) return
@@ -237,7 +241,7 @@
         if (pendingClaims) return
         val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { intake.isEnding(it.job.id) }
         if (waiting.isEmpty()) return pools.noteUnplaced(emptyMap(), now)
-        val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !waves.isHeld(worker.profile) && !pools.isHeld(worker.profile) }
+        val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !isHeld(worker.profile) }
         askAdvice(waiting, isUsable, now)
         val planner = Planner(state, isUsable, { step, worker -> mayRun(step, worker, now) }, runs::isStopping)
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
@@ -246,6 +250,9 @@
         plan.evictions.forEach { runs.evict(it, now) }
     }
 
+    private fun isHeld(worker: WorkerProfile): Boolean =
+        waves.isHeld(worker) || pools.isHeld(worker) || intake.isLeaving(worker.vm)
+
     private fun mayRun(step: WaitingStep, worker: WorkerProfile, now: MonotonicTime): Boolean =
         step.queue.advice == null || advice.ticket(step.id, worker.life.worker, now) != null
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.scheduling
 
 import org.auburnstream.model.JobId
+import org.auburnstream.model.VmId
 import kotlin.time.Duration.Companion.seconds
 
 /** Collects what is to be recorded, and answers calls once their records are committed. */
@@ -23,9 +24,10 @@
     val hasClaims: Boolean
         get() = records.any { it is Record.RunClaimed }
 
-    /** Whether anything waits to be recorded. */
-    val hasRecords: Boolean
-        get() = records.isNotEmpty()
+    /** Whether a record that waits takes [vm] out of its pool. */
+    fun isLeaving(vm: VmId?): Boolean = vm != null && records.any {
+        (it is Record.MoveBegun && it.vm == vm) || (it is Record.UpkeepBegun && it.vm == vm)
+    }
 
     /** Whether the job is being cancelled. */
     fun isEnding(id: JobId): Boolean = id in pendingCancels
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
@@ -5,7 +5,7 @@
  *
  * @property tasks indexes of tasks that are not done and have no run in progress.
  * @property dueMs when the job, or the occurrence, should be over, in Unix milliseconds.
- * @property workMs processor time of what is left of the occurrence, in millicores x ms.
+ * @property workMs processor time of what has not started of the occurrence, in millicores x ms.
  * @property remainingMs longest chain of work from this step on.
  */
 internal class WaitingStep(
@@ -99,12 +99,15 @@
     private fun workLeft(queue: Queue, steps: List<StepDescription>, progress: List<StepProgress>?): Long {
         var work = 0L
         steps.forEachIndexed { number, step ->
-            val undone = progress?.get(number)?.undone ?: step.count
+            val undone = progress?.get(number)?.let(::unclaimed) ?: step.count
             work += undone * durations.estimate(queue.name, step.estimateMs) * step.demand.millicores
         }
         return work
     }
 
+    /** A job whose tasks mostly run already needs little to be over, so what runs does not count. */
+    private fun unclaimed(progress: StepProgress): Int = progress.tasks.count { !it.isDone && it.claims.isEmpty() }
+
     companion object {
         /** When the next occurrence of any job may start, in Unix milliseconds, or null if none is to come. */
         fun nextStartMs(state: SchedulerState, nowMs: Long, earlyMs: Long): Long? = state.active.values
