--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -146,11 +146,18 @@
         val leads = status.role == ReplicaRole.LEADER
         val current = leadership
         if (current != null && (!leads || current.term != status.term)) endLeadership("term ${status.term} began")
-        if (leads && leadership == null && preparingTerm != status.term) prepare(status.term)
+        prepareIfLeading()
         current?.release()
         publish(status)
     }
 
+    /** Also called from time to time, since a barrier that was not confirmed changes nothing that could be heard. */
+    private fun prepareIfLeading() {
+        val status = group.status.value
+        val leads = status.role == ReplicaRole.LEADER
+        if (leads && leadership == null && preparingTerm != status.term) prepare(status.term)
+    }
+
     private fun prepare(term: Long) {
         preparingTerm = term
         scope.launch {
@@ -183,7 +190,6 @@
     private fun endLeadership(cause: String) {
         val ended = leadership ?: return
         leadership = null
-        preparingTerm = 0
         log.note("leadership_ended", "term" to ended.term, "cause" to cause)
         ended.end()
     }
@@ -195,7 +201,10 @@
                 is ProposeResult.Rejected -> done(false)
                 ProposeResult.Unknown -> {
                     done(null)
+                    val isStillLeading = group.status.value.role == ReplicaRole.LEADER
                     endLeadership("batch of unknown fate")
+                    // Its orders carry this term, so only another term may decide again.
+                    if (isStillLeading) onFatal("a batch was not committed within $COMMIT_TIMEOUT")
                 }
             }
         }
@@ -271,7 +280,10 @@
 
     private fun housekeeping() {
         server.sweep()
-        if (this::group.isInitialized) growGroup()
+        if (this::group.isInitialized) {
+            prepareIfLeading()
+            growGroup()
+        }
         loop.after(HOUSEKEEPING) { housekeeping() }
     }
 
@@ -328,8 +340,8 @@
         val HOUSEKEEPING: Duration = 500.milliseconds
         val BARRIER_TIMEOUT: Duration = 1.seconds
 
-        /** A batch that is not committed by then is not worth waiting for: callers have given up. */
-        val COMMIT_TIMEOUT: Duration = 10.seconds
+        /** A leader that cannot commit for this long, though a quorum answers it, starts anew. */
+        val COMMIT_TIMEOUT: Duration = 25.seconds
         val FORWARD_TIMEOUT: Duration = 900.milliseconds
 
         /** A third of the shortest election timeout and two heartbeats: no other leader can act before. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -8,10 +8,8 @@
 internal class Contacts(
     private val state: SchedulerState,
     private val settings: SchedulingSettings,
-    private val startedAt: MonotonicTime,
 ) {
     private val byLife = HashMap<WorkerLife, WorkerContact>()
-    private var usable = emptySet<WorkerLife>()
 
     val all: Collection<WorkerContact>
         get() = byLife.values
@@ -41,17 +39,6 @@
         return state.claimsAt(worker.profile.life).isEmpty() || contact.lookedAt != null || contact.orders.isNotEmpty()
     }
 
-    /** Whether other workers are usable than at the last call. */
-    fun usableChanged(now: MonotonicTime): Boolean {
-        val current = state.workers.values.filter { isUsable(it, now) }.map { it.profile.life }.toSet()
-        val isChanged = current != usable
-        usable = current
-        return isChanged
-    }
-
-    /** Time since the start of the leadership. */
-    fun age(now: MonotonicTime): Duration = now - startedAt
-
     private companion object {
         // A report may be late, and one may go to a daemon that is down.
         const val MISSED_REPORTS = 2.2
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -26,7 +26,7 @@
 ) {
     private val actions = ArrayList<Action>()
     private val intake = Intake(state, settings) { actions.add(it) }
-    private val contacts = Contacts(state, settings, now)
+    private val contacts = Contacts(state, settings)
     private val durations = DurationBook()
     private val runs = RunControl(state, settings, contacts, durations, intake::record) { actions.add(it) }
     private val waitingSteps = WaitingSteps(durations)
@@ -38,7 +38,6 @@
     private var planDirty = true
     private var vmsDue = false
     private var nextTick = now
-    private var nextOccurrenceMs: Long? = null
 
     /** When [Event.Tick] is due. */
     public val nextDeadline: MonotonicTime
@@ -107,9 +106,8 @@
             actions.add(Action.ListVms)
         }
         vmsDue = true
-        if (nextOccurrenceMs?.let { nowMs >= it } == true) planDirty = true
-        // Workers come into and fall out of use by the passing of time alone.
-        if (contacts.usableChanged(now)) planDirty = true
+        // Holds, pauses and due times end by the passing of time alone, which no record shows.
+        planDirty = true
         nextTick = now + TICK_INTERVAL
     }
 
@@ -236,7 +234,6 @@
     private fun plan(now: MonotonicTime, nowMs: Long) {
         planDirty = false
         val earlyMs = settings.earlyStart.inWholeMilliseconds / 2
-        nextOccurrenceMs = WaitingSteps.nextStartMs(state, nowMs, earlyMs)
         val pendingClaims = intake.hasClaims
         if (pendingClaims) return
         val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { intake.isEnding(it.job.id) }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -24,6 +24,7 @@
     private val idleSince = HashMap<VmId, MonotonicTime>()
     private val orderedAt = HashMap<VmId, MonotonicTime>()
     private val refusedUntil = HashMap<VmId, MonotonicTime>()
+    private val confirmedAt = HashMap<VmId, MonotonicTime>()
     private var spares: List<ListedVm> = emptyList()
     private var listedAt: MonotonicTime? = null
 
@@ -56,7 +57,8 @@
     fun decide(now: MonotonicTime): PoolDecision {
         val decision = PoolDecision()
         if (now - startedAt < settings.succession) return decision
-        finish(decision)
+        finish(now, decision)
+        confirmedAt.keys.retainAll(state.moves.keys)
         repeatOrders(now, decision)
         noteIdle(now)
         borrow(now, decision)
@@ -83,14 +85,16 @@
         return Record.MoveRefused(vm)
     }
 
-    private fun finish(decision: PoolDecision) {
+    private fun finish(now: MonotonicTime, decision: PoolDecision) {
         val workers = state.workers.values.associateBy { it.profile.vm }
         val spare = spareService()
         for ((vm, move) in state.moves) {
             if (!move.isConfirmed) continue
+            val since = confirmedAt.getOrPut(vm) { now }
             val arrived = workers[vm]?.profile?.let { it.service == move.to && it.life.bornMs > move.bornMs } ?: false
             // A VM that is switched off reports nothing.
-            if (arrived || move.to == spare) decision.records.add(Record.MoveEnded(vm))
+            val isOver = arrived || move.to == spare || now - since > LONGEST_MOVE
+            if (isOver) decision.records.add(Record.MoveEnded(vm))
             if (move.to == spare) spares = spares.filterNot { it.vm == vm } + ListedVm(vm, move.to.value, VmCondition.UP, null)
         }
     }
@@ -190,6 +194,9 @@
         /** A few times the time of a move, so that a VM is not sent to and fro. */
         val RETURN_IDLE: Duration = 3.seconds
         val REFUSAL_PAUSE: Duration = 3.seconds
+
+        /** Several times a move; a VM that has not come by then was lost on its way. */
+        val LONGEST_MOVE: Duration = 10.seconds
         val ORDER_RETRY: Duration = 2.seconds
 
         /** Share of the load in progress by which a queue that is short of room is likely to grow during a move. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -126,7 +126,10 @@
             is Record.WorkerSeen -> see(record)
             is Record.WorkerGone -> if (worker(record.life) != null) remove(record.life)
             is Record.RunClaimed -> claim(record)
-            is Record.RunReleased -> release(record.run, record.life)
+            is Record.RunReleased -> {
+                release(record.run, record.life)
+                failIfExhausted(record.run.task, atMs)
+            }
             is Record.RunEnded -> end(record, atMs)
             is Record.EndsNoted -> worker(record.life)?.let { it.endsNoted = maxOf(it.endsNoted, record.number) }
             is Record.WaveAccepted -> waveTable.getOrPut(record.wave) {
@@ -216,9 +219,10 @@
         }
         when (record.end) {
             RunEnd.DONE -> if (wasClaimed && !description.lasting) finish(job, id, description, atMs)
-            RunEnd.FAILED -> fail(job, record.run, description, atMs)
+            RunEnd.FAILED -> if (description.gang) step.failedRuns.add(record.run.number) else task.failures += 1
             RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.BROKEN, RunEnd.ALONE -> Unit
         }
+        failIfExhausted(id, atMs)
     }
 
     private fun finish(job: Job, id: TaskId, description: StepDescription, atMs: Long) {
@@ -235,14 +239,14 @@
         if (job.isActive && job.isWholeDone) end(job, JobPhase.COMPLETE, atMs)
     }
 
-    private fun fail(job: Job, run: RunId, description: StepDescription, atMs: Long) {
-        if (description.lasting) return
-        val step = job.step(run.task.step)
-        val task = step.tasks[run.task.index]
-        if (description.gang) step.failedRuns.add(run.number) else task.failures += 1
-        val failures = if (description.gang) step.failedRuns.size else task.failures
-        val isLast = failures >= job.queue.attempts && !task.isDone && task.claims.isEmpty()
-        if (isLast && job.isActive) end(job, JobPhase.FAILED, atMs)
+    /** Ends the job as failed once nothing of [id] is in progress and no further try is left. */
+    private fun failIfExhausted(id: TaskId, atMs: Long) {
+        val job = activeJobs[id.step.job] ?: return
+        val description = job.description.steps[id.step.step]
+        val task = task(id) ?: return
+        if (description.lasting || task.isDone || task.claims.isNotEmpty()) return
+        val failures = if (description.gang) job.step(id.step).failedRuns.size else task.failures
+        if (failures >= job.queue.attempts) end(job, JobPhase.FAILED, atMs)
     }
 
     private fun end(job: Job, phase: JobPhase, atMs: Long) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
@@ -107,17 +107,4 @@
 
     /** A job whose tasks mostly run already needs little to be over, so what runs does not count. */
     private fun unclaimed(progress: StepProgress): Int = progress.tasks.count { !it.isDone && it.claims.isEmpty() }
-
-    companion object {
-        /** When the next occurrence of any job may start, in Unix milliseconds, or null if none is to come. */
-        fun nextStartMs(state: SchedulerState, nowMs: Long, earlyMs: Long): Long? = state.active.values
-            .mapNotNull { job ->
-                val schedule = job.description.schedule ?: return@mapNotNull null
-                val next = (job.nextOccurrence until schedule.occurrences).firstOrNull {
-                    schedule.dueMs(it) - earlyMs > nowMs
-                }
-                next?.let { schedule.dueMs(it) - earlyMs }
-            }
-            .minOrNull()
-    }
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -53,6 +53,7 @@
         val records = ArrayList<Record>()
         val orders = ArrayList<Pair<Long, VmId>>()
         if (now - startedAt < settings.succession) return WaveDecision(records, orders)
+        val chosen = HashSet<VmId>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
         for (wave in state.waves.values) {
             if (wave.isComplete) continue
@@ -67,8 +68,10 @@
                     orders.add(wave.number to vm)
                 }
             }
-            begin(wave, down.size, workers, now, nowMs, canLose, records)
+            begin(wave, down.size, workers, now, nowMs, canLose, records, chosen)
         }
+        // A VM that is not next any more takes tasks again.
+        emptying.keys.retainAll(chosen)
         return WaveDecision(records, orders)
     }
 
@@ -137,11 +140,11 @@
         nowMs: Long,
         canLose: (Worker, Set<WorkerLife>) -> Boolean,
         records: MutableList<Record>,
+        chosen: MutableSet<VmId>,
     ) {
         var room = wave.cap - down
         val left = wave.vms.filter { it !in wave.begun && it !in wave.ended && it !in state.moves && isAllowed(it, now) }
         if (room <= 0 || left.isEmpty()) return
-        emptying.keys.filter { it !in wave.vms || it in wave.begun }.forEach { emptying.remove(it) }
         val patience = patience(wave, left.size, nowMs)
         // What was ordered may still look at work; it counts as lost from the order on.
         val leaving = state.waves.values.flatMap { it.begun.keys - it.ended }.mapNotNull { workers[it]?.profile?.life }
@@ -150,15 +153,13 @@
         for (vm in order) {
             if (room == 0) break
             val worker = workers[vm]
-            if (worker != null && !canLose(worker, lost)) {
-                emptying.remove(vm)
-                continue
-            }
+            if (worker != null && !canLose(worker, lost)) continue
             room -= 1
+            chosen.add(vm)
             val since = emptying.getOrPut(vm) { now }
             val isReady = worker == null || isEmpty(worker) || now - since >= patience
             if (!isReady) continue
-            emptying.remove(vm)
+            chosen.remove(vm)
             worker?.let { lost.add(it.profile.life) }
             records.add(Record.UpkeepBegun(wave.number, vm, worker?.profile?.life?.bornMs ?: 0))
         }
