End leases of silent workers for certain, and know one life of a VM at a time

Ruled out: the planner, which had room but found the tasks claimed.

Tests: the coordinator in virtual time with workers that keep leases, fences and run numbers, lost and late orders and changes of the leader, under an oracle for double runs, order of steps and unasked starts.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -33,7 +33,7 @@
         val contact = byLife[worker.profile.life] ?: return false
         val heardAt = contact.heardAt ?: return false
         if (!contact.clock.isKnown || now - heardAt > settings.reportInterval * MISSED_REPORTS) return false
-        if (contact.failedLooks >= FAILED_LOOKS_UNUSABLE || contact.health.isAside(now)) return false
+        if (contact.failedLooks > 0 || contact.health.isAside(now)) return false
         if (contact.fullUntil?.let { now < it } == true) return false
         // Until the worker has said under this leadership what it runs, its room is known from the log only.
         return state.claimsAt(worker.profile.life).isEmpty() || contact.lookedAt != null || contact.orders.isNotEmpty()
@@ -42,7 +42,6 @@
     private companion object {
         // A report may be late, and one may go to a daemon that is down.
         const val MISSED_REPORTS = 2.2
-        const val FAILED_LOOKS_UNUSABLE = 2
     }
 }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
@@ -83,7 +83,11 @@
         val profile = event.profile
         val life = profile.life
         val known = state.workers[life.worker]
-        if (known != null && known.profile.life.bornMs > life.bornMs) return accept(event.call)
+        val isOutlived = state.workers.values.any {
+            it.profile.life.bornMs > life.bornMs &&
+                (it.profile.life.worker == life.worker || (profile.vm != null && it.profile.vm == profile.vm))
+        }
+        if (isOutlived) return accept(event.call)
         val isCurrent = known?.profile == profile && (known.isLeaving || !event.isLeaving)
         if (isCurrent) return accept(event.call)
         val pending = pendingWorkers[life]
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -329,7 +329,9 @@
         // Ends that wait to be recorded would make the worker answer at once, with nothing new.
         if (recorded.any { it.second == contact.life }) return
         contact.lookingSince = now
-        val until = if (contact.clock.isKnown) contact.clock.grant(now, settings.maxLease) else null
+        // Renewing again and again without an answer would put off the time when the lease has certainly run out.
+        val mayRenew = contact.clock.isKnown && contact.failedLooks < LOOKS_THAT_RENEW
+        val until = if (mayRenew) contact.clock.grant(now, settings.maxLease) else null
         act(Action.Look(worker.profile, until, worker.endsNoted, waitFor(contact)))
     }
 
@@ -372,5 +374,8 @@
 
     private companion object {
         const val AT_WORK_PERCENT = 100
+
+        /** One repeat bridges a lost answer; a worker that is cut off keeps what it was granted by then. */
+        const val LOOKS_THAT_RENEW = 2
     }
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -163,17 +163,19 @@
     private fun see(record: Record.WorkerSeen) {
         val life = record.profile.life
         val known = workerTable[life.worker]
-        when {
-            known == null -> workerTable[life.worker] = Worker(record.profile, record.leaving)
-            known.profile.life == life -> {
-                known.profile = record.profile
-                known.isLeaving = known.isLeaving || record.leaving
-            }
-            known.profile.life.bornMs < life.bornMs -> {
-                remove(known.profile.life)
-                workerTable[life.worker] = Worker(record.profile, record.leaving)
-            }
+        if (known?.profile?.life == life) {
+            known.profile = record.profile
+            known.isLeaving = known.isLeaving || record.leaving
+            return
+        }
+        // A VM has one life at a time, and so has an id; a report of an earlier one came late.
+        val vm = record.profile.vm
+        val others = workerTable.values.filter {
+            it.profile.life.worker == life.worker || (vm != null && it.profile.vm == vm)
         }
+        if (others.any { it.profile.life.bornMs > life.bornMs }) return
+        others.forEach { remove(it.profile.life) }
+        workerTable[life.worker] = Worker(record.profile, record.leaving)
     }
 
     private fun remove(life: WorkerLife) {
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
@@ -0,0 +1,148 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import org.auburnstream.model.VmId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class CoordinatorTest {
+    private val small = StepDescription(count = 3, demand = Resources(1_000, 100), estimateMs = 500)
+    private val lasting = small.copy(count = 2, lasting = true, mayMiss = 1)
+
+    private fun fleet(seed: Int = 1, workers: Int = 3): VirtualFleet {
+        val fleet = VirtualFleet(seed)
+        fleet.start()
+        repeat(workers) { fleet.addWorker("w$it") }
+        fleet.run(300.milliseconds)
+        return fleet
+    }
+
+    @Test
+    fun stepsRunInTheirOrderAndTheJobIsComplete() {
+        val fleet = fleet()
+        val call = fleet.offer("job", small, small.copy(dependsOn = listOf(0)))
+        fleet.run(3.seconds)
+
+        assertEquals(Reply.Accepted, fleet.replies[call])
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+        assertEquals(emptyList(), fleet.broken)
+    }
+
+    @Test
+    fun aResentJobIsAcceptedAgainAndRunsOnce() {
+        val fleet = fleet()
+        val calls = List(3) { fleet.offer("job", small) }
+        fleet.run(2.seconds)
+        val late = fleet.offer("job", small)
+        fleet.run(2.seconds)
+
+        assertTrue((calls + late).all { fleet.replies[it] == Reply.Accepted })
+        assertEquals(3, fleet.workers.values.sumOf { it.starts })
+    }
+
+    @Test
+    fun aTaskFailsTheJobAfterItsAttemptsAndNoFurtherRunStarts() {
+        val fleet = fleet()
+        fleet.workers.values.forEach { it.fails = true }
+        fleet.offer("job", small.copy(count = 1))
+        fleet.run(20.seconds)
+
+        assertEquals(JobPhase.FAILED, fleet.phase("job"))
+        assertEquals(3, fleet.workers.values.sumOf { it.starts })
+    }
+
+    @Test
+    fun aCancelledJobStopsWithinTheTimeOfAnOrder() {
+        val fleet = fleet()
+        fleet.offer("job", lasting)
+        fleet.run(1.seconds)
+        val call = fleet.call { Event.CancelOffered(it, JobId("job")) }
+        fleet.run(500.milliseconds)
+
+        assertEquals(Reply.Accepted, fleet.replies[call])
+        assertTrue(fleet.workers.values.none { worker -> (0..1).any { worker.runs(task("job", it)) } })
+    }
+
+    @Test
+    fun aLookThatIsAnsweredBetweenApplicationAndEventReleasesNothing() {
+        repeat(20) { seed ->
+            val fleet = fleet(seed)
+            fleet.offer("first", small.copy(estimateMs = 2_000))
+            fleet.run(400.milliseconds)
+            // Every worker answers its look just after the state shows the claims of the second job.
+            fleet.betweenApplyAndEvent = {
+                val second = (0..2).mapNotNull { fleet.state.task(task("second", it)) }
+                if (second.any { it.claims.isNotEmpty() }) {
+                    fleet.workers.values.forEach { worker ->
+                        fleet.feed(Event.LookAnswered(worker.profile.life, LookAnswer(1, running = worker.rows())))
+                    }
+                    fleet.betweenApplyAndEvent = {}
+                }
+            }
+            fleet.offer("second", small)
+            fleet.run(5.seconds)
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+        }
+    }
+
+    @Test
+    fun whatRanOnASilentWorkerStartsElsewhereOnceItsLeaseHasRunOut() {
+        val fleet = fleet(workers = 2)
+        fleet.offer("job", lasting.copy(count = 1))
+        fleet.run(1.seconds)
+        val silent = fleet.workers.values.first { it.runs(task("job", 0)) }
+        silent.isReachable = false
+        fleet.run(14.seconds)
+
+        assertEquals(emptyList(), fleet.broken)
+        assertTrue(fleet.workers.values.any { it !== silent && it.runs(task("job", 0)) })
+    }
+
+    @Test
+    fun aLaterLifeOfAVmReplacesTheEarlierOneAtOnce() {
+        val fleet = fleet(workers = 1)
+        fleet.offer("job", small.copy(count = 1, estimateMs = 1_000))
+        fleet.run(200.milliseconds)
+        fleet.workers.values.single().crash()
+        fleet.addWorker("other", vm = VmId("vm-w0"))
+        fleet.run(2.seconds)
+
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+        assertEquals(setOf(WorkerId("other")), fleet.state.workers.keys)
+    }
+
+    @Test
+    fun noTaskRunsTwiceWhileLeadersChangeWorkersFallSilentAndOrdersAreLate() {
+        repeat(60) { seed ->
+            val fleet = fleet(seed, workers = 5)
+            fleet.lateShare = 0.05
+            repeat(40) { number ->
+                fleet.at((number * 200).milliseconds) {
+                    fleet.offer("job-$number", small, small.copy(count = 2, dependsOn = listOf(0)))
+                }
+            }
+            repeat(4) { number ->
+                fleet.at((1_000 + number * 2_100 + seed * 13).milliseconds) { fleet.changeLeader() }
+                fleet.at((700 + number * 1_900 + seed * 17).milliseconds) { silence(fleet, 200L + 900L * number) }
+            }
+            fleet.run(60.seconds)
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            val over = fleet.state.jobs.values.count { it.phase == JobPhase.COMPLETE }
+            assertEquals(fleet.state.jobs.size, over, "seed $seed: a job that was accepted is not over")
+        }
+    }
+
+    private fun silence(fleet: VirtualFleet, forMs: Long) {
+        val worker = fleet.workers.values.random(fleet.random)
+        worker.isReachable = false
+        fleet.at(forMs.milliseconds) { worker.isReachable = true }
+    }
+
+    private fun task(job: String, index: Int) = TaskId(StepId(JobId(job), occurrence = 0, step = 0), index)
+}
