--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpParser.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpParser.kt
@@ -35,50 +35,39 @@
     fun next(): Parsed {
         val headEnd = findHeadEnd()
         val bounds = limits()
-        if (headEnd <
-            0
-        ) {
-            return if (end - start > bounds.maxHeadBytes) Parsed.Bad(431, "head too large") else Parsed.Incomplete
-        }
-        if (headEnd - start > bounds.maxHeadBytes) return Parsed.Bad(431, "head too large")
+        val headBytes = (if (headEnd < 0) end else headEnd) - start
+        if (headBytes > bounds.maxHeadBytes) return Parsed.Bad(HEAD_TOO_LARGE, "head too large")
+        if (headEnd < 0) return Parsed.Incomplete
         val lines = String(data, start, headEnd - start, Charsets.ISO_8859_1).split("\r\n")
+        val headers = headers(lines) ?: return Parsed.Bad(BAD_REQUEST, "malformed header")
+        val bodyStart = headEnd + HEAD_END.size
+        val coding = headers["transfer-encoding"] ?: return sized(lines[0], headers, bodyStart, bounds)
+        val isChunked = coding.equals("chunked", ignoreCase = true) && "content-length" !in headers
+        if (!isChunked) return Parsed.Bad(NOT_IMPLEMENTED, "unknown transfer coding")
+        return chunked(lines[0], headers, bodyStart, bounds)
+    }
+
+    /** Returns the headers, or null if one is malformed or two name different lengths. */
+    private fun headers(lines: List<String>): Map<String, String>? {
         val headers = HashMap<String, String>()
-        for (line in lines.drop(1)) {
-            if (line.isEmpty()) continue
+        for (line in lines.drop(1).filter { it.isNotEmpty() }) {
             val colon = line.indexOf(':')
-            if (colon <= 0 || line[0] == ' ') return Parsed.Bad(400, "malformed header")
+            if (colon <= 0 || line[0] == ' ') return null
             val name = line.substring(0, colon).lowercase()
             val value = line.substring(colon + 1).trim()
-            val isAmbiguous = name == "content-length" && headers[name].let { it != null && it != value }
-            if (isAmbiguous) return Parsed.Bad(400, "two lengths")
-            headers[name] = value
-        }
-        val bodyStart = headEnd + HEAD_END.size
-        val coding = headers["transfer-encoding"]
-        if (coding != null) {
-            val isChunked = coding.equals("chunked", ignoreCase = true) && "content-length" !in headers
-            return if (isChunked) {
-                chunked(
-                    lines[0],
-                    headers,
-                    bodyStart,
-                    bounds,
-                )
-            } else {
-                Parsed.Bad(501, "unknown transfer coding")
-            }
+            val earlier = headers.put(name, value)
+            if (name == "content-length" && earlier != null && earlier != value) return null
         }
-        val length =
-            headers["content-length"]?.let {
-                it.toLongOrNull()?.takeIf { n -> n >= 0 }
-                    ?: return Parsed.Bad(400, "bad length")
-            }
-                ?: 0
-        if (length > bounds.maxBodyBytes) return Parsed.Bad(413, "body too large")
+        return headers
+    }
+
+    private fun sized(first: String, headers: Map<String, String>, bodyStart: Int, bounds: HttpLimits): Parsed {
+        val text = headers["content-length"] ?: "0"
+        val length = text.toLongOrNull()?.takeIf { it >= 0 } ?: return Parsed.Bad(BAD_REQUEST, "bad length")
+        if (length > bounds.maxBodyBytes) return Parsed.Bad(BODY_TOO_LARGE, "body too large")
         if (end - bodyStart < length) return Parsed.Incomplete
-        val body = data.copyOfRange(bodyStart, bodyStart + length.toInt())
         start = bodyStart + length.toInt()
-        return message(lines[0], headers, body)
+        return message(first, headers, data.copyOfRange(bodyStart, start))
     }
 
     private fun chunked(first: String, headers: Map<String, String>, bodyStart: Int, bounds: HttpLimits): Parsed {
@@ -89,11 +78,11 @@
             if (lineEnd <
                 0
             ) {
-                return if (end - position > MAX_CHUNK_LINE) Parsed.Bad(400, "bad chunk") else Parsed.Incomplete
+                return if (end - position > MAX_CHUNK_LINE) Parsed.Bad(BAD_REQUEST, "bad chunk") else Parsed.Incomplete
             }
             val size = String(data, position, lineEnd - position, Charsets.ISO_8859_1).substringBefore(';').trim()
-                .toIntOrNull(HEXADECIMAL)?.takeIf { it >= 0 } ?: return Parsed.Bad(400, "bad chunk")
-            if (body.size() + size > bounds.maxBodyBytes) return Parsed.Bad(413, "body too large")
+                .toIntOrNull(HEXADECIMAL)?.takeIf { it >= 0 } ?: return Parsed.Bad(BAD_REQUEST, "bad chunk")
+            if (body.size() + size > bounds.maxBodyBytes) return Parsed.Bad(BODY_TOO_LARGE, "body too large")
             val next = lineEnd + LINE_END_BYTES
             if (end - next < size + LINE_END_BYTES) return Parsed.Incomplete
             if (size == 0) {
@@ -112,11 +101,11 @@
         val parts = first.split(' ', limit = FIRST_LINE_PARTS)
         if (isResponse) {
             val status = parts.getOrNull(1)?.toIntOrNull()?.takeIf { parts[0].startsWith("HTTP/1.") }
-                ?: return Parsed.Bad(400, "bad status line")
+                ?: return Parsed.Bad(BAD_REQUEST, "bad status line")
             return Parsed.Response(HttpResponse(status, body, headers))
         }
         val isWhole = parts.size == FIRST_LINE_PARTS && parts[2].startsWith("HTTP/1.") && parts[1].startsWith("/")
-        if (!isWhole) return Parsed.Bad(400, "bad request line")
+        if (!isWhole) return Parsed.Bad(BAD_REQUEST, "bad request line")
         return Parsed.Request(HttpRequest(parts[0], parts[1], headers, body), keepsAlive(parts[2], headers))
     }
 
@@ -130,7 +119,7 @@
         var at = start
         val last = end - HEAD_END.size
         while (at <= last) {
-            if (data[at] == CR && data[at + 1] == LF && data[at + 2] == CR && data[at + 3] == LF) return at
+            if (HEAD_END.indices.all { data[at + it] == HEAD_END[it] }) return at
             at += 1
         }
         return -1
@@ -151,6 +140,10 @@
         const val LINE_END_BYTES = 2
         const val MAX_CHUNK_LINE = 1024
         const val HEXADECIMAL = 16
+        const val BAD_REQUEST = 400
+        const val BODY_TOO_LARGE = 413
+        const val HEAD_TOO_LARGE = 431
+        const val NOT_IMPLEMENTED = 501
         const val CR = '\r'.code.toByte()
         const val LF = '\n'.code.toByte()
         val HEAD_END = byteArrayOf(CR, LF, CR, LF)
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -90,7 +90,7 @@
         fun sweep(now: MonotonicTime, times: HttpTimes) {
             if (isBusy) return
             val isSlow = parser.isInMessage && messageSince?.let { now - it > times.messageTimeout } == true
-            if (isSlow) return refuse(408, "request not complete in time")
+            if (isSlow) return refuse(REQUEST_TIMEOUT, "request not complete in time")
             if (now - lastActivity > times.idleTimeout) close()
         }
 
@@ -140,6 +140,8 @@
     private companion object {
         val logger = LoggerFactory.getLogger(HttpServer::class.java)
 
+        const val REQUEST_TIMEOUT = 408
+
         fun encode(response: HttpResponse, keepsAlive: Boolean): Array<ByteArray> {
             val head = buildString {
                 append("HTTP/1.1 ").append(response.status).append(' ').append(reasonOf(response.status)).append("\r\n")
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -5,10 +5,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Contacts of one leader with the workers, and which of them may be given tasks. */
-internal class Contacts(
-    private val state: SchedulerState,
-    private val settings: SchedulingSettings,
-) {
+internal class Contacts(private val state: SchedulerState, private val settings: SchedulingSettings) {
     private val byLife = HashMap<WorkerLife, WorkerContact>()
 
     val all: Collection<WorkerContact>
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -29,6 +29,7 @@
     private val contacts = Contacts(state, settings)
     private val durations = DurationBook()
     private val runs = RunControl(state, settings, contacts, durations, intake::record) { actions.add(it) }
+    private val availability = Availability(state, contacts)
     private val waitingSteps = WaitingSteps(durations)
     private val waves = WaveControl(state, settings, now)
     private val pools = PoolControl(state, settings, now)
@@ -65,7 +66,7 @@
                 waves.listed(it, now).forEach(intake::record)
                 pools.listed(it)
             }
-            is Event.Tick -> tick(now, nowMs)
+            is Event.Tick -> tick(now)
         }
         if (committing == null) decide(now, nowMs)
         return actions.toList().also { actions.clear() }
@@ -98,7 +99,7 @@
             .forEach { intake.record(Record.WorkerGone(it.profile.life)) }
     }
 
-    private fun tick(now: MonotonicTime, nowMs: Long) {
+    private fun tick(now: MonotonicTime) {
         runs.tick(now)
         if (waves.needsList(now) || pools.needsList(now)) {
             waves.listRequested(now)
@@ -113,7 +114,7 @@
 
     private fun decideWaves(now: MonotonicTime, nowMs: Long) {
         if (!waves.isBusy) return
-        val decision = waves.decide(now, nowMs, runs::canLose)
+        val decision = waves.decide(now, nowMs, availability::canLose)
         decision.records.forEach(intake::record)
         for ((wave, vm) in decision.orders) {
             waves.orderSent(vm, now, isFresh = false)
@@ -127,8 +128,7 @@
         for ((vm, service) in decision.orders) orderMove(vm, service, isFirst = false, now)
     }
 
-    private fun isInMaintenance(vm: VmId): Boolean =
-        state.waves.values.any { vm in it.begun && vm !in it.ended }
+    private fun isInMaintenance(vm: VmId): Boolean = state.waves.values.any { vm in it.begun && vm !in it.ended }
 
     private fun orderMove(vm: VmId, service: ServiceId, isFirst: Boolean, now: MonotonicTime) {
         if (isFirst) firstOrders.add(vm) else firstOrders.remove(vm)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PaceControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PaceControl.kt
@@ -31,12 +31,7 @@
         val changes = HashMap<RunId, Int>()
         for (run in fills) {
             val current = percent.getOrPut(run) { FULL }
-            val next = when {
-                worst > STOP_AT -> 0
-                isOver -> (current * SLOW_DOWN_FACTOR).toInt().let { if (it < LEAST) 0 else it }
-                worst < SPEED_UP_BELOW && raise -> minOf(FULL, current + SPEED_UP_STEP)
-                else -> current
-            }
+            val next = nextShare(current, worst, raise)
             if (next != current) changes[run] = next
         }
         if (isOver) {
@@ -47,6 +42,13 @@
         return changes
     }
 
+    private fun nextShare(current: Int, worst: Double, raise: Boolean): Int = when {
+        worst > STOP_AT -> 0
+        isOver -> (current * SLOW_DOWN_FACTOR).toInt().takeIf { it >= LEAST } ?: 0
+        worst < SPEED_UP_BELOW && raise -> minOf(FULL, current + SPEED_UP_STEP)
+        else -> current
+    }
+
     /** Notes that the worker has taken over [share] for [run]. */
     fun applied(run: RunId, share: Int) {
         percent[run] = share
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -50,9 +50,8 @@
             if (missing == 0) continue
             unplaced.merge(step.queue.service, unplacedOf(step, missing), Unplaced::plus)
             if (isUrgent) evictions.addAll(evict(step, missing, rooms))
-            val hasWaited = nowMs - step.job.acceptedMs > HEAD_OF_LINE_MS
             val isWhole = step.description.gang || placed.isEmpty()
-            if (isWhole && hasWaited && step.dueMs > nowMs && isFeasible(step, rooms)) kept.add(step.queue.service)
+            if (isWhole && isKeptFor(step, rooms, nowMs)) kept.add(step.queue.service)
         }
         return Plan(claims, evictions, unplaced)
     }
@@ -71,6 +70,12 @@
 
     private fun isLate(step: WaitingStep, nowMs: Long): Boolean = nowMs + step.remainingMs > step.dueMs
 
+    /** Whether smaller steps have passed the step for long enough. */
+    private fun isKeptFor(step: WaitingStep, rooms: RoomLedger, nowMs: Long): Boolean {
+        val hasWaited = nowMs - step.job.acceptedMs > HEAD_OF_LINE_MS
+        return hasWaited && step.dueMs > nowMs && isFeasible(step, rooms)
+    }
+
     private fun isFeasible(step: WaitingStep, rooms: RoomLedger): Boolean =
         rooms.of(step.queue.service).any { it.couldFit(step.description) }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -95,7 +95,11 @@
             // A VM that is switched off reports nothing.
             val isOver = arrived || move.to == spare || now - since > LONGEST_MOVE
             if (isOver) decision.records.add(Record.MoveEnded(vm))
-            if (move.to == spare) spares = spares.filterNot { it.vm == vm } + ListedVm(vm, move.to.value, VmCondition.UP, null)
+            if (move.to ==
+                spare
+            ) {
+                spares = spares.filterNot { it.vm == vm } + ListedVm(vm, move.to.value, VmCondition.UP, null)
+            }
         }
     }
 
@@ -116,31 +120,35 @@
     }
 
     private fun borrow(now: MonotonicTime, decision: PoolDecision) {
-        val spare = spareService()
         for ((service, shortage) in shortages.entries.sortedByDescending { it.value.need.millicores }) {
             if (now - shortage.since < SHORTAGE_LASTS) continue
-            val coming = state.moves.values.count { it.to == service }
-            val free = spares.filter { it.vm !in state.moves && isAllowed(it.vm, now) && !decision.begins(it.vm) }
-            val size = typicalCapacity(service) ?: continue
-            val headroom = (loadOf(service) * HEADROOM).toLong()
-            val byWork = (shortage.need.millicores + headroom + size - 1) / size
-            var wanted = maxOf(byWork.toInt(), shortage.need.workers) - coming
-            for (vm in free) {
-                if (wanted <= 0 || spare == null) break
-                decision.begin(vm.vm, spare, service, bornMs = 0)
-                spares = spares.filterNot { it.vm == vm.vm }
-                wanted -= 1
-            }
-            for (worker in donors(service, now)) {
-                if (wanted <= 0) break
+            val wanted = wantedFor(service, shortage.need)
+            val left = wanted - borrowSpares(service, wanted, now, decision)
+            if (left <= 0) continue
+            for (worker in donors(service, now).filterNot { decision.begins(it.profile.vm) }.take(left)) {
                 val vm = worker.profile.vm ?: continue
-                if (decision.begins(vm)) continue
                 decision.begin(vm, worker.profile.service, service, worker.profile.life.bornMs)
-                wanted -= 1
             }
         }
     }
 
+    /** Number of VMs that the service needs beyond those that are on their way. */
+    private fun wantedFor(service: ServiceId, need: Unplaced): Int {
+        val size = typicalCapacity(service) ?: return 0
+        val headroom = (loadOf(service) * HEADROOM).toLong()
+        val byWork = (need.millicores + headroom + size - 1) / size
+        return maxOf(byWork.toInt(), need.workers) - state.moves.values.count { it.to == service }
+    }
+
+    private fun borrowSpares(service: ServiceId, wanted: Int, now: MonotonicTime, decision: PoolDecision): Int {
+        val spare = spareService() ?: return 0
+        val free = spares.filter { it.vm !in state.moves && isAllowed(it.vm, now) && !decision.begins(it.vm) }
+        val taken = free.take(maxOf(0, wanted))
+        taken.forEach { decision.begin(it.vm, spare, service, bornMs = 0) }
+        spares = spares - taken.toSet()
+        return taken.size
+    }
+
     /** Workers of other services that run nothing and whose queue has nothing waiting. */
     private fun donors(service: ServiceId, now: MonotonicTime): List<Worker> {
         val pools = state.workers.values.groupBy { it.profile.service }
@@ -213,7 +221,7 @@
     val orders = ArrayList<Pair<VmId, ServiceId>>()
     private val begun = HashSet<VmId>()
 
-    fun begins(vm: VmId): Boolean = vm in begun
+    fun begins(vm: VmId?): Boolean = vm in begun
 
     fun begin(vm: VmId, from: ServiceId, to: ServiceId, bornMs: Long) {
         begun.add(vm)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -21,7 +21,7 @@
     private val act: (Action) -> Unit,
 ) {
     private val recorded = HashSet<Pair<RunId, WorkerLife>>()
-    private val paces = HashMap<WorkerLife, PaceControl>()
+    private val paces = PaceOrders(state, act)
 
     /**
      * Claims whose batch is being committed.
@@ -47,7 +47,8 @@
         val isClaimed = claim.run in state.claimsAt(claim.life)
         if (!isClaimed) return
         val contact = contacts.of(claim.life, now)
-        if (worker == null || job == null || worker.isLeaving || !contact.clock.isKnown) {
+        val isGone = worker == null || worker.isLeaving || !contact.clock.isKnown
+        if (job == null || worker == null || isGone) {
             return release(claim.run, claim.life, "worker or job gone")
         }
         val order = Order(now)
@@ -144,7 +145,7 @@
         contact.running = answer.running
         takeEnds(contact, answer)
         reconcile(contact, answer, sentAt, now)
-        pace(contact, answer, now)
+        paces.decide(contact, answer, now)
         contact.nextLook = now
     }
 
@@ -191,7 +192,7 @@
         for (life in state.claimedLives.toList()) {
             val contact = contacts.of(life, now)
             if (state.worker(life) == null || (contact.failedLooks > 0 && contact.hasLapsed(now, settings))) {
-                lapse(contact)
+                state.claimsAt(life).keys.filter { it !in unsent }.forEach { release(it, life, "lease ran out") }
                 continue
             }
             repeatStops(contact, now)
@@ -199,39 +200,6 @@
         }
     }
 
-    /**
-     * Whether the lasting tasks of [worker] may end now without a step missing more than it may.
-     *
-     * @param lost lives whose tasks end as well.
-     */
-    fun canLose(worker: Worker, lost: Set<WorkerLife>): Boolean {
-        val life = worker.profile.life
-        val contact = contacts.find(life)
-        // An order that is not answered may bring a task there after the count.
-        if (contact?.orders?.values?.any { it.startedAt == null } == true) return false
-        val steps = state.claimsAt(life).entries
-            .filter { (_, step) -> step.lasting && step.mayMiss > 0 }
-            .groupBy { it.key.task.step }
-        return steps.all { (id, runs) -> away(id, lost + life) <= runs.first().value.mayMiss }
-    }
-
-    /** Tasks of the step that are not at work, or are at one of the [lost] lives. */
-    private fun away(id: StepId, lost: Set<WorkerLife>): Int {
-        val job = state.active[id.job] ?: return 0
-        val count = job.description.steps[id.step].count
-        val progress = job.occurrences[id.occurrence]?.steps?.get(id.step) ?: return count
-        return progress.tasks.withIndex().count { (index, task) ->
-            val claim = task.claims.firstOrNull()
-            claim == null || claim.life in lost || !isAtWork(RunId(TaskId(id, index), claim.number), claim.life)
-        }
-    }
-
-    private fun isAtWork(run: RunId, life: WorkerLife): Boolean {
-        val contact = contacts.find(life) ?: return false
-        if (contact.failedLooks > 0 || state.worker(life)?.isLeaving != false) return false
-        return contact.running.any { it.run == run && it.percent >= AT_WORK_PERCENT }
-    }
-
     private fun takeEnds(contact: WorkerContact, answer: LookAnswer) {
         val life = contact.life
         val noted = maxOf(contact.endsTaken, state.worker(life)?.endsNoted ?: 0)
@@ -252,22 +220,13 @@
         val listed = answer.ended.map { it.run }.toSet()
         val claims = state.claimsAt(life)
         for (run in claims.keys.toList()) {
-            val order = contact.orders[run]
+            if (run in unsent) continue
             val isHere = run in running
-            if (isHere) {
-                if (order == null) contact.orders[run] = Order(now).also { it.startedAt = sentAt }
-                if (order != null && order.startedAt == null) order.startedAt = sentAt
-            }
-            val isSettled = when {
-                run in unsent || isHere || run in listed || (run to life) in recorded -> false
-                // The fence that came with the look keeps out what an earlier leader sent.
-                order == null -> true
-                order.stoppedAt != null -> order.stoppedAt!! <= sentAt
-                else -> order.startedAt?.let { it <= sentAt } ?: false
-            }
-            if (isSettled) release(run, life, "not listed")
-            val isOver = state.active[run.task.step.job] == null || isTaskDone(run)
-            if (isHere && isOver && run !in unsent) stop(run, life, now)
+            if (isHere) noteStarted(contact, run, sentAt, now)
+            val isOpen = isHere || run in listed || (run to life) in recorded
+            if (!isOpen && isSettled(contact.orders[run], sentAt)) release(run, life, "not listed")
+            val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task)
+            if (isHere && isOver) stop(run, life, now)
         }
         running.keys.filter { it !in claims && (it to life) !in recorded }.forEach { run ->
             note("unknown_run", "run" to run, "worker" to life)
@@ -275,21 +234,17 @@
         }
     }
 
-    private fun isTaskDone(run: RunId): Boolean {
-        val job = state.jobs[run.task.step.job] ?: return true
-        return job.isDone(run.task.step.occurrence) || state.task(run.task)?.isDone == true
+    private fun noteStarted(contact: WorkerContact, run: RunId, sentAt: MonotonicTime, now: MonotonicTime) {
+        val order = contact.orders.getOrPut(run) { Order(now) }
+        if (order.startedAt == null) order.startedAt = sentAt
     }
 
-    private fun pace(contact: WorkerContact, answer: LookAnswer, now: MonotonicTime) {
-        val claims = state.claimsAt(contact.life)
-        if (claims.values.none { it.fillsUnused }) return
-        val worker = state.worker(contact.life) ?: return
-        val control = paces.getOrPut(contact.life) { PaceControl(contact.life) }
-        control.decide(answer.running, claims, now).forEach { (run, percent) ->
-            control.applied(run, percent)
-            note("run_paced", "run" to run, "worker" to contact.life, "percent" to percent)
-            act(Action.Pace(worker.profile, run, percent))
-        }
+    /** Whether a run that a look sent at [sentAt] did not list can never be there any more. */
+    private fun isSettled(order: Order?, sentAt: MonotonicTime): Boolean {
+        // The fence that came with the look keeps out what an earlier leader sent.
+        if (order == null) return true
+        val since = order.stoppedAt ?: order.startedAt
+        return since != null && since <= sentAt
     }
 
     private fun stopCopies(end: Record.RunEnded, now: MonotonicTime) {
@@ -341,7 +296,7 @@
             claims.keys.any { contact.orders[it]?.stoppedAt != null }
         if (isUnsettled) return Duration.ZERO
         val isShared = claims.values.any { it.fillsUnused } && claims.values.any { it.tailTargetMs > 0 }
-        val isOver = paces[contact.life]?.isOver == true
+        val isOver = paces.isOver(contact.life)
         return when {
             isShared && isOver -> settings.servingLookWait / 2
             isShared -> settings.servingLookWait
@@ -354,10 +309,6 @@
         look(contact, now)
     }
 
-    private fun lapse(contact: WorkerContact) {
-        state.claimsAt(contact.life).keys.filter { it !in unsent }.forEach { release(it, contact.life, "lease ran out") }
-    }
-
     private fun gone(life: WorkerLife) {
         if (state.worker(life) == null) return
         note("other_life_answered", "worker" to life)
@@ -373,8 +324,6 @@
     private fun note(event: String, vararg fields: Pair<String, Any?>) = act(Action.Note(event, fields.toList()))
 
     private companion object {
-        const val AT_WORK_PERCENT = 100
-
         /** One repeat bridges a lost answer; a worker that is cut off keeps what it was granted by then. */
         const val LOOKS_THAT_RENEW = 2
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -67,6 +67,12 @@
     public fun task(id: TaskId): Task? =
         jobTable[id.step.job]?.open?.get(id.step.occurrence)?.steps?.getOrNull(id.step.step)?.tasks?.getOrNull(id.index)
 
+    /** Whether [id] is done, or its job is forgotten. */
+    public fun isTaskDone(id: TaskId): Boolean {
+        val job = jobTable[id.step.job] ?: return true
+        return job.isDone(id.step.occurrence) || task(id)?.isDone == true
+    }
+
     /** Returns how many accepted jobs of [queue] have not started any task; jobs with a schedule do not count. */
     public fun waiting(queue: QueueName): Int =
         activeJobs.values.count { it.queue.name == queue && !it.hasStarted && it.description.schedule == null }
@@ -78,16 +84,15 @@
     }
 
     /** Returns the state for a snapshot. */
-    public fun image(): StateImage =
-        StateImage(
-            catalog = catalog,
-            document = document,
-            jobs = jobTable.values.toList(),
-            workers = workerTable.values.toList(),
-            waves = waveTable.values.toList(),
-            moves = HashMap(moveTable),
-            homes = HashMap(homeTable),
-        )
+    public fun image(): StateImage = StateImage(
+        catalog = catalog,
+        document = document,
+        jobs = jobTable.values.toList(),
+        workers = workerTable.values.toList(),
+        waves = waveTable.values.toList(),
+        moves = HashMap(moveTable),
+        homes = HashMap(homeTable),
+    )
 
     /** Replaces the state by [image]. */
     public fun restore(image: StateImage) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -50,29 +50,27 @@
      * @param canLose whether a worker's lasting tasks may end now, beside those of the lives that are given.
      */
     fun decide(now: MonotonicTime, nowMs: Long, canLose: (Worker, Set<WorkerLife>) -> Boolean): WaveDecision {
-        val records = ArrayList<Record>()
         val orders = ArrayList<Pair<Long, VmId>>()
-        if (now - startedAt < settings.succession) return WaveDecision(records, orders)
-        val chosen = HashSet<VmId>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
+        val pass = Pass(now, nowMs, workers, canLose)
+        if (now - startedAt < settings.succession) return WaveDecision(pass.records, orders)
         for (wave in state.waves.values) {
             if (wave.isComplete) continue
-            val down = wave.begun.keys.filter { it !in wave.ended }
-            down.forEach { vm ->
-                val bornMs = workers[vm]?.profile?.life?.bornMs ?: 0
+            for (vm in wave.begun.keys.filter { it !in wave.ended }) {
+                val bornMs = bornMsOf(workers[vm])
                 val isConfirmed = vm in wave.confirmed
                 if (isConfirmed && bornMs > wave.begun.getValue(vm)) {
-                    records.add(Record.UpkeepEnded(wave.number, vm))
+                    pass.records.add(Record.UpkeepEnded(wave.number, vm))
                     ordered.remove(vm)
                 } else if (!isConfirmed && retryIsDue(vm, now)) {
                     orders.add(wave.number to vm)
                 }
             }
-            begin(wave, down.size, workers, now, nowMs, canLose, records, chosen)
+            begin(wave, pass)
         }
         // A VM that is not next any more takes tasks again.
-        emptying.keys.retainAll(chosen)
-        return WaveDecision(records, orders)
+        emptying.keys.retainAll(pass.chosen)
+        return WaveDecision(pass.records, orders)
     }
 
     fun orderSent(vm: VmId, now: MonotonicTime, isFresh: Boolean) {
@@ -93,7 +91,7 @@
                 Record.UpkeepConfirmed(wave, vm)
             }
             UpkeepAnswer.BUSY -> {
-                // An earlier copy, or an earlier leader, may have begun the maintenance; a repeat tells once it is over.
+                // An earlier copy, or an earlier leader, may have begun it; a repeat tells once it is over.
                 val mayHaveBegun = order == null || order.wasUncertain
                 if (mayHaveBegun) {
                     order?.sentAt = now
@@ -132,39 +130,37 @@
         return records
     }
 
-    private fun begin(
-        wave: Wave,
-        down: Int,
-        workers: Map<VmId?, Worker>,
-        now: MonotonicTime,
-        nowMs: Long,
-        canLose: (Worker, Set<WorkerLife>) -> Boolean,
-        records: MutableList<Record>,
-        chosen: MutableSet<VmId>,
-    ) {
-        var room = wave.cap - down
-        val left = wave.vms.filter { it !in wave.begun && it !in wave.ended && it !in state.moves && isAllowed(it, now) }
+    private fun begin(wave: Wave, pass: Pass) {
+        var room = wave.cap - wave.begun.keys.count { it !in wave.ended }
+        val left = wave.vms.filter { isOpen(wave, it, pass.now) }
         if (room <= 0 || left.isEmpty()) return
-        val patience = patience(wave, left.size, nowMs)
+        val patience = patience(wave, left.size, pass.nowMs)
         // What was ordered may still look at work; it counts as lost from the order on.
-        val leaving = state.waves.values.flatMap { it.begun.keys - it.ended }.mapNotNull { workers[it]?.profile?.life }
-        val lost = HashSet(leaving)
-        val order = left.sortedWith(compareBy({ it !in emptying }, { vm -> workers[vm]?.let(::load) ?: 0L }))
+        val leaving = state.waves.values.flatMap { it.begun.keys - it.ended }
+        val lost = leaving.mapNotNull { pass.workers[it]?.profile?.life }.toHashSet()
+        val order = left.sortedWith(compareBy({ it !in emptying }, { vm -> pass.workers[vm]?.let(::load) ?: 0L }))
         for (vm in order) {
             if (room == 0) break
-            val worker = workers[vm]
-            if (worker != null && !canLose(worker, lost)) continue
+            val worker = pass.workers[vm]
+            if (worker != null && !pass.canLose(worker, lost)) continue
             room -= 1
-            chosen.add(vm)
-            val since = emptying.getOrPut(vm) { now }
-            val isReady = worker == null || isEmpty(worker) || now - since >= patience
-            if (!isReady) continue
-            chosen.remove(vm)
-            worker?.let { lost.add(it.profile.life) }
-            records.add(Record.UpkeepBegun(wave.number, vm, worker?.profile?.life?.bornMs ?: 0))
+            val since = emptying.getOrPut(vm) { pass.now }
+            if (worker != null && !isEmpty(worker) && pass.now - since < patience) {
+                pass.chosen.add(vm)
+            } else {
+                lost.addAll(listOfNotNull(worker?.profile?.life))
+                pass.records.add(Record.UpkeepBegun(wave.number, vm, bornMsOf(worker)))
+            }
         }
     }
 
+    private fun bornMsOf(worker: Worker?): Long = worker?.profile?.life?.bornMs ?: 0
+
+    private fun isOpen(wave: Wave, vm: VmId, now: MonotonicTime): Boolean {
+        val isTaken = vm in wave.begun || vm in wave.ended || vm in state.moves
+        return !isTaken && isAllowed(vm, now)
+    }
+
     /** Time that may be spent on emptying each VM that is left. */
     private fun patience(wave: Wave, left: Int, nowMs: Long): Duration {
         val rounds = (left + wave.cap - 1) / maxOf(1, wave.cap)
@@ -191,6 +187,16 @@
         return now - order.sentAt > settings.upkeepTime + OVERDUE_MARGIN
     }
 
+    private class Pass(
+        val now: MonotonicTime,
+        val nowMs: Long,
+        val workers: Map<VmId?, Worker>,
+        val canLose: (Worker, Set<WorkerLife>) -> Boolean,
+    ) {
+        val records = ArrayList<Record>()
+        val chosen = HashSet<VmId>()
+    }
+
     private class Ordered(var sentAt: MonotonicTime, var isAnswered: Boolean) {
         var wasUncertain = false
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -95,11 +95,8 @@
         worker.report()
     }
 
-    fun offer(
-        id: String,
-        vararg steps: StepDescription,
-        queue: Queue = QUEUE,
-    ): CallId = call { Event.JobOffered(it, JobId(id), queue, JobDescription("payload", steps.toList())) }
+    fun offer(id: String, vararg steps: StepDescription, queue: Queue = QUEUE): CallId =
+        call { Event.JobOffered(it, JobId(id), queue, JobDescription("payload", steps.toList())) }
 
     fun phase(id: String): JobPhase? = state.jobs[JobId(id)]?.phase
 
@@ -143,7 +140,9 @@
             }
             is Action.Look -> look(action, from)
             is Action.Pace, is Action.AskAdvice, is Action.Note -> Unit
-            is Action.OrderUpkeep -> at(travel()) { feed(Event.UpkeepAnswered(action.wave, action.vm, UpkeepAnswer.BEGUN), from) }
+            is Action.OrderUpkeep -> at(travel()) {
+                feed(Event.UpkeepAnswered(action.wave, action.vm, UpkeepAnswer.BEGUN), from)
+            }
             is Action.OrderMove -> at(travel()) { feed(Event.MoveAnswered(action.vm, UpkeepAnswer.BEGUN), from) }
             Action.ListVms -> at(travel()) { feed(Event.VmsListed(emptyList()), from) }
         }
@@ -165,7 +164,13 @@
         at(if (isLate) random.nextLong(2_000, 9_000).milliseconds else travel()) {
             val worker = workers[to.life.worker]?.takeIf { it.isReachable }
             if (worker != null) {
-                val answer = if (worker.profile.life == to.life) execute(worker) else OrderAnswer(OrderResult.OTHER_LIFE)
+                val answer = if (worker.profile.life ==
+                    to.life
+                ) {
+                    execute(worker)
+                } else {
+                    OrderAnswer(OrderResult.OTHER_LIFE)
+                }
                 at(travel()) {
                     if (!isAnswered && !isLate) answered(answer)
                     if (!isLate) isAnswered = true
@@ -203,7 +208,17 @@
     companion object {
         const val EPOCH_MS = 1_700_000_000_000L
         val SERVICE = ServiceId("s")
-        val QUEUE = Queue(QueueName("q"), "host", "/q/", SERVICE, attempts = 3, stretch = 1.6, objectiveMs = 600, timeoutMs = 3_000)
+        val QUEUE =
+            Queue(
+                QueueName("q"),
+                "host",
+                "/q/",
+                SERVICE,
+                attempts = 3,
+                stretch = 1.6,
+                objectiveMs = 600,
+                timeoutMs = 3_000,
+            )
         val SECOND = 1.seconds
     }
 }
--- a/testkit/src/test/kotlin/org/auburnstream/testkit/architecture/ArchitectureTest.kt
+++ b/testkit/src/test/kotlin/org/auburnstream/testkit/architecture/ArchitectureTest.kt
@@ -20,15 +20,18 @@
         "control" to setOf("model"),
         "routing" to setOf("model"),
         "fleet" to setOf("model"),
+        "scheduling" to setOf("model"),
         "storage" to setOf("model", "consensus"),
         "api" to setOf("model", "control", "fleet"),
         "daemon" to setOf("model", "consensus", "storage", "control", "routing", "fleet", "api"),
         "cli" to setOf("model", "api"),
+        "dispatch" to setOf("model", "consensus", "storage", "scheduling", "daemon"),
+        "platform" to setOf("model", "scheduling", "dispatch"),
         "testkit" to setOf("model", "consensus", "storage", "control", "routing", "fleet", "api", "daemon", "cli"),
         "bench" to
             setOf("model", "consensus", "storage", "control", "routing", "fleet", "api", "daemon", "cli", "testkit"),
     )
-    private val decisionModules = listOf("model", "consensus", "control", "routing", "fleet")
+    private val decisionModules = listOf("model", "consensus", "control", "routing", "fleet", "scheduling")
 
     @Test
     fun decisionModulesTouchNothingOutside() {
@@ -70,6 +73,16 @@
         allowed.forEach { (module, used) -> assertTrue(used.all { order.indexOf(it) < order.indexOf(module) }, module) }
     }
 
+    @Test
+    fun onlyThePlatformModuleKnowsTheNamesOfItsWire() {
+        val names = Regex("\"(/?run-start|/?run-stop|/hold|until_ms|last_seen|may_miss|beat_addr|wave-start|/machines)")
+        val found = allowed.keys.filter { it != "platform" }.flatMap { module ->
+            sources(module).filter { names.containsMatchIn(it.readText()) }.map { it.relativeTo(root) }
+        }
+
+        assertEquals(emptyList(), found)
+    }
+
     @Test
     fun everyModuleHasSources() {
         decisionModules.forEach { assertTrue(sources(it).isNotEmpty(), "no sources found in $it") }
