--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -163,7 +163,7 @@
                 is Record.MoveBegun -> orderMove(record.vm, record.to, isFirst = true, now)
                 is Record.WorkerGone -> contacts.forget(record.life)
                 is Record.RunEnded -> runs.ended(record, now)
-                is Record.RunReleased -> runs.released(record)
+                is Record.RunReleased -> runs.released(record, now)
                 else -> Unit
             }
         }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -167,7 +167,7 @@
             else -> Unit
         }
         if (state.jobs[job]?.isActive == false) stopJob(job, now)
-        if (end.end == RunEnd.DONE) stopCopies(end, now)
+        stopRest(end.run, now)
     }
 
     private fun learn(run: RunId, elapsed: Duration) {
@@ -177,9 +177,10 @@
         durations.ended(job.queue.name, step.estimateMs, elapsed.inWholeMilliseconds)
     }
 
-    fun released(release: Record.RunReleased) {
+    fun released(release: Record.RunReleased, now: MonotonicTime) {
         recorded.remove(release.run to release.life)
         contacts.find(release.life)?.orders?.remove(release.run)
+        stopRest(release.run, now)
     }
 
     /** Sends the looks that waited for a commit. */
@@ -247,9 +248,16 @@
         return since != null && since <= sentAt
     }
 
-    private fun stopCopies(end: Record.RunEnded, now: MonotonicTime) {
-        val task = state.task(end.run.task) ?: return
-        if (task.isDone) task.claims.forEach { stop(RunId(end.run.task, it.number), it.life, now) }
+    /** Stops what has no use once [run] is over: copies of a task that is done, and the other members of a gang. */
+    private fun stopRest(run: RunId, now: MonotonicTime) {
+        val id = run.task.step
+        val job = state.jobs[id.job] ?: return
+        val tasks = job.occurrences[id.occurrence]?.steps?.get(id.step)?.tasks ?: return
+        val isGang = job.description.steps[id.step].gang
+        tasks.forEachIndexed { index, task ->
+            val isUseless = isGang || (index == run.task.index && task.isDone)
+            if (isUseless) task.claims.forEach { stop(RunId(TaskId(id, index), it.number), it.life, now) }
+        }
     }
 
     private fun stop(run: RunId, life: WorkerLife, now: MonotonicTime) {
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
@@ -103,6 +103,23 @@
         assertTrue(fleet.workers.values.any { it !== silent && it.runs(task("job", 0)) })
     }
 
+    @Test
+    fun aGangWhoseMemberDidNotStartIsStoppedAsAWhole() {
+        val fleet = fleet(workers = 2)
+        val silent = fleet.workers.values.first()
+        silent.isReachable = false
+        fleet.offer("job", small.copy(count = 2, gang = true, demand = Resources(3_000, 100), estimateMs = 60_000))
+        fleet.run(500.milliseconds)
+        val other = fleet.workers.values.last()
+        assertTrue((0..1).any { other.runs(task("job", it)) })
+        silent.isReachable = true
+        fleet.run(2.seconds)
+        val runs = fleet.workers.values.sumOf { worker -> (0..1).count { worker.runs(task("job", it)) } }
+
+        assertEquals(2, runs, "both members run under a new number")
+        assertEquals(emptyList(), fleet.broken)
+    }
+
     @Test
     fun aLaterLifeOfAVmReplacesTheEarlierOneAtOnce() {
         val fleet = fleet(workers = 1)
