Begin no replacement of a voter that cannot be committed now

Cause: a leader replaced a silent voter by a spare whose disk had just been lost, while another voter's disk was lost as well. Ruled out: the deadline of the leader's checks, which only made the leader replace at another moment.

Now the present voters and those after the change must each have a quorum that answered within three heartbeats, and the spare too.

--- a/consensus/src/main/kotlin/org/auburnstream/consensus/MembershipDriver.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/MembershipDriver.kt
@@ -53,10 +53,28 @@
         if (!core.settings.automaticReplacement || isChanging) return
         for (lost in core.configuration.voters.filter(::isLost)) {
             val spare = spareFor(lost) ?: continue
-            return start(Replace(lost, spare))
+            if (canCommitWithout(lost, spare)) return start(Replace(lost, spare))
         }
     }
 
+    /**
+     * Whether both the present voters and those after the change have a quorum that answers right now.
+     *
+     * A joint configuration that cannot be committed would still bind every later election: with a spare that has
+     * just lost its disk among its voters, the group could never elect a leader again.
+     */
+    private fun canCommitWithout(lost: MemberId, spare: MemberId): Boolean {
+        val present = core.configuration.voters
+        return listOf(present, present - lost + spare).all { voters ->
+            voters.count(::answersNow) > voters.size / 2 && answersNow(spare)
+        }
+    }
+
+    private fun answersNow(id: MemberId): Boolean {
+        val peer = progress[id] ?: return id == core.id
+        return peer.hasAnswered && core.now - peer.lastContact < core.settings.heartbeatInterval * ANSWER_HEARTBEATS
+    }
+
     /** Gives up on the request in progress, whose change a later leader may finish. */
     fun abandon() {
         request?.let { complete(it, MembershipResult.Unknown) }
@@ -147,6 +165,11 @@
     private fun complete(id: MembershipRequestId, result: MembershipResult) {
         core.outbox.emit(Effect.CompleteMembership(id, result))
     }
+
+    private companion object {
+        /** A member that works answers every heartbeat; one may be lost on its way. */
+        const val ANSWER_HEARTBEATS = 3
+    }
 }
 
 private fun Configuration.learnerOf(daemon: DaemonId): Member? = learners.firstOrNull { it.id.daemon == daemon }
