Take damaged messages between processes as none, whatever the decoder throws

Cause: the CBOR decoder fails on damaged bytes with bad indexes, lengths and states, not only with the two exceptions that were caught; such a message would have ended the handler that read it.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicationCodec.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicationCodec.kt
@@ -1,7 +1,6 @@
 package org.auburnstream.daemon.replication
 
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.auburnstream.consensus.Envelope
 
@@ -21,9 +20,8 @@
 
     private fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T? = try {
         cbor.decodeFromByteArray(serializer, bytes)
-    } catch (e: SerializationException) {
-        null
-    } catch (e: IllegalArgumentException) {
+    } catch (_: RuntimeException) {
+        // The decoder fails in many ways on damaged bytes, also by bad indexes and lengths.
         null
     }
 }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/rollout/LeaseCodec.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/rollout/LeaseCodec.kt
@@ -1,7 +1,6 @@
 package org.auburnstream.daemon.rollout
 
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.auburnstream.control.LeaseMessage
 
@@ -20,9 +19,8 @@
         if (bytes.isEmpty() || bytes.size > MAX_BYTES || bytes[0] != FORMAT_VERSION) return null
         return try {
             cbor.decodeFromByteArray(LeaseMessage.serializer(), bytes.copyOfRange(1, bytes.size))
-        } catch (_: SerializationException) {
-            null
-        } catch (_: IllegalArgumentException) {
+        } catch (_: RuntimeException) {
+            // The decoder fails in many ways on damaged bytes, also by bad indexes and lengths.
             null
         }
     }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/state/StateCodec.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/state/StateCodec.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /** Encodes commands, answers and snapshots of the replicated state as CBOR behind a format version. */
@@ -23,9 +22,8 @@
         if (bytes.isEmpty() || bytes[0] != FORMAT_VERSION) return null
         return try {
             cbor.decodeFromByteArray(serializer, bytes.copyOfRange(1, bytes.size))
-        } catch (_: SerializationException) {
-            null
-        } catch (_: IllegalArgumentException) {
+        } catch (_: RuntimeException) {
+            // The decoder fails in many ways on damaged bytes, also by bad indexes and lengths.
             null
         }
     }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/GroupStatus.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/GroupStatus.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.auburnstream.dispatch.http.HttpRequest
 import org.auburnstream.dispatch.http.HttpResponse
@@ -67,9 +66,8 @@
 
     private fun <T> decode(block: () -> T): T? = try {
         block()
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
+    } catch (_: RuntimeException) {
+        // The decoder fails in many ways on damaged bytes, also by bad indexes and lengths.
         null
     }
 }
