Serve an operators' interface to the scheduling of jobs, and auburnctl schedule

Jobs, queues, workers and waves of the group could only be seen through the platform's own calls and the logs. The control processes now serve /v1/schedule on the metrics address, behind the operators' token, at the leader or passed on to it; reads are confirmed by a quorum. auburnctl schedule lists, shows, hands in and cancels.

The checks of a job moved from the adapter to the scheduling module, so that both interfaces refuse the same jobs.

Ruled out: an address of its own, since the platform's settings have none to spare.

--- a/cli/src/main/kotlin/org/auburnstream/cli/Command.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Command.kt
@@ -77,6 +77,13 @@
     /** Returns a new operation id. */
     public fun newOperation(): String = OperationIds.create(clock.now(), random).value
 
+    /** Returns a new id for a job of a queue. */
+    public fun newJobId(): String = random.nextBytes(JOB_ID_BYTES).toHexString()
+
     /** Returns the text of a file, or null if it cannot be read. */
     public fun readFile(path: String): String? = files(path)
+
+    private companion object {
+        const val JOB_ID_BYTES = 8
+    }
 }
--- a/cli/src/main/kotlin/org/auburnstream/cli/Commands.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/Commands.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.cli
 
 import org.auburnstream.cli.fleet.FleetCommands
+import org.auburnstream.cli.schedule.ScheduleCommands
 import org.auburnstream.cli.settings.SettingsDiff
 import org.auburnstream.cli.settings.SettingsGet
 import org.auburnstream.cli.settings.SettingsHistory
@@ -18,4 +19,4 @@
         SettingsHistory.Spec,
         SettingsKeys.Spec,
         Status.Spec,
-    ) + FleetCommands
+    ) + FleetCommands + ScheduleCommands
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import org.auburnstream.consensus.MemberRole
 import org.auburnstream.consensus.MembershipChange
+import org.auburnstream.consensus.ReplicaSettings
 import org.auburnstream.daemon.replication.GroupConfiguration
 import org.auburnstream.daemon.replication.ProposeResult
 import org.auburnstream.daemon.replication.ReadResult
@@ -22,6 +23,7 @@
 import org.auburnstream.dispatch.log.LineLog
 import org.auburnstream.dispatch.loop.EventLoop
 import org.auburnstream.dispatch.metrics.NodeMetrics
+import org.auburnstream.dispatch.operators.OperatorRequests
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.GroupId
 import org.auburnstream.model.MonotonicTime
@@ -29,10 +31,12 @@
 import org.auburnstream.scheduling.Event
 import org.auburnstream.scheduling.RecordBatch
 import org.auburnstream.scheduling.Reply
+import org.auburnstream.scheduling.RequestLimits
 import org.auburnstream.scheduling.SchedulerState
 import org.auburnstream.storage.DiskFolder
 import org.auburnstream.storage.FileReplicaStore
 import org.auburnstream.storage.StoreResult
+import java.security.MessageDigest
 import java.security.SecureRandom
 import java.util.concurrent.Executors
 import kotlin.random.Random
@@ -69,8 +73,9 @@
         limits = { HttpLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES) },
         times = { HttpTimes(messageTimeout = 5.seconds, idleTimeout = 60.seconds) },
         maxConnections = settings.maxOpenFiles / 2,
-        handle = ::serve,
+        handle = { request, respond -> serve(ListenerKind.CONTROL, request, respond) },
     )
+    private val operators = OperatorRequests(nowMs = System::currentTimeMillis)
     private var leadership: Leadership? = null
     private var preparingTerm = 0L
     private var published: GroupStatus? = null
@@ -232,7 +237,7 @@
             term = status.term,
             leader = leader,
             members = members.ifEmpty { settings.seeds.toList() },
-            limits = replica.state.catalog?.limits ?: published?.limits ?: org.auburnstream.scheduling.RequestLimits(),
+            limits = replica.state.catalog?.limits ?: published?.limits ?: RequestLimits(),
             hasCatalog = replica.state.catalog != null,
         )
         network.know(members.toSet())
@@ -242,36 +247,50 @@
         network.publish(Messages.encode(current))
     }
 
-    private fun serve(request: HttpRequest, respond: (HttpResponse) -> Unit) {
+    /** Serves a request of the operators' interface; one without the token is refused. */
+    public fun operate(request: HttpRequest, respond: (HttpResponse) -> Unit) {
+        val token = settings.operatorToken?.encodeToByteArray()
+        val given = request.headers["authorization"]?.removePrefix("Bearer ")?.encodeToByteArray()
+        // A comparison that takes the same time wherever the tokens differ tells nothing of the right one.
+        val isAllowed = token != null && given != null && MessageDigest.isEqual(token, given)
+        if (!isAllowed) return respond(OperatorRequests.unauthorized())
+        serve(ListenerKind.OPERATORS, request, respond)
+    }
+
+    private fun handlerOf(listener: ListenerKind): RequestHandler =
+        if (listener == ListenerKind.OPERATORS) operators else handler
+
+    /** Serves [request], which arrived at [listener], or passes it on to the leader. */
+    public fun serve(listener: ListenerKind, request: HttpRequest, respond: (HttpResponse) -> Unit) {
         val since = loop.now
+        val handler = handlerOf(listener)
         val answer = { response: HttpResponse ->
-            metrics.answered("control", response.status, loop.now - since)
+            metrics.answered(listener.name.lowercase(), response.status, loop.now - since)
             respond(response)
         }
         if (leadership != null) {
-            handler.handle(ListenerKind.CONTROL, request, access) {
-                answer(it ?: handler.unknown(ListenerKind.CONTROL, request))
-            }
+            handler.handle(listener, request, access) { answer(it ?: handler.unknown(listener, request)) }
             return
         }
-        val leader = leaderSeen ?: return answer(handler.noLeader(ListenerKind.CONTROL, request))
-        val message = Messages.encode(ForwardedRequest(ListenerKind.CONTROL.name, request))
+        val leader = leaderSeen ?: return answer(handler.noLeader(listener, request))
+        val message = Messages.encode(ForwardedRequest(listener.name, request))
         val isSent = network.call(leader, message, FORWARD_TIMEOUT) { bytes ->
             val reply = bytes?.let(Messages::reply)
             answer(
                 when {
-                    reply == null -> handler.unknown(ListenerKind.CONTROL, request)
-                    else -> reply.response ?: handler.noLeader(ListenerKind.CONTROL, request)
+                    reply == null -> handler.unknown(listener, request)
+                    else -> reply.response ?: handler.noLeader(listener, request)
                 },
             )
         }
-        if (!isSent) answer(handler.noLeader(ListenerKind.CONTROL, request))
+        if (!isSent) answer(handler.noLeader(listener, request))
     }
 
     private fun forwarded(bytes: ByteArray, reply: (ByteArray) -> Unit) {
         val message = Messages.request(bytes) ?: return
         val kind = ListenerKind.entries.firstOrNull { it.name == message.listener } ?: return
         if (leadership == null) return reply(Messages.encode(ForwardedReply(null)))
+        val handler = handlerOf(kind)
         handler.handle(kind, message.request, access) { response ->
             val known = response ?: handler.unknown(kind, message.request)
             reply(Messages.encode(ForwardedReply(known)))
@@ -322,7 +341,7 @@
 
     private companion object {
         val GROUP = GroupId("scheduling")
-        val CONSENSUS_SETTINGS = org.auburnstream.consensus.ReplicaSettings(
+        val CONSENSUS_SETTINGS = ReplicaSettings(
             heartbeatInterval = 150.milliseconds,
             electionTimeoutMin = 700.milliseconds,
             electionTimeoutMax = 1300.milliseconds,
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
@@ -52,6 +52,9 @@
 
     /** Workers and operators. */
     CONTROL,
+
+    /** Operators of the product's own interface. */
+    OPERATORS,
 }
 
 /** What a [RequestHandler] may do at the leader. */
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/NodeSettings.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/NodeSettings.kt
@@ -23,6 +23,7 @@
  * @property losses number of control processes that may be lost at a time.
  * @property graceTime time from the order to stop until the process is killed.
  * @property maxOpenFiles bound of the open files and connections.
+ * @property operatorToken token of the operators' interface, or null if it is closed.
  * @property retention time for which the state of a job that is over can be read.
  */
 public data class NodeSettings(
@@ -40,5 +41,6 @@
     val graceTime: Duration = 6.seconds,
     val maxOpenFiles: Int = 1_024,
     val retention: Duration = 150.seconds,
+    val operatorToken: String? = null,
     val scheduling: SchedulingSettings = SchedulingSettings(),
 )
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/ScheduleViews.kt
@@ -0,0 +1,126 @@
+package org.auburnstream.dispatch.operators
+
+import org.auburnstream.api.schedule.JobSubmission
+import org.auburnstream.api.schedule.QueueView
+import org.auburnstream.api.schedule.RunView
+import org.auburnstream.api.schedule.ScheduledJobView
+import org.auburnstream.api.schedule.StepSubmission
+import org.auburnstream.api.schedule.UpkeepView
+import org.auburnstream.api.schedule.WorkerView
+import org.auburnstream.model.RackId
+import org.auburnstream.model.Resources
+import org.auburnstream.scheduling.Job
+import org.auburnstream.scheduling.JobDescription
+import org.auburnstream.scheduling.QueueName
+import org.auburnstream.scheduling.RunId
+import org.auburnstream.scheduling.Schedule
+import org.auburnstream.scheduling.SchedulerState
+import org.auburnstream.scheduling.StepDescription
+import org.auburnstream.scheduling.StepId
+import org.auburnstream.scheduling.TaskId
+
+/** Describes the scheduling state at [nowMs] to operators. */
+internal class ScheduleViews(private val nowMs: Long) {
+    /** Jobs with work left, oldest first, then the latest that are over; of [queue], or of all. */
+    fun jobs(state: SchedulerState, queue: QueueName?): List<ScheduledJobView> {
+        val chosen = state.jobs.values.filter { queue == null || it.queue.name == queue }
+        val (active, over) = chosen.partition { it.isActive }
+        return (active + over.sortedByDescending { it.endedMs }).take(MAX_JOBS).map(::job)
+    }
+
+    fun job(job: Job): ScheduledJobView {
+        val tasks = job.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }
+        return ScheduledJobView(
+            id = job.id.value,
+            queue = job.queue.name.value,
+            phase = job.phase.name.lowercase(),
+            ageMillis = nowMs - job.acceptedMs,
+            tasks = job.description.steps.sumOf { it.count },
+            tasksDone = tasks.count { it.isDone },
+            runs = runs(job),
+        )
+    }
+
+    private fun runs(job: Job): List<RunView> {
+        val views = ArrayList<RunView>()
+        for ((number, occurrence) in job.occurrences) {
+            occurrence.steps.forEachIndexed { step, progress ->
+                progress.tasks.forEachIndexed { index, task ->
+                    val id = TaskId(StepId(job.id, number, step), index)
+                    task.claims.forEach { views.add(RunView(RunId(id, it.number).toString(), it.life.toString())) }
+                }
+            }
+        }
+        return views
+    }
+
+    fun queues(state: SchedulerState): List<QueueView> = state.catalog?.queues.orEmpty().map { queue ->
+        QueueView(
+            name = queue.name.value,
+            service = queue.service.value,
+            priority = queue.priority,
+            attempts = queue.attempts,
+            waiting = state.waiting(queue.name),
+            active = state.active.values.count { it.queue.name == queue.name },
+        )
+    }
+
+    fun workers(state: SchedulerState): List<WorkerView> = state.workers.values.map { worker ->
+        val profile = worker.profile
+        val claims = state.claimsAt(profile.life)
+        WorkerView(
+            worker = profile.life.toString(),
+            service = profile.service.value,
+            address = profile.address,
+            dataCentre = profile.dataCentre.value,
+            vm = profile.vm?.value,
+            leaving = worker.isLeaving,
+            millicores = profile.capacity.millicores,
+            millicoresUsed = claims.values.sumOf { it.reserved.millicores },
+            runs = claims.size,
+        )
+    }
+
+    fun waves(state: SchedulerState): List<UpkeepView> = state.waves.values.map { wave ->
+        UpkeepView(
+            wave = wave.number,
+            vms = wave.vms.size,
+            begun = wave.begun.size,
+            ended = wave.ended.size,
+            cap = wave.cap,
+            dueInMillis = wave.dueMs - nowMs,
+            complete = wave.isComplete,
+        )
+    }
+
+    private companion object {
+        /** Bounds an answer to some hundred kilobytes. */
+        const val MAX_JOBS = 500
+    }
+}
+
+/** Returns the job that the message describes; [org.auburnstream.scheduling.problem] tells whether it is valid. */
+internal fun JobSubmission.toDescription(): JobDescription = JobDescription(
+    payload = payload,
+    steps = steps.map { it.toDescription() },
+    schedule = schedule?.let { Schedule(it.occurrences, it.firstMillis, it.intervalMillis) },
+)
+
+private fun StepSubmission.toDescription(): StepDescription = StepDescription(
+    count = count,
+    demand = Resources(millicores, memoryMegabytes, accelerators),
+    estimateMs = estimateMillis,
+    dependsOn = dependsOn,
+    savesProgress = savesProgress,
+    gang = gang,
+    prefersOneRack = prefersOneRack,
+    requiredLabel = requiredLabel,
+    dataRack = dataRack?.let(::RackId),
+    maxPerWorker = maxPerWorker,
+    allowsCopies = allowsCopies,
+    lasting = lasting,
+    image = image,
+    tailTargetMs = tailTargetMillis,
+    fillsUnused = fillsUnused,
+    mayMiss = mayMiss,
+)
--- /dev/null
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/LeaderStandIn.kt
@@ -0,0 +1,65 @@
+package org.auburnstream.dispatch.operators
+
+import org.auburnstream.dispatch.LeaderAccess
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.ServiceId
+import org.auburnstream.scheduling.Action
+import org.auburnstream.scheduling.CallId
+import org.auburnstream.scheduling.Catalog
+import org.auburnstream.scheduling.Coordinator
+import org.auburnstream.scheduling.Event
+import org.auburnstream.scheduling.Queue
+import org.auburnstream.scheduling.QueueName
+import org.auburnstream.scheduling.Record
+import org.auburnstream.scheduling.RecordBatch
+import org.auburnstream.scheduling.Reply
+import org.auburnstream.scheduling.SchedulerState
+import org.auburnstream.scheduling.SchedulingSettings
+import org.auburnstream.scheduling.ServiceTerms
+
+/** A leader whose batches are committed at once and whose orders reach nobody. */
+internal class LeaderStandIn : LeaderAccess {
+    override val controlAddress = "127.0.0.1:1"
+    override val state = SchedulerState(retentionMs = 150_000)
+    var nowMs = 1_700_000_000_000L
+
+    /** Whether a quorum confirms reads. */
+    var isConfirmed = true
+    private val coordinator: Coordinator
+    private val replies = HashMap<CallId, (Reply) -> Unit>()
+    private var calls = 0L
+
+    init {
+        val queues = listOf("plates", "proofs").map { name ->
+            Queue(QueueName(name), "host", "/$name/", SERVICE, attempts = 2, timeoutMs = 3_000)
+        }
+        val catalog = Catalog(version = 1, queues, services = listOf(ServiceTerms(SERVICE)))
+        state.apply(RecordBatch(nowMs, listOf(Record.CatalogAccepted(catalog, document = "{}"))))
+        coordinator = Coordinator(state, SchedulingSettings(), MonotonicTime.Zero)
+    }
+
+    override fun offer(event: (CallId) -> Event, reply: (Reply) -> Unit) {
+        calls += 1
+        replies[CallId(calls)] = reply
+        handle(event(CallId(calls)))
+    }
+
+    override fun read(use: (SchedulerState?) -> Unit) = use(state.takeIf { isConfirmed })
+
+    private fun handle(event: Event) {
+        for (action in coordinator.handle(event, MonotonicTime.Zero, nowMs)) {
+            when (action) {
+                is Action.Answer -> replies.remove(action.call)?.invoke(action.reply)
+                is Action.Commit -> {
+                    state.apply(action.batch)
+                    handle(Event.BatchApplied)
+                }
+                else -> Unit
+            }
+        }
+    }
+
+    companion object {
+        val SERVICE = ServiceId("print")
+    }
+}
--- /dev/null
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/OperatorRequestsTest.kt
@@ -0,0 +1,153 @@
+package org.auburnstream.dispatch.operators
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.builtins.ListSerializer
+import org.auburnstream.api.ApiError
+import org.auburnstream.api.ApiErrorType
+import org.auburnstream.api.ApiJson
+import org.auburnstream.api.schedule.JobSubmission
+import org.auburnstream.api.schedule.QueueView
+import org.auburnstream.api.schedule.ScheduleRoutes
+import org.auburnstream.api.schedule.ScheduledJobView
+import org.auburnstream.api.schedule.StepSubmission
+import org.auburnstream.api.schedule.UpkeepView
+import org.auburnstream.api.schedule.WorkerView
+import org.auburnstream.dispatch.ListenerKind
+import org.auburnstream.dispatch.http.HttpRequest
+import org.auburnstream.dispatch.http.HttpResponse
+import org.auburnstream.model.DataCentreId
+import org.auburnstream.model.Resources
+import org.auburnstream.model.VmId
+import org.auburnstream.scheduling.Event
+import org.auburnstream.scheduling.WorkerId
+import org.auburnstream.scheduling.WorkerLife
+import org.auburnstream.scheduling.WorkerProfile
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.seconds
+
+class OperatorRequestsTest {
+    private val leader = LeaderStandIn()
+    private val requests = OperatorRequests(nowMs = { leader.nowMs })
+    private val submission = JobSubmission("00c0ffee00c0ffee", "plates", "nightly", listOf(StepSubmission(count = 2)))
+
+    @Test
+    fun aJobIsAcceptedOnceShownAndCancelled() {
+        repeat(2) { assertEquals(200, submit(submission).status) }
+        leader.nowMs += 700
+
+        val job = read(ScheduleRoutes.JOBS, ListSerializer(ScheduledJobView.serializer())).single()
+        assertEquals(
+            ScheduledJobView("00c0ffee00c0ffee", "plates", "active", ageMillis = 700, tasks = 2, tasksDone = 0),
+            job,
+        )
+        assertEquals(200, send("POST", "${ScheduleRoutes.JOBS}/${job.id}/cancel").status)
+        assertEquals(
+            "cancelled",
+            read("${ScheduleRoutes.JOBS}/${job.id}", ScheduledJobView.serializer()).phase,
+        )
+    }
+
+    @Test
+    fun jobsAreListedByQueue() {
+        submit(submission)
+        submit(submission.copy(id = "00c0ffee00c0fff0", queue = "proofs"))
+
+        val jobs = read("${ScheduleRoutes.JOBS}?queue=proofs", ListSerializer(ScheduledJobView.serializer()))
+        val queues = read(ScheduleRoutes.QUEUES, ListSerializer(QueueView.serializer()))
+        assertEquals(listOf("00c0ffee00c0fff0"), jobs.map { it.id })
+        assertEquals(mapOf("plates" to 1, "proofs" to 1), queues.associate { it.name to it.waiting })
+    }
+
+    @Test
+    fun workersAndWavesAreListed() {
+        val profile = WorkerProfile(
+            life = WorkerLife(WorkerId("w"), 1),
+            service = LeaderStandIn.SERVICE,
+            address = "w:1",
+            dataCentre = DataCentreId("a"),
+            vm = VmId("vm-1"),
+            capacity = Resources(16_000, 32_000),
+        )
+        leader.offer({ Event.WorkerReported(it, profile, 1, isLeaving = false, clockMs = 5) }) { }
+        leader.offer({ Event.WaveOffered(it, 7, listOf(VmId("vm-1"), VmId("vm-2")), 30.seconds, cap = 1) }) { }
+
+        val worker = read(ScheduleRoutes.WORKERS, ListSerializer(WorkerView.serializer())).single()
+        val wave = read(ScheduleRoutes.WAVES, ListSerializer(UpkeepView.serializer())).single()
+        assertEquals("w/1" to 16_000L, worker.worker to worker.millicores)
+        assertEquals(
+            UpkeepView(7, vms = 2, begun = 0, ended = 0, cap = 1, dueInMillis = 30_000, complete = false),
+            wave,
+        )
+    }
+
+    @Test
+    fun whatCannotBeAcceptedIsRefusedWithItsReason() {
+        val wrong = listOf(
+            submission.copy(id = "x") to "the id 'x' is not 16 hex digits",
+            submission.copy(queue = "none") to "there is no queue 'none'",
+            submission.copy(steps = listOf(StepSubmission(count = 0))) to "step 0 has 0 tasks; give it 1 to 10000",
+            submission.copy(steps = listOf(StepSubmission(dependsOn = listOf(0)))) to "step 0 depends on step 0",
+        )
+        for ((job, detail) in wrong) {
+            val error = errorOf(submit(job))
+            assertEquals(ApiErrorType.MALFORMED_REQUEST, ApiErrorType.ofUri(error.type))
+            assertContains(error.detail, detail)
+        }
+        assertEquals(400, send("POST", ScheduleRoutes.JOBS, "{").status)
+        assertEquals(400, send("POST", ScheduleRoutes.JOBS, byteArrayOf(-1, -2)).status)
+        assertEquals(404, send("POST", "${ScheduleRoutes.JOBS}/00c0ffee00c0ffee/cancel").status)
+        assertEquals(404, send("GET", "/v1/schedule/nothing").status)
+        assertEquals(404, send("GET", "${ScheduleRoutes.JOBS}/a/b/c").status)
+        assertEquals(emptyMap(), leader.state.jobs)
+    }
+
+    @Test
+    fun nothingIsAnsweredFromAStateThatNoQuorumConfirms() {
+        submit(submission)
+        leader.isConfirmed = false
+
+        assertNull(answer("GET", ScheduleRoutes.JOBS))
+        assertNull(answer("GET", "${ScheduleRoutes.JOBS}/${submission.id}"))
+        assertNull(answer("POST", "${ScheduleRoutes.JOBS}/00c0ffee00c0fff1/cancel"))
+    }
+
+    @Test
+    fun aProcessWithoutALeaderSaysThatNothingWasDone() {
+        val request = HttpRequest("GET", ScheduleRoutes.JOBS)
+        val none = requests.noLeader(ListenerKind.OPERATORS, request)
+        val lost = requests.unknown(ListenerKind.OPERATORS, request)
+
+        assertEquals(ApiErrorType.UNAVAILABLE, ApiErrorType.ofUri(errorOf(none).type))
+        assertEquals("1", none.headers["retry-after"])
+        assertEquals(ApiErrorType.OUTCOME_UNKNOWN, ApiErrorType.ofUri(errorOf(lost).type))
+        assertEquals(ApiErrorType.UNAUTHORIZED, ApiErrorType.ofUri(errorOf(OperatorRequests.unauthorized()).type))
+    }
+
+    private fun submit(job: JobSubmission): HttpResponse =
+        send("POST", ScheduleRoutes.JOBS, ApiJson.encodeToString(JobSubmission.serializer(), job))
+
+    private fun send(method: String, target: String, body: String = ""): HttpResponse =
+        send(method, target, body.encodeToByteArray())
+
+    private fun send(method: String, target: String, body: ByteArray): HttpResponse =
+        checkNotNull(answer(method, target, body))
+
+    private fun answer(method: String, target: String, body: ByteArray = ByteArray(0)): HttpResponse? {
+        val answers = ArrayList<HttpResponse?>()
+        val request = HttpRequest(method, target, body = body)
+        requests.handle(ListenerKind.OPERATORS, request, leader) { answers.add(it) }
+        return answers.single()
+    }
+
+    private fun <T> read(target: String, serializer: KSerializer<T>): T {
+        val response = send("GET", target)
+        assertEquals(200, response.status)
+        return ApiJson.decodeFromString(serializer, response.body.decodeToString())
+    }
+
+    private fun errorOf(response: HttpResponse): ApiError =
+        ApiJson.decodeFromString(ApiError.serializer(), response.body.decodeToString())
+}
