Empty VMs for loans, spread lasting tasks before maintenance, and end waves for VMs that have left

And waves were late: after crashes and loans a VM runs two lasting tasks of a step that may miss one, so no maintenance may ever end both; and a VM that had left the platform was ordered again and again, which it refused.

Change: VMs that a service can do without get no new tasks and leave once empty. A crowded VM is spread, one task at a time. A VM that is refused twice and is not in the platform's list ends its part of the wave.

Ruled out: too few VMs in all (the load was 60 % of the rooms); placement (new tasks go to the fullest VMs already).

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Availability.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Availability.kt
@@ -16,11 +16,43 @@
         val contact = contacts.find(life)
         // An order that is not answered may bring a task there after the count.
         if (contact?.orders?.values?.any { it.startedAt == null } == true) return false
-        val steps = state.claimsAt(life).entries
+        return stepsAt(life).all { (id, runs) -> away(id, lost + life) <= runs.first().value.mayMiss }
+    }
+
+    /** Whether [worker] runs more lasting tasks of one step than the step may miss. */
+    fun isCrowded(worker: Worker): Boolean = stepsAt(worker.profile.life).values.any(::isCrowd)
+
+    private fun isCrowd(runs: List<Map.Entry<RunId, StepDescription>>): Boolean = runs.size > runs.first().value.mayMiss
+
+    /**
+     * Returns a lasting run of a crowded [worker] that may be stopped now and can start at a worker that [isTarget].
+     *
+     * @param lost lives whose tasks end as well.
+     */
+    fun evacuable(worker: Worker, lost: Set<WorkerLife>, isTarget: (Worker) -> Boolean): RunId? {
+        for ((id, runs) in stepsAt(worker.profile.life)) {
+            val description = runs.first().value
+            val mayStop = isCrowd(runs) && away(id, lost) + 1 <= description.mayMiss
+            if (!mayStop) continue
+            val hasTarget = state.workers.values.any { other ->
+                isTarget(other) && other.profile.service == worker.profile.service && !other.isLeaving &&
+                    contacts.find(other.profile.life)?.failedLooks == 0 && canTake(other.profile, id, description)
+            }
+            if (hasTarget) return runs.first().key
+        }
+        return null
+    }
+
+    /** Whether a task of the step can start there without making that worker crowded. */
+    private fun canTake(profile: WorkerProfile, id: StepId, description: StepDescription): Boolean {
+        val others = state.claimsAt(profile.life).keys.count { it.task.step == id }
+        return others < description.mayMiss && Room(profile).couldFit(description)
+    }
+
+    private fun stepsAt(life: WorkerLife): Map<StepId, List<Map.Entry<RunId, StepDescription>>> =
+        state.claimsAt(life).entries
             .filter { (_, step) -> step.lasting && step.mayMiss > 0 }
             .groupBy { it.key.task.step }
-        return steps.all { (id, runs) -> away(id, lost + life) <= runs.first().value.mayMiss }
-    }
 
     /** Tasks of the step that are not at work, or are at one of the [lost] lives. */
     private fun away(id: StepId, lost: Set<WorkerLife>): Int {
@@ -36,6 +68,7 @@
     private fun isAtWork(run: RunId, life: WorkerLife): Boolean {
         val contact = contacts.find(life) ?: return false
         if (contact.failedLooks > 0 || state.worker(life)?.isLeaving != false) return false
+        if (contact.orders[run]?.wantsStop == true) return false
         return contact.running.any { it.run == run && it.percent >= AT_WORK_PERCENT }
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -114,8 +114,9 @@
 
     private fun decideWaves(now: MonotonicTime, nowMs: Long) {
         if (!waves.isBusy) return
-        val decision = waves.decide(now, nowMs, availability::canLose)
+        val decision = waves.decide(now, nowMs, availability)
         decision.records.forEach(intake::record)
+        decision.evacuations.forEach { (run, life) -> runs.evacuate(run, life, cause = "maintenance", now) }
         for ((wave, vm) in decision.orders) {
             waves.orderSent(vm, now, isFresh = false)
             actions.add(Action.OrderUpkeep(wave, vm))
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -11,8 +11,10 @@
  * Decides which VMs are lent to the service whose queue asks for more than its pool holds, and when they go back.
  *
  * Answers the load pattern of queues that ask in turn for several times their mean: a service that cannot start its
- * waiting tasks borrows VMs that are switched off, then VMs of other services that run nothing and have nothing
- * waiting. A borrowed VM goes back once it has run nothing for a while. Hysteresis keeps a VM from moving for each
+ * waiting tasks borrows VMs that are switched off, then VMs of other services that have nothing waiting and need
+ * fewer VMs for what they run. Of these, the VMs with the least to do get no new tasks and leave once they are empty;
+ * without that, the ends of tasks that were spread over all VMs hold back every VM. A borrowed VM goes back once it
+ * has run nothing for a while. Hysteresis keeps a VM from moving for each
  * small change: a shortage must last, and a VM stays a few times as long as its move takes.
  */
 internal class PoolControl(
@@ -25,11 +27,12 @@
     private val orderedAt = HashMap<VmId, MonotonicTime>()
     private val refusedUntil = HashMap<VmId, MonotonicTime>()
     private val confirmedAt = HashMap<VmId, MonotonicTime>()
+    private val emptying = HashMap<VmId, MonotonicTime>()
     private var spares: List<ListedVm> = emptyList()
     private var listedAt: MonotonicTime? = null
 
-    /** Whether the VM of [worker] is being moved. */
-    fun isHeld(worker: WorkerProfile): Boolean = worker.vm in state.moves
+    /** Whether the VM of [worker] is being moved, or emptied for a move. */
+    fun isHeld(worker: WorkerProfile): Boolean = worker.vm in state.moves || worker.vm in emptying
 
     /** Whether a list of the VMs that are switched off is needed. */
     fun needsList(now: MonotonicTime): Boolean {
@@ -120,18 +123,89 @@
     }
 
     private fun borrow(now: MonotonicTime, decision: PoolDecision) {
+        val pools = state.workers.values.groupBy { it.profile.service }.mapValues { (_, it) -> Pool(it) }
+        val wasEmptying = HashMap(emptying)
+        emptying.clear()
+        keepFloors(pools, now, decision)
         for ((service, shortage) in shortages.entries.sortedByDescending { it.value.need.millicores }) {
             if (now - shortage.since < SHORTAGE_LASTS) continue
             val wanted = wantedFor(service, shortage.need)
             val left = wanted - borrowSpares(service, wanted, now, decision)
-            if (left <= 0) continue
-            for (worker in donors(service, now).filterNot { decision.begins(it.profile.vm) }.take(left)) {
+            if (left > 0) lend(service, left, pools, wasEmptying, now, decision)
+        }
+    }
+
+    /** Borrows for services that have fewer VMs than their lasting tasks need to be spread. */
+    private fun keepFloors(pools: Map<ServiceId, Pool>, now: MonotonicTime, decision: PoolDecision) {
+        for ((service, pool) in pools) {
+            val missing = pool.floor - pool.size - state.moves.values.count { it.to == service }
+            if (missing <= 0) continue
+            val left = missing - borrowSpares(service, missing, now, decision)
+            if (left > 0) lend(service, left, pools, emptyMap(), now, decision)
+        }
+    }
+
+    /**
+     * Lends up to [wanted] VMs of services that can do without them: those that run nothing at once, and others once
+     * they are empty, until when they get no new tasks.
+     */
+    private fun lend(
+        service: ServiceId,
+        wanted: Int,
+        pools: Map<ServiceId, Pool>,
+        wasEmptying: Map<VmId, MonotonicTime>,
+        now: MonotonicTime,
+        decision: PoolDecision,
+    ) {
+        var left = wanted
+        val donors = pools.filterKeys { it != service && it !in shortages }.values
+        for (pool in donors) {
+            for (worker in pool.idleFirst) {
                 val vm = worker.profile.vm ?: continue
-                decision.begin(vm, worker.profile.service, service, worker.profile.life.bornMs)
+                val isFree = vm !in state.moves && vm !in emptying && isAllowed(vm, now) && !decision.begins(vm)
+                if (left == 0 || pool.surplus <= 0 || !isFree || worker.isLeaving) continue
+                val idle = idleSince[vm]
+                when {
+                    idle != null && (vm in wasEmptying || now - idle > DONOR_IDLE) -> {
+                        decision.begin(vm, worker.profile.service, service, worker.profile.life.bornMs)
+                    }
+                    idle != null || !canEmpty(worker) -> continue
+                    else -> emptying[vm] = wasEmptying[vm] ?: now
+                }
+                pool.size -= 1
+                left -= 1
             }
         }
     }
 
+    /** Whether what runs there ends by itself soon. */
+    private fun canEmpty(worker: Worker): Boolean =
+        state.claimsAt(worker.profile.life).values.none { it.lasting || it.gang }
+
+    /** VMs of one service and what they have to do. */
+    private inner class Pool(workers: List<Worker>) {
+        private val load = workers.sumOf(::loadOf)
+        private val capacity = workers.maxOf { it.profile.capacity.millicores }
+        var size = workers.size
+
+        /** Least number of VMs on which no VM runs more lasting tasks of a step than the step may miss. */
+        val floor = workers.flatMap { state.claimsAt(it.profile.life).entries }
+            .filter { (_, step) -> step.lasting && step.mayMiss > 0 }
+            .distinctBy { it.key.task.step }
+            .maxOfOrNull { (_, step) -> (step.count + step.mayMiss - 1) / step.mayMiss } ?: 0
+        val idleFirst = workers.sortedBy(::loadOf)
+
+        /** VMs that the service can do without. */
+        val surplus: Int
+            get() {
+                val needed = if (capacity == 0L) size else (load * (1 + HEADROOM) / capacity).toInt() + 1
+                return size - maxOf(needed, floor, LEAST_POOL)
+            }
+    }
+
+    private fun loadOf(worker: Worker): Long =
+        state.claimsAt(worker.profile.life).values.sumOf { it.reserved.millicores }
+
     /** Number of VMs that the service needs beyond those that are on their way. */
     private fun wantedFor(service: ServiceId, need: Unplaced): Int {
         val size = typicalCapacity(service) ?: return 0
@@ -149,18 +223,6 @@
         return taken.size
     }
 
-    /** Workers of other services that run nothing and whose queue has nothing waiting. */
-    private fun donors(service: ServiceId, now: MonotonicTime): List<Worker> {
-        val pools = state.workers.values.groupBy { it.profile.service }
-        return state.workers.values.filter { worker ->
-            val vm = worker.profile.vm
-            val idle = idleSince[vm]
-            val pool = worker.profile.service
-            vm != null && pool != service && pool !in shortages && vm !in state.moves && isAllowed(vm, now) &&
-                idle != null && now - idle > DONOR_IDLE && pools.getValue(pool).size > LEAST_POOL
-        }
-    }
-
     private fun giveBack(now: MonotonicTime, decision: PoolDecision) {
         for ((vm, home) in state.homes) {
             val worker = state.workers.values.firstOrNull { it.profile.vm == vm } ?: continue
@@ -175,7 +237,7 @@
 
     private fun loadOf(service: ServiceId): Long = state.workers.values
         .filter { it.profile.service == service }
-        .sumOf { worker -> state.claimsAt(worker.profile.life).values.sumOf { it.reserved.millicores } }
+        .sumOf(::loadOf)
 
     private fun spareService(): ServiceId? = state.catalog?.services?.firstOrNull { it.spare }?.service
 
@@ -197,7 +259,8 @@
 
         /** Longer than a task takes to be placed after another has ended, and short against a move. */
         val SHORTAGE_LASTS: Duration = 50.milliseconds
-        val DONOR_IDLE: Duration = 1.seconds
+        /** Longer than a step of a job takes to begin after the one before it. */
+        val DONOR_IDLE: Duration = 200.milliseconds
 
         /** A few times the time of a move, so that a VM is not sent to and fro. */
         val RETURN_IDLE: Duration = 3.seconds
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -77,6 +77,13 @@
         stop(eviction.run, eviction.life, now)
     }
 
+    /** Stops a run so that it starts at another worker. */
+    fun evacuate(run: RunId, life: WorkerLife, cause: String, now: MonotonicTime) {
+        if (run in unsent || isStopping(run, life)) return
+        note("run_evacuated", "run" to run, "worker" to life, "cause" to cause)
+        stop(run, life, now)
+    }
+
     fun startAnswered(event: Event.StartAnswered, now: MonotonicTime) {
         val contact = contacts.find(event.life) ?: return
         val order = contact.orders[event.run] ?: return
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -19,17 +19,24 @@
 ) {
     private val emptying = HashMap<VmId, MonotonicTime>()
     private val ordered = HashMap<VmId, Ordered>()
-    private val refusedUntil = HashMap<VmId, MonotonicTime>()
+    private val refusals = HashMap<VmId, Refusals>()
     private var listedAt: MonotonicTime? = null
 
-    /** Whether a list of the VMs is needed to learn what became of an order. */
+    /** Whether a list of the VMs is needed to learn what became of an order, or why one is refused again and again. */
     fun needsList(now: MonotonicTime): Boolean {
         val isStale = listedAt?.let { now - it > LIST_INTERVAL } ?: true
-        return isStale && state.waves.values.any { wave ->
-            !wave.isComplete && wave.begun.keys.any { it !in wave.ended && isOverdue(it, now) }
-        }
+        return isStale && state.waves.values.any { wave -> !wave.isComplete && wave.vms.any { isDoubtful(wave, it, now) } }
+    }
+
+    /** Whether only the platform's list can tell what has become of [vm]. */
+    private fun isDoubtful(wave: Wave, vm: VmId, now: MonotonicTime): Boolean = when (vm) {
+        in wave.ended -> false
+        in wave.begun -> isOverdue(vm, now)
+        else -> isRefusedAgain(vm)
     }
 
+    private fun isRefusedAgain(vm: VmId): Boolean = (refusals[vm]?.count ?: 0) >= REFUSALS_UNTIL_LIST
+
     /** Whether the VM of [worker] is being emptied or in maintenance. */
     fun isHeld(worker: WorkerProfile): Boolean {
         val vm = worker.vm ?: return false
@@ -47,13 +54,13 @@
     /**
      * Returns the records and orders that are due.
      *
-     * @param canLose whether a worker's lasting tasks may end now, beside those of the lives that are given.
+     * @param availability tells which lasting tasks may end now.
      */
-    fun decide(now: MonotonicTime, nowMs: Long, canLose: (Worker, Set<WorkerLife>) -> Boolean): WaveDecision {
+    fun decide(now: MonotonicTime, nowMs: Long, availability: Availability): WaveDecision {
         val orders = ArrayList<Pair<Long, VmId>>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
-        val pass = Pass(now, nowMs, workers, canLose)
-        if (now - startedAt < settings.succession) return WaveDecision(pass.records, orders)
+        val pass = Pass(now, nowMs, workers, availability)
+        if (now - startedAt < settings.succession) return WaveDecision(pass.records, orders, emptyList())
         for (wave in state.waves.values) {
             if (wave.isComplete) continue
             for (vm in wave.begun.keys.filter { it !in wave.ended }) {
@@ -70,7 +77,7 @@
         }
         // A VM that is not next any more takes tasks again.
         emptying.keys.retainAll(pass.chosen)
-        return WaveDecision(pass.records, orders)
+        return WaveDecision(pass.records, orders, pass.evacuations)
     }
 
     fun orderSent(vm: VmId, now: MonotonicTime, isFresh: Boolean) {
@@ -98,7 +105,7 @@
                     null
                 } else {
                     ordered.remove(vm)
-                    refusedUntil[vm] = now + REFUSAL_PAUSE
+                    refusals.getOrPut(vm) { Refusals() }.add(now + REFUSAL_PAUSE)
                     Record.UpkeepRefused(wave, vm)
                 }
             }
@@ -118,7 +125,7 @@
         val byId = vms.associateBy { it.vm }
         val records = ArrayList<Record>()
         for (wave in state.waves.values) {
-            for (vm in wave.begun.keys.filter { it !in wave.ended && isOverdue(it, now) }) {
+            for (vm in wave.vms.filter { isDoubtful(wave, it, now) }) {
                 val entry = byId[vm]
                 val isBack = vm in wave.confirmed && entry?.state == VmCondition.UP
                 if (entry == null || isBack) {
@@ -142,7 +149,10 @@
         for (vm in order) {
             if (room == 0) break
             val worker = pass.workers[vm]
-            if (worker != null && !pass.canLose(worker, lost)) continue
+            if (worker != null && !pass.availability.canLose(worker, lost)) {
+                if (evacuate(vm, worker, lost, pass)) room -= 1
+                continue
+            }
             room -= 1
             val since = emptying.getOrPut(vm) { pass.now }
             if (worker != null && !isEmpty(worker) && pass.now - since < patience) {
@@ -154,6 +164,23 @@
         }
     }
 
+    /**
+     * Begins to spread the lasting tasks of a VM that runs more of one step than may be missed.
+     *
+     * The VM gets no new tasks, and one task after the other is stopped, so that it starts elsewhere, until the rest
+     * may end at once. Returns whether the VM is being emptied in this way.
+     */
+    private fun evacuate(vm: VmId, worker: Worker, lost: Set<WorkerLife>, pass: Pass): Boolean {
+        if (!pass.availability.isCrowded(worker)) return false
+        val run = pass.availability.evacuable(worker, lost) { !isHeld(it.profile) && it.profile.vm != vm }
+        if (run == null && vm !in emptying) return false
+        val since = emptying.getOrPut(vm) { pass.now }
+        if (pass.now - since > MAX_EVACUATION) return false
+        pass.chosen.add(vm)
+        if (run != null) pass.evacuations.add(run to worker.profile.life)
+        return true
+    }
+
     private fun bornMsOf(worker: Worker?): Long = worker?.profile?.life?.bornMs ?: 0
 
     private fun isOpen(wave: Wave, vm: VmId, now: MonotonicTime): Boolean {
@@ -175,7 +202,7 @@
 
     private fun isEmpty(worker: Worker): Boolean = state.claimsAt(worker.profile.life).values.all { it.lasting }
 
-    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusedUntil[vm]?.let { now >= it } ?: true
+    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusals[vm]?.let { now >= it.until } ?: true
 
     private fun retryIsDue(vm: VmId, now: MonotonicTime): Boolean {
         val order = ordered[vm] ?: return true
@@ -191,9 +218,10 @@
         val now: MonotonicTime,
         val nowMs: Long,
         val workers: Map<VmId?, Worker>,
-        val canLose: (Worker, Set<WorkerLife>) -> Boolean,
+        val availability: Availability,
     ) {
         val records = ArrayList<Record>()
+        val evacuations = ArrayList<Pair<RunId, WorkerLife>>()
         val chosen = HashSet<VmId>()
     }
 
@@ -201,7 +229,25 @@
         var wasUncertain = false
     }
 
+    /** Refusals of the order for one VM; the next may go out at [until]. */
+    private class Refusals {
+        var count = 0
+            private set
+        var until = MonotonicTime.Zero
+            private set
+
+        fun add(until: MonotonicTime) {
+            count += 1
+            this.until = until
+        }
+    }
+
     private companion object {
+        /** One refusal is usual for a VM that is just coming up. */
+        const val REFUSALS_UNTIL_LIST = 2
+
+        /** Several starts of a lasting task; a task that finds no place by then does not hold up the VM for longer. */
+        val MAX_EVACUATION: Duration = 8.seconds
         val LIST_INTERVAL: Duration = 2.seconds
         val REFUSAL_PAUSE: Duration = 1.seconds
         val ORDER_RETRY: Duration = 1.seconds
@@ -213,5 +259,15 @@
     }
 }
 
-/** What a [WaveControl] decided: records to commit, then maintenance to order for (wave, VM). */
-internal class WaveDecision(val records: List<Record>, val orders: List<Pair<Long, VmId>>)
+/**
+ * What a [WaveControl] decided.
+ *
+ * @property records records to commit.
+ * @property orders maintenance to order again, by wave and VM.
+ * @property evacuations runs to stop so that they start elsewhere.
+ */
+internal class WaveDecision(
+    val records: List<Record>,
+    val orders: List<Pair<Long, VmId>>,
+    val evacuations: List<Pair<RunId, WorkerLife>>,
+)
