Stop what can go on from its saved state on VMs that are emptied for a loan

Cause: long tasks hold a VM for up to 5 s after its queue's turn. Four fifths of them save their progress.

Change: if every run that holds up such a VM saves its progress and finds room on other VMs of its service, the runs are stopped and go on there. What is nearly over is left to end.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -124,7 +124,8 @@
     }
 
     private fun decidePools(now: MonotonicTime) {
-        val decision = pools.decide(now)
+        val decision = pools.decide(now) { run, life -> runs.remaining(run, life, now) }
+        decision.evacuations.forEach { (run, life) -> runs.evacuate(run, life, cause = "loan", now) }
         decision.records.filterNot { it is Record.MoveBegun && isInMaintenance(it.vm) }.forEach(intake::record)
         for ((vm, service) in decision.orders) orderMove(vm, service, isFirst = false, now)
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -56,8 +56,12 @@
         unplaced.forEach { (service, need) -> shortages.getOrPut(service) { Shortage(now) }.need = need }
     }
 
-    /** Returns the moves to begin, to confirm and to order now. */
-    fun decide(now: MonotonicTime): PoolDecision {
+    /**
+     * Returns the moves to begin, to confirm and to order now, and the runs to stop for them.
+     *
+     * @param remaining likely time until a run ends by itself.
+     */
+    fun decide(now: MonotonicTime, remaining: (RunId, WorkerLife) -> Duration): PoolDecision {
         val decision = PoolDecision()
         if (now - startedAt < settings.succession) return decision
         finish(now, decision)
@@ -66,6 +70,7 @@
         noteIdle(now)
         borrow(now, decision)
         giveBack(now, decision)
+        evacuate(remaining, decision)
         return decision
     }
 
@@ -182,6 +187,31 @@
     private fun canEmpty(worker: Worker): Boolean =
         state.claimsAt(worker.profile.life).values.none { it.lasting || it.gang }
 
+    /**
+     * Stops what runs on VMs that are emptied, where it can go on from its saved state on other VMs of the service.
+     *
+     * A VM is left alone if one of its runs would hold it up anyway, or if what is left of the runs is not worth the
+     * work that is lost with a stop.
+     */
+    private fun evacuate(remaining: (RunId, WorkerLife) -> Duration, decision: PoolDecision) {
+        if (emptying.isEmpty()) return
+        val rooms = RoomLedger(state) { it.profile.vm !in emptying && it.profile.vm !in state.moves && !it.isLeaving }
+        for (worker in state.workers.values.filter { it.profile.vm in emptying }) {
+            val life = worker.profile.life
+            val claims = state.claimsAt(life)
+            val (short, long) = claims.keys.partition { remaining(it, life) < WORTH_MOVING }
+            val canMove = long.isNotEmpty() && short.size <= long.size && long.all { claims.getValue(it).savesProgress }
+            if (!canMove) continue
+            val targets = long.map { run ->
+                val step = claims.getValue(run)
+                val room = rooms.of(worker.profile.service).firstOrNull { it.fits(run.task.step, step) }
+                room?.take(run.task.step, step)
+                room
+            }
+            if (targets.all { it != null }) long.forEach { decision.evacuations.add(it to life) }
+        }
+    }
+
     /** VMs of one service and what they have to do. */
     private inner class Pool(workers: List<Worker>) {
         private val load = workers.sumOf(::loadOf)
@@ -266,6 +296,9 @@
         val RETURN_IDLE: Duration = 3.seconds
         val REFUSAL_PAUSE: Duration = 3.seconds
 
+        /** A few times what a run loses with a stop: half the usual interval of saving, the order and the restore. */
+        val WORTH_MOVING: Duration = 900.milliseconds
+
         /** Several times a move; a VM that has not come by then was lost on its way. */
         val LONGEST_MOVE: Duration = 10.seconds
         val ORDER_RETRY: Duration = 2.seconds
@@ -278,10 +311,11 @@
     }
 }
 
-/** What a [PoolControl] decided: records to commit, then moves to order. */
+/** What a [PoolControl] decided: records to commit, moves to order again, and runs to stop for loans. */
 internal class PoolDecision {
     val records = ArrayList<Record>()
     val orders = ArrayList<Pair<VmId, ServiceId>>()
+    val evacuations = ArrayList<Pair<RunId, WorkerLife>>()
     private val begun = HashSet<VmId>()
 
     fun begins(vm: VmId?): Boolean = vm in begun
