Count tasks that one pass stops as away

Two crowded VMs of one step were each told to stop a task in the same pass, because a run that has just been chosen still looks at work.

Change: what a pass has planned so far counts as away for the rest of the pass, and a run that is being stopped does too.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Availability.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Availability.kt
@@ -9,14 +9,14 @@
     /**
      * Whether the lasting tasks of [worker] may end now without a step missing more than it may.
      *
-     * @param lost lives whose tasks end as well.
+     * @param planned what was planned to end before in the same pass.
      */
-    fun canLose(worker: Worker, lost: Set<WorkerLife>): Boolean {
+    fun canLose(worker: Worker, planned: PlannedLoss): Boolean {
         val life = worker.profile.life
         val contact = contacts.find(life)
         // An order that is not answered may bring a task there after the count.
         if (contact?.orders?.values?.any { it.startedAt == null } == true) return false
-        return stepsAt(life).all { (id, runs) -> away(id, lost + life) <= runs.first().value.mayMiss }
+        return stepsAt(life).all { (id, runs) -> away(id, planned, life) <= runs.first().value.mayMiss }
     }
 
     /** Whether [worker] runs more lasting tasks of one step than the step may miss. */
@@ -27,12 +27,12 @@
     /**
      * Returns a lasting run of a crowded [worker] that may be stopped now and can start at a worker that [isTarget].
      *
-     * @param lost lives whose tasks end as well.
+     * @param planned what was planned to end before in the same pass.
      */
-    fun evacuable(worker: Worker, lost: Set<WorkerLife>, isTarget: (Worker) -> Boolean): RunId? {
+    fun evacuable(worker: Worker, planned: PlannedLoss, isTarget: (Worker) -> Boolean): RunId? {
         for ((id, runs) in stepsAt(worker.profile.life)) {
             val description = runs.first().value
-            val mayStop = isCrowd(runs) && away(id, lost) + 1 <= description.mayMiss
+            val mayStop = isCrowd(runs) && away(id, planned) + 1 <= description.mayMiss
             if (!mayStop) continue
             val hasTarget = state.workers.values.any { other ->
                 isTarget(other) && other.profile.service == worker.profile.service && !other.isLeaving &&
@@ -54,14 +54,15 @@
             .filter { (_, step) -> step.lasting && step.mayMiss > 0 }
             .groupBy { it.key.task.step }
 
-    /** Tasks of the step that are not at work, or are at one of the [lost] lives. */
-    private fun away(id: StepId, lost: Set<WorkerLife>): Int {
+    /** Tasks of the step that are not at work, or were [planned] to end, or are at [life]. */
+    private fun away(id: StepId, planned: PlannedLoss, life: WorkerLife? = null): Int {
         val job = state.active[id.job] ?: return 0
         val count = job.description.steps[id.step].count
         val progress = job.occurrences[id.occurrence]?.steps?.get(id.step) ?: return count
         return progress.tasks.withIndex().count { (index, task) ->
             val claim = task.claims.firstOrNull()
-            claim == null || claim.life in lost || !isAtWork(RunId(TaskId(id, index), claim.number), claim.life)
+            val run = claim?.let { RunId(TaskId(id, index), it.number) }
+            run == null || claim.life == life || planned.ends(run, claim.life) || !isAtWork(run, claim.life)
         }
     }
 
@@ -77,3 +78,8 @@
         const val AT_WORK_PERCENT = 100
     }
 }
+
+/** Lives and runs whose end was planned and which still look at work. */
+internal class PlannedLoss(private val lives: Set<WorkerLife>, private val runs: Set<RunId>) {
+    fun ends(run: RunId, life: WorkerLife): Boolean = life in lives || run in runs
+}
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -60,7 +60,7 @@
         val orders = ArrayList<Pair<Long, VmId>>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
         val pass = Pass(now, nowMs, workers, availability)
-        if (now - startedAt < settings.succession) return WaveDecision(pass.records, orders, emptyList())
+        if (now - startedAt < settings.succession) return WaveDecision(pass.records, orders, emptyMap())
         for (wave in state.waves.values) {
             if (wave.isComplete) continue
             for (vm in wave.begun.keys.filter { it !in wave.ended }) {
@@ -144,13 +144,13 @@
         val patience = patience(wave, left.size, pass.nowMs)
         // What was ordered may still look at work; it counts as lost from the order on.
         val leaving = state.waves.values.flatMap { it.begun.keys - it.ended }
-        val lost = leaving.mapNotNull { pass.workers[it]?.profile?.life }.toHashSet()
+        leaving.mapNotNullTo(pass.lost) { pass.workers[it]?.profile?.life }
         val order = left.sortedWith(compareBy({ it !in emptying }, { vm -> pass.workers[vm]?.let(::load) ?: 0L }))
         for (vm in order) {
             if (room == 0) break
             val worker = pass.workers[vm]
-            if (worker != null && !pass.availability.canLose(worker, lost)) {
-                if (evacuate(vm, worker, lost, pass)) room -= 1
+            if (worker != null && !pass.availability.canLose(worker, pass.planned)) {
+                if (evacuate(vm, worker, pass)) room -= 1
                 continue
             }
             room -= 1
@@ -158,7 +158,7 @@
             if (worker != null && !isEmpty(worker) && pass.now - since < patience) {
                 pass.chosen.add(vm)
             } else {
-                lost.addAll(listOfNotNull(worker?.profile?.life))
+                worker?.let { pass.lost.add(it.profile.life) }
                 pass.records.add(Record.UpkeepBegun(wave.number, vm, bornMsOf(worker)))
             }
         }
@@ -170,14 +170,14 @@
      * The VM gets no new tasks, and one task after the other is stopped, so that it starts elsewhere, until the rest
      * may end at once. Returns whether the VM is being emptied in this way.
      */
-    private fun evacuate(vm: VmId, worker: Worker, lost: Set<WorkerLife>, pass: Pass): Boolean {
+    private fun evacuate(vm: VmId, worker: Worker, pass: Pass): Boolean {
         if (!pass.availability.isCrowded(worker)) return false
-        val run = pass.availability.evacuable(worker, lost) { !isHeld(it.profile) && it.profile.vm != vm }
+        val run = pass.availability.evacuable(worker, pass.planned) { !isHeld(it.profile) && it.profile.vm != vm }
         if (run == null && vm !in emptying) return false
         val since = emptying.getOrPut(vm) { pass.now }
         if (pass.now - since > MAX_EVACUATION) return false
         pass.chosen.add(vm)
-        if (run != null) pass.evacuations.add(run to worker.profile.life)
+        if (run != null) pass.evacuations[run] = worker.profile.life
         return true
     }
 
@@ -221,8 +221,12 @@
         val availability: Availability,
     ) {
         val records = ArrayList<Record>()
-        val evacuations = ArrayList<Pair<RunId, WorkerLife>>()
+        val evacuations = LinkedHashMap<RunId, WorkerLife>()
         val chosen = HashSet<VmId>()
+        val lost = HashSet<WorkerLife>()
+
+        /** What ends by this pass and by earlier orders, as it grows. */
+        val planned = PlannedLoss(lost, evacuations.keys)
     }
 
     private class Ordered(var sentAt: MonotonicTime, var isAnswered: Boolean) {
@@ -269,5 +273,5 @@
 internal class WaveDecision(
     val records: List<Record>,
     val orders: List<Pair<Long, VmId>>,
-    val evacuations: List<Pair<RunId, WorkerLife>>,
+    val evacuations: Map<RunId, WorkerLife>,
 )
