Let pools grow ahead of a rising demand, and watch every rule in virtual time

Cause: a demand that rises by three VMs a second was noticed when tasks found no room, one move (1.5 s and the report) too late.

Change: the slope of each service's demand, smoothed over a second, is continued over the time of a move. Idle VMs are lent before others are emptied, whichever pool they are in. A gang or a task of half a worker that was passed over for 3 s comes first: sorted by its work it came after everything small and never started (found by OverloadTest).

Tests: RuleOracle watches callers, workers and VMs from outside, a rule each, and fails on a mutant each (RuleOracleTest).

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -124,12 +124,22 @@
     }
 
     private fun decidePools(now: MonotonicTime) {
-        val decision = pools.decide(now) { run, life -> runs.remaining(run, life, now) }
+        val decision = pools.decide(now) { run, life -> remaining(run, life, now) }
         decision.evacuations.forEach { (run, life) -> runs.evacuate(run, life, cause = "loan", now) }
         decision.records.filterNot { it is Record.MoveBegun && isInMaintenance(it.vm) }.forEach(intake::record)
         for ((vm, service) in decision.orders) orderMove(vm, service, isFirst = false, now)
     }
 
+    /** Likely time until the run ends by itself; zero for a run that is being stopped, has not begun or is overdue. */
+    private fun remaining(run: RunId, life: WorkerLife, now: MonotonicTime): Duration {
+        val order = contacts.find(life)?.orders?.get(run) ?: return Duration.ZERO
+        val startedAt = order.startedAt
+        val job = state.active[run.task.step.job]
+        if (job == null || startedAt == null || order.wantsStop) return Duration.ZERO
+        val estimateMs = durations.estimate(job.queue.name, job.description.steps[run.task.step.step].estimateMs)
+        return (estimateMs.milliseconds - (now - startedAt)).coerceAtLeast(Duration.ZERO)
+    }
+
     private fun isInMaintenance(vm: VmId): Boolean = state.waves.values.any { vm in it.begun && vm !in it.ended }
 
     private fun orderMove(vm: VmId, service: ServiceId, isFirst: Boolean, now: MonotonicTime) {
@@ -246,7 +256,7 @@
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
         pools.noteUnplaced(plan.unplaced, now)
         plan.claims.forEach(intake::record)
-        plan.evictions.forEach { runs.evict(it, now) }
+        plan.evictions.forEach { runs.evacuate(it.run, it.life, cause = "room for ${it.beneficiary}", now) }
     }
 
     private fun isHeld(worker: WorkerProfile): Boolean =
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -8,8 +8,9 @@
  *
  * Answers the load pattern of queues that ask in turn for several times what their pool holds: lasting tasks come
  * first, then lower [Queue.priority], then the jobs that can still keep their objective by the least work left, so
- * that as many as possible keep it; jobs that are late come last, oldest first. A gang or a wide step that does not
- * fit is passed over by smaller ones only for [HEAD_OF_LINE_MS], after which its service is kept for it.
+ * that as many as possible keep it; jobs that are late come last, oldest first. A gang or a large task that does not
+ * fit is passed over by smaller ones only for [HEAD_OF_LINE_MS], after which it comes before them and its service is
+ * kept for it.
  *
  * @property isUsable whether a worker may be given tasks.
  * @property mayRun whether a worker may run a step, as far as advice tells.
@@ -29,7 +30,8 @@
         val claims = ArrayList<Record.RunClaimed>()
         val evictions = ArrayList<Eviction>()
         val kept = HashSet<ServiceId>()
-        for (step in waiting.sortedWith(orderAt(nowMs))) {
+        val passedOver = waiting.filter { isPassedOver(it, rooms, nowMs) }.toSet()
+        for (step in waiting.sortedWith(orderAt(nowMs, passedOver))) {
             if (claims.size >= limit) break
             val isUrgent = step.description.lasting
             if (step.queue.service in kept && !isUrgent) {
@@ -62,11 +64,13 @@
         return Unplaced(missing * step.description.reserved.millicores, workers)
     }
 
-    private fun orderAt(nowMs: Long): Comparator<WaitingStep> = compareBy<WaitingStep> { !it.description.lasting }
-        .thenBy { it.queue.priority }
-        .thenBy { isLate(it, nowMs) }
-        .thenBy { if (isLate(it, nowMs)) it.dueMs else it.workMs }
-        .thenBy { it.job.acceptedMs }
+    private fun orderAt(nowMs: Long, passedOver: Set<WaitingStep>): Comparator<WaitingStep> =
+        compareBy<WaitingStep> { !it.description.lasting }
+            .thenBy { it.queue.priority }
+            .thenBy { it !in passedOver }
+            .thenBy { isLate(it, nowMs) }
+            .thenBy { if (isLate(it, nowMs)) it.dueMs else it.workMs }
+            .thenBy { it.job.acceptedMs }
 
     private fun isLate(step: WaitingStep, nowMs: Long): Boolean = nowMs + step.remainingMs > step.dueMs
 
@@ -76,6 +80,13 @@
         return hasWaited && step.dueMs > nowMs && isFeasible(step, rooms)
     }
 
+    /** Whether the step finds no room unless the steps that are smaller wait: a gang, or tasks of half a worker. */
+    private fun isPassedOver(step: WaitingStep, rooms: RoomLedger, nowMs: Long): Boolean {
+        val largest = rooms.of(step.queue.service).maxOfOrNull { it.worker.capacity.millicores } ?: 0
+        val isLarge = step.description.gang || step.description.reserved.millicores * 2 > largest
+        return isLarge && isKeptFor(step, rooms, nowMs)
+    }
+
     private fun isFeasible(step: WaitingStep, rooms: RoomLedger): Boolean =
         rooms.of(step.queue.service).any { it.couldFit(step.description) }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -27,7 +27,8 @@
     private val orderedAt = HashMap<VmId, MonotonicTime>()
     private val refusedUntil = HashMap<VmId, MonotonicTime>()
     private val confirmedAt = HashMap<VmId, MonotonicTime>()
-    private val emptying = HashMap<VmId, MonotonicTime>()
+    private val emptying = HashSet<VmId>()
+    private val trends = HashMap<ServiceId, DemandTrend>()
     private var spares: List<ListedVm> = emptyList()
     private var listedAt: MonotonicTime? = null
 
@@ -128,28 +129,33 @@
     }
 
     private fun borrow(now: MonotonicTime, decision: PoolDecision) {
-        val pools = state.workers.values.groupBy { it.profile.service }.mapValues { (_, it) -> Pool(it) }
-        val wasEmptying = HashMap(emptying)
+        val pools = pools()
+        val wasEmptying = HashSet(emptying)
         emptying.clear()
-        keepFloors(pools, now, decision)
-        for ((service, shortage) in shortages.entries.sortedByDescending { it.value.need.millicores }) {
-            if (now - shortage.since < SHORTAGE_LASTS) continue
-            val wanted = wantedFor(service, shortage.need)
-            val left = wanted - borrowSpares(service, wanted, now, decision)
-            if (left > 0) lend(service, left, pools, wasEmptying, now, decision)
-        }
-    }
-
-    /** Borrows for services that have fewer VMs than their lasting tasks need to be spread. */
-    private fun keepFloors(pools: Map<ServiceId, Pool>, now: MonotonicTime, decision: PoolDecision) {
+        val needs = HashMap<ServiceId, Int>()
         for ((service, pool) in pools) {
-            val missing = pool.floor - pool.size - state.moves.values.count { it.to == service }
-            if (missing <= 0) continue
+            val incoming = state.moves.values.count { it.to == service }
+            val trend = trends.getOrPut(service) { DemandTrend() }
+            trend.observe(pool.load + (shortages[service]?.need?.millicores ?: 0), now)
+            val missing = maxOf(missingFor(service, pool, trend, now), pool.floor - pool.size) - incoming
+            if (missing > 0) needs[service] = missing
+        }
+        shortages.filter { (service, shortage) -> service !in pools && now - shortage.since >= SHORTAGE_LASTS }
+            .forEach { (service, _) -> needs[service] = 1 }
+        for ((service, missing) in needs.entries.sortedByDescending { it.value }) {
             val left = missing - borrowSpares(service, missing, now, decision)
-            if (left > 0) lend(service, left, pools, emptyMap(), now, decision)
+            if (left > 0) lend(service, left, pools.filterKeys { it !in needs }.values, wasEmptying, now, decision)
         }
     }
 
+    /** Number of VMs that the service should have in addition when a move from now on would be over. */
+    private fun missingFor(service: ServiceId, pool: ServicePool, trend: DemandTrend, now: MonotonicTime): Int {
+        val ahead = maxOf((pool.load * ServicePool.HEADROOM).toLong(), trend.growth(MOVE_TIME))
+        val shortage = shortages[service]?.takeIf { now - it.since >= SHORTAGE_LASTS }
+        val beyond = if (shortage != null) shortage.need.millicores + ahead else pool.load + ahead - pool.room
+        return maxOf(pool.vmsFor(beyond), shortage?.need?.workers ?: 0)
+    }
+
     /**
      * Lends up to [wanted] VMs of services that can do without them: those that run nothing at once, and others once
      * they are empty, until when they get no new tasks.
@@ -157,32 +163,33 @@
     private fun lend(
         service: ServiceId,
         wanted: Int,
-        pools: Map<ServiceId, Pool>,
-        wasEmptying: Map<VmId, MonotonicTime>,
+        donors: Collection<ServicePool>,
+        wasEmptying: Set<VmId>,
         now: MonotonicTime,
         decision: PoolDecision,
     ) {
+        val offers = donors.filter { it.service != service }.flatMap { pool -> pool.workers.map { pool to it } }
         var left = wanted
-        val donors = pools.filterKeys { it != service && it !in shortages }.values
-        for (pool in donors) {
-            for (worker in pool.idleFirst) {
-                val vm = worker.profile.vm ?: continue
-                val isFree = vm !in state.moves && vm !in emptying && isAllowed(vm, now) && !decision.begins(vm)
-                if (left == 0 || pool.surplus <= 0 || !isFree || worker.isLeaving) continue
-                val idle = idleSince[vm]
-                when {
-                    idle != null && (vm in wasEmptying || now - idle > DONOR_IDLE) -> {
-                        decision.begin(vm, worker.profile.service, service, worker.profile.life.bornMs)
-                    }
-                    idle != null || !canEmpty(worker) -> continue
-                    else -> emptying[vm] = wasEmptying[vm] ?: now
-                }
-                pool.size -= 1
-                left -= 1
+        for ((pool, worker) in offers.sortedBy { (_, worker) -> state.loadOf(worker) }) {
+            val vm = worker.profile.vm ?: continue
+            if (left == 0 || pool.surplus <= 0 || !isOnOffer(worker, vm, decision, now)) continue
+            val idle = idleSince[vm]
+            when {
+                idle != null && (vm in wasEmptying || now - idle > DONOR_IDLE) ->
+                    decision.begin(vm, pool.service, service, worker.profile.life.bornMs)
+                idle != null || !canEmpty(worker) -> continue
+                else -> emptying.add(vm)
             }
+            pool.size -= 1
+            left -= 1
         }
     }
 
+    private fun isOnOffer(worker: Worker, vm: VmId, decision: PoolDecision, now: MonotonicTime): Boolean {
+        val isTaken = vm in state.moves || vm in emptying || decision.begins(vm)
+        return !isTaken && !worker.isLeaving && isAllowed(vm, now)
+    }
+
     /** Whether what runs there ends by itself soon. */
     private fun canEmpty(worker: Worker): Boolean =
         state.claimsAt(worker.profile.life).values.none { it.lasting || it.gang }
@@ -212,37 +219,8 @@
         }
     }
 
-    /** VMs of one service and what they have to do. */
-    private inner class Pool(workers: List<Worker>) {
-        private val load = workers.sumOf(::loadOf)
-        private val capacity = workers.maxOf { it.profile.capacity.millicores }
-        var size = workers.size
-
-        /** Least number of VMs on which no VM runs more lasting tasks of a step than the step may miss. */
-        val floor = workers.flatMap { state.claimsAt(it.profile.life).entries }
-            .filter { (_, step) -> step.lasting && step.mayMiss > 0 }
-            .distinctBy { it.key.task.step }
-            .maxOfOrNull { (_, step) -> (step.count + step.mayMiss - 1) / step.mayMiss } ?: 0
-        val idleFirst = workers.sortedBy(::loadOf)
-
-        /** VMs that the service can do without. */
-        val surplus: Int
-            get() {
-                val needed = if (capacity == 0L) size else (load * (1 + HEADROOM) / capacity).toInt() + 1
-                return size - maxOf(needed, floor, LEAST_POOL)
-            }
-    }
-
-    private fun loadOf(worker: Worker): Long =
-        state.claimsAt(worker.profile.life).values.sumOf { it.reserved.millicores }
-
-    /** Number of VMs that the service needs beyond those that are on their way. */
-    private fun wantedFor(service: ServiceId, need: Unplaced): Int {
-        val size = typicalCapacity(service) ?: return 0
-        val headroom = (loadOf(service) * HEADROOM).toLong()
-        val byWork = (need.millicores + headroom + size - 1) / size
-        return maxOf(byWork.toInt(), need.workers) - state.moves.values.count { it.to == service }
-    }
+    private fun pools(): Map<ServiceId, ServicePool> = state.workers.values.groupBy { it.profile.service }
+        .mapValues { (service, workers) -> ServicePool(service, workers, state) }
 
     private fun borrowSpares(service: ServiceId, wanted: Int, now: MonotonicTime, decision: PoolDecision): Int {
         val spare = spareService() ?: return 0
@@ -254,28 +232,21 @@
     }
 
     private fun giveBack(now: MonotonicTime, decision: PoolDecision) {
+        val pools = pools()
         for ((vm, home) in state.homes) {
             val worker = state.workers.values.firstOrNull { it.profile.vm == vm } ?: continue
-            val service = worker.profile.service
-            val idle = idleSince[vm] ?: continue
-            val stays = vm in state.moves || decision.begins(vm) || service == home || service in shortages
+            val pool = pools[worker.profile.service]?.takeIf { it.service != home } ?: continue
             val patience = if (home in shortages) DONOR_IDLE else RETURN_IDLE
-            if (stays || now - idle < patience || !isAllowed(vm, now)) continue
-            decision.begin(vm, service, home, worker.profile.life.bornMs)
+            val isIdle = idleSince[vm]?.let { now - it >= patience } ?: false
+            val isNeeded = pool.service in shortages || pool.surplus <= 0
+            if (!isIdle || isNeeded || !isOnOffer(worker, vm, decision, now)) continue
+            pool.size -= 1
+            decision.begin(vm, pool.service, home, worker.profile.life.bornMs)
         }
     }
 
-    private fun loadOf(service: ServiceId): Long = state.workers.values
-        .filter { it.profile.service == service }
-        .sumOf(::loadOf)
-
     private fun spareService(): ServiceId? = state.catalog?.services?.firstOrNull { it.spare }?.service
 
-    private fun typicalCapacity(service: ServiceId): Long? {
-        val known = state.workers.values.filter { it.profile.service == service }.ifEmpty { state.workers.values }
-        return known.maxOfOrNull { it.profile.capacity.millicores }?.takeIf { it > 0 }
-    }
-
     private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusedUntil[vm]?.let { now >= it } ?: true
 
     private class Shortage(val since: MonotonicTime) {
@@ -283,12 +254,16 @@
     }
 
     private companion object {
+        /** Time from the order of a move until the VM takes tasks, with its report and the first look. */
+        val MOVE_TIME: Duration = 2.seconds
+
         /** Time after the start at which the platform knows all VMs. */
         val LIST_DELAY: Duration = 1.seconds
         val LIST_INTERVAL: Duration = 10.seconds
 
         /** Longer than a task takes to be placed after another has ended, and short against a move. */
         val SHORTAGE_LASTS: Duration = 50.milliseconds
+
         /** Longer than a step of a job takes to begin after the one before it. */
         val DONOR_IDLE: Duration = 200.milliseconds
 
@@ -302,12 +277,6 @@
         /** Several times a move; a VM that has not come by then was lost on its way. */
         val LONGEST_MOVE: Duration = 10.seconds
         val ORDER_RETRY: Duration = 2.seconds
-
-        /** Share of the load in progress by which a queue that is short of room is likely to grow during a move. */
-        const val HEADROOM = 0.2
-
-        /** A pool keeps this many VMs for what comes next. */
-        const val LEAST_POOL = 2
     }
 }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -70,23 +70,6 @@
         }
     }
 
-    fun evict(eviction: Eviction, now: MonotonicTime) {
-        val order = contacts.find(eviction.life)?.orders?.get(eviction.run)
-        if (order?.wantsStop == true) return
-        note("run_evicted", "run" to eviction.run, "worker" to eviction.life, "for" to eviction.beneficiary)
-        stop(eviction.run, eviction.life, now)
-    }
-
-    /** Likely time until the run ends by itself; zero for a run that is being stopped, has not begun or is overdue. */
-    fun remaining(run: RunId, life: WorkerLife, now: MonotonicTime): Duration {
-        val order = contacts.find(life)?.orders?.get(run) ?: return Duration.ZERO
-        val startedAt = order.startedAt
-        val job = state.active[run.task.step.job]
-        if (job == null || startedAt == null || order.wantsStop) return Duration.ZERO
-        val estimateMs = durations.estimate(job.queue.name, job.description.steps[run.task.step.step].estimateMs)
-        return (estimateMs.milliseconds - (now - startedAt)).coerceAtLeast(Duration.ZERO)
-    }
-
     /** Stops a run so that it starts at another worker. */
     fun evacuate(run: RunId, life: WorkerLife, cause: String, now: MonotonicTime) {
         if (run in unsent || isStopping(run, life)) return
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -25,7 +25,8 @@
     /** Whether a list of the VMs is needed to learn what became of an order, or why one is refused again and again. */
     fun needsList(now: MonotonicTime): Boolean {
         val isStale = listedAt?.let { now - it > LIST_INTERVAL } ?: true
-        return isStale && state.waves.values.any { wave -> !wave.isComplete && wave.vms.any { isDoubtful(wave, it, now) } }
+        return isStale &&
+            state.waves.values.any { wave -> !wave.isComplete && wave.vms.any { isDoubtful(wave, it, now) } }
     }
 
     /** Whether only the platform's list can tell what has become of [vm]. */
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
@@ -0,0 +1,84 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import org.auburnstream.model.VmId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class MaintenanceTest {
+    private val lasting =
+        StepDescription(count = 4, demand = Resources(1_000, 100), lasting = true, mayMiss = 1, maxPerWorker = 2)
+
+    private fun fleet(seed: Int): VirtualFleet {
+        val fleet = VirtualFleet(seed)
+        fleet.start()
+        repeat(2) { fleet.addWorker("w$it") }
+        fleet.run(300.milliseconds)
+        return fleet
+    }
+
+    /** Two VMs run two tasks each of a step that may miss one; two more join before the wave. */
+    private fun crowdedFleet(seed: Int): VirtualFleet {
+        val fleet = fleet(seed)
+        fleet.offer("job", lasting)
+        fleet.run(1.seconds)
+        repeat(2) { fleet.addWorker("late$it") }
+        fleet.run(1.seconds)
+        val vms = listOf("w0", "w1", "late0", "late1").map { VmId("vm-$it") }
+        fleet.call { Event.WaveOffered(it, 7, vms, 30.seconds, cap = 4) }
+        return fleet
+    }
+
+    @Test
+    fun aWaveSpreadsLastingTasksThatItCouldNotEndTogether() {
+        repeat(20) { seed ->
+            val fleet = crowdedFleet(seed)
+            fleet.run(30.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertTrue(fleet.state.waves.getValue(7).isComplete, "seed $seed: the wave is late")
+        }
+    }
+
+    @Test
+    fun aWaveEndsThoughAVmOfItHasLeftThePlatform() {
+        val fleet = fleet(seed = 1)
+        val vms = listOf(VmId("vm-w0"), VmId("vm-gone"))
+        // The VM is leaving when its turn comes, and is not listed any more soon after.
+        fleet.leaving.add(VmId("vm-gone"))
+        fleet.call { Event.WaveOffered(it, 7, vms, 20.seconds, cap = 2) }
+        fleet.at(6.seconds) { fleet.isListedAway = false }
+        fleet.run(20.seconds)
+
+        assertTrue(fleet.state.waves.getValue(7).isComplete)
+    }
+
+    @Test
+    fun aWaveDoesNotEndBeforeAVmThatStaysWasMaintained() {
+        val fleet = fleet(seed = 1)
+        fleet.leaving.add(VmId("vm-slow"))
+        fleet.call { Event.WaveOffered(it, 7, listOf(VmId("vm-slow")), 20.seconds, cap = 1) }
+        fleet.run(30.seconds)
+
+        assertEquals(false, fleet.state.waves.getValue(7).isComplete)
+    }
+
+    @Test
+    fun aVmWithMoreTasksThanMayBeMissedIsNotTakenDownWithThem() {
+        val fleet = fleet(seed = 2)
+        fleet.offer("job", lasting)
+        fleet.run(1.seconds)
+        fleet.call { Event.WaveOffered(it, 7, listOf(VmId("vm-w0")), 10.seconds, cap = 1) }
+        fleet.run(12.seconds)
+
+        assertEquals(emptyList(), fleet.broken)
+        assertEquals(4, fleet.workers.values.sumOf { worker -> (0..3).count { worker.runs(task(it)) } })
+    }
+
+    private fun task(index: Int) = TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index)
+}
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/OverloadTest.kt
@@ -0,0 +1,93 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A queue that asks for three times what its workers hold. */
+class OverloadTest {
+    private val task = StepDescription(count = 1, demand = Resources(1_000, 100), estimateMs = 1_000)
+
+    private fun fleet(seed: Int): VirtualFleet {
+        val fleet = VirtualFleet(seed)
+        fleet.start()
+        repeat(4) { fleet.addWorker("w$it") }
+        fleet.run(300.milliseconds)
+        return fleet
+    }
+
+    /** Width and arrival of jobs that ask 16 processors for 48 in each of four seconds. */
+    private val load = List(24) { number -> 1 + (number * 7) % 15 to number * 166 }
+
+    @Test
+    fun farMoreJobsKeepTheirObjectiveThanInTheOrderOfTheirArrival() {
+        var kept = 0
+        repeat(10) { seed ->
+            val fleet = fleet(seed)
+            load.forEachIndexed { number, (width, atMs) ->
+                fleet.at(atMs.milliseconds) { fleet.offer("job$number", task.copy(count = width)) }
+            }
+            fleet.run(40.seconds)
+            fleet.checkEnd()
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            kept += fleet.state.jobs.values.count { it.endedMs - it.acceptedMs <= OBJECTIVE_MS }
+        }
+        val inOrder = 10 * keptInOrderOfArrival()
+
+        assertTrue(kept * 10 >= inOrder * 13, "$kept jobs kept their objective, $inOrder in the order of arrival")
+    }
+
+    /** Jobs that keep their objective when 16 processors take the tasks in the order of arrival, without any delay. */
+    private fun keptInOrderOfArrival(): Int {
+        val freeAtMs = LongArray(16)
+        return load.count { (width, atMs) ->
+            val ends = List(width) {
+                val slot = freeAtMs.indices.minBy { freeAtMs[it] }
+                freeAtMs[slot] = maxOf(freeAtMs[slot], atMs.toLong()) + task.estimateMs
+                freeAtMs[slot]
+            }
+            ends.max() - atMs <= OBJECTIVE_MS
+        }
+    }
+
+    @Test
+    fun aWideJobIsNotPassedOverForEver() {
+        val fleet = fleet(seed = 1)
+        fleet.offer("filling", task.copy(count = 16))
+        fleet.run(100.milliseconds)
+        val gang = task.copy(count = 12, gang = true)
+        val patient = VirtualFleet.QUEUE.copy(objectiveMs = 20_000)
+        fleet.offer("wide", gang, queue = patient)
+        repeat(150) { number -> fleet.at((number * 60).milliseconds) { fleet.offer("small$number", task) } }
+        fleet.run(9.seconds)
+
+        assertEquals(JobPhase.COMPLETE, fleet.phase("wide"))
+    }
+
+    @Test
+    fun lastingTasksThatLostTheirWorkerFindRoomAtFullLoad() {
+        val fleet = fleet(seed = 1)
+        fleet.offer("service", task.copy(count = 2, lasting = true, maxPerWorker = 1))
+        fleet.run(500.milliseconds)
+        repeat(200) { number ->
+            fleet.at((number * 50).milliseconds) { fleet.offer("job$number", task.copy(count = 2)) }
+        }
+        fleet.run(2.seconds)
+        fleet.workers.values.first { it.runs(serviceTask(0)) }.crash()
+        fleet.run(12.seconds)
+
+        assertTrue(fleet.workers.values.any { it.runs(serviceTask(0)) })
+        assertEquals(emptyList(), fleet.broken)
+    }
+
+    private fun serviceTask(index: Int) = TaskId(StepId(JobId("service"), occurrence = 0, step = 0), index)
+
+    private companion object {
+        /** 1.6 times the work of a task and 600 ms more. */
+        const val OBJECTIVE_MS = 2_200L
+    }
+}
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/RuleOracle.kt
@@ -0,0 +1,197 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.Resources
+import org.auburnstream.model.ServiceId
+import org.auburnstream.model.VmId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What must always hold, each as callers, workers and the platform see it. */
+internal enum class Rule { TWICE, ORDER, BUDGET, ROOM, GANG, UNASKED, REFUSED, LOST, AVAILABILITY, WAVE_CAP }
+
+/** A rule that was seen to be broken. */
+internal data class Break(val rule: Rule, val at: MonotonicTime, val detail: String) {
+    override fun toString(): String = "$rule at $at: $detail"
+}
+
+/**
+ * Watches callers, workers and VMs from outside, and knows nothing of the state that decides.
+ *
+ * @property now reading of the virtual clock.
+ */
+internal class RuleOracle(private val now: () -> MonotonicTime) {
+    val broken = ArrayList<Break>()
+    private val jobs = HashMap<JobId, Asked>()
+    private val offers = HashMap<CallId, JobId>()
+    private val cancels = HashMap<CallId, JobId>()
+    private val done = HashSet<TaskId>()
+    private val running = HashMap<RunId, VirtualWorker>()
+    private val failures = HashMap<TaskId, Int>()
+    private val away = HashMap<TaskId, Away>()
+    private val waves = HashMap<Long, Int>()
+    private val inUpkeep = HashMap<Long, HashSet<VmId>>()
+
+    fun called(event: Event) {
+        when (event) {
+            is Event.JobOffered -> {
+                offers[event.call] = event.id
+                jobs.getOrPut(event.id) { Asked(event.description, event.queue) }
+            }
+            is Event.CancelOffered -> cancels[event.call] = event.id
+            is Event.WaveOffered -> waves[event.wave] = event.cap
+            else -> Unit
+        }
+    }
+
+    fun answered(call: CallId, reply: Reply) {
+        offers[call]?.let { id ->
+            val job = jobs.getValue(id)
+            if (reply == Reply.Accepted) job.isAccepted = true
+            if (reply is Reply.NotAccepted) job.refusals += 1
+            checkRefusal(id, job)
+        }
+        cancels[call]?.let { if (reply == Reply.Accepted) jobs.getValue(it).cancelledAt = now() }
+    }
+
+    fun started(worker: VirtualWorker, order: Action.Start) {
+        val run = order.run
+        val step = run.task.step
+        val job = jobs[step.job]
+        val description = job?.description?.steps?.getOrNull(step.step)
+        if (job == null || description == null) return report(Rule.UNASKED, "$run was never handed in")
+        if (order.payload != job.description.payload) report(Rule.UNASKED, "$run starts with '${order.payload}'")
+        val cancelledFor = job.cancelledAt?.let { now() - it }
+        if (cancelledFor != null && cancelledFor > CANCEL_TIME) report(Rule.UNASKED, "$run starts though cancelled")
+        running.filterKeys { it.task == run.task }.forEach { (_, other) ->
+            report(Rule.TWICE, "$run starts while it runs at ${other.profile.life}")
+        }
+        if (run.task in done) report(Rule.TWICE, "$run starts after its task was done")
+        val open = description.dependsOn.filter { earlier ->
+            (0 until job.description.steps[earlier].count).any { TaskId(step.copy(step = earlier), it) !in done }
+        }
+        if (open.isNotEmpty()) report(Rule.ORDER, "$run starts before steps $open are done")
+        val failed = failures[run.task] ?: 0
+        if (!description.lasting &&
+            failed >= job.queue.attempts
+        ) {
+            report(Rule.BUDGET, "$run starts after $failed failures")
+        }
+        running[run] = worker
+        away.remove(run.task)
+        job.hasStarted = true
+        checkRefusal(step.job, job)
+        checkRoom(worker, run, description, job.queue.service)
+    }
+
+    fun ended(run: RunId, how: RunEnd) {
+        val worker = running.remove(run) ?: return
+        when (how) {
+            RunEnd.DONE -> done.add(run.task)
+            RunEnd.FAILED -> failures.merge(run.task, 1, Int::plus)
+            RunEnd.ALONE -> report(Rule.GANG, "$run ended alone at ${worker.profile.life}")
+            else -> Unit
+        }
+        if (stepOf(run)?.lasting == true) away[run.task] = Away(now(), isPlanned = false)
+    }
+
+    /** Notes that an order ends [run], before the run ends. */
+    fun planned(worker: VirtualWorker, run: RunId) {
+        val step = stepOf(run)
+        val isWatched = run in running && step != null && step.lasting && step.mayMiss > 0 && worker.isReachable
+        if (!isWatched || jobs.getValue(run.task.step.job).isCancelled) return
+        val others = (0 until step!!.count).map { TaskId(run.task.step, it) }.count { task ->
+            task != run.task && away[task]?.let { it.isPlanned || now() - it.since > NOTICE_TIME } ?: false
+        }
+        if (others >= step.mayMiss) report(Rule.AVAILABILITY, "$run is ended while $others others are away")
+        running.remove(run)
+        away[run.task] = Away(now(), isPlanned = true)
+    }
+
+    fun upkeepBegun(wave: Long, vm: VmId) {
+        val down = inUpkeep.getOrPut(wave) { HashSet() }
+        val cap = waves[wave] ?: return report(Rule.UNASKED, "wave $wave was never asked for")
+        if (vm !in down && down.size >= cap) report(Rule.WAVE_CAP, "$vm goes down while $down are")
+        down.add(vm)
+    }
+
+    fun upkeepOver(wave: Long, vm: VmId) {
+        inUpkeep[wave]?.remove(vm)
+    }
+
+    fun members(run: RunId): Int = running.keys.count { it.task.step == run.task.step && it.number == run.number }
+
+    /** Checks that every accepted job is what it should be once the fleet has been calm for long. */
+    fun checkEnd(phase: (JobId) -> JobPhase?) {
+        for ((id, job) in jobs) {
+            val shown = phase(id)
+            val lasting = job.description.steps.any { it.lasting }
+            when {
+                !job.isAccepted || job.isCancelled -> Unit
+                shown == null -> report(Rule.LOST, "$id was accepted and is not known")
+                lasting -> checkLasting(id, job, shown)
+                shown == JobPhase.FAILED -> {
+                    val isTrue = failures.any { (task, count) -> task.step.job == id && count >= job.queue.attempts }
+                    if (!isTrue) report(Rule.LOST, "$id is shown as failed without cause")
+                }
+                shown != JobPhase.COMPLETE -> report(Rule.LOST, "$id was accepted and is $shown")
+                else -> checkComplete(id, job)
+            }
+        }
+    }
+
+    private fun checkLasting(id: JobId, job: Asked, shown: JobPhase) {
+        val wanted = job.description.steps.sumOf { it.count }
+        val runs = running.keys.count { it.task.step.job == id }
+        if (shown != JobPhase.ACTIVE || runs < wanted) report(Rule.LOST, "$id is $shown with $runs of $wanted runs")
+    }
+
+    private fun checkComplete(id: JobId, job: Asked) {
+        val open = job.description.steps.withIndex().flatMap { (number, step) ->
+            (0 until step.count).map { TaskId(StepId(id, occurrence = 0, number), it) }
+        }.filterNot { it in done }
+        if (open.isNotEmpty()) report(Rule.LOST, "$id is shown as complete, but not $open")
+    }
+
+    private fun checkRefusal(id: JobId, job: Asked) {
+        if (job.hasStarted && !job.isAccepted && job.refusals > 0) report(Rule.REFUSED, "$id starts though refused")
+    }
+
+    private fun checkRoom(worker: VirtualWorker, run: RunId, step: StepDescription, service: ServiceId) {
+        val here = running.filterValues { it === worker }.keys
+        val used = here.mapNotNull(::stepOf).fold(Resources.None) { sum, step -> sum + step.reserved }
+        val profile = worker.profile
+        val label = step.requiredLabel
+        val count = here.count { it.task.step == run.task.step }
+        when {
+            !used.fitsIn(profile.capacity) -> report(Rule.ROOM, "$run brings ${profile.life} to $used")
+            label != null && label !in profile.labels -> report(Rule.ROOM, "$run needs $label at ${profile.life}")
+            step.maxPerWorker in 1 until count -> report(Rule.ROOM, "$run is one of $count at ${profile.life}")
+            profile.service != service -> report(Rule.ROOM, "$run of $service starts in ${profile.service}")
+        }
+    }
+
+    private fun stepOf(run: RunId): StepDescription? =
+        jobs[run.task.step.job]?.description?.steps?.getOrNull(run.task.step.step)
+
+    private fun report(rule: Rule, detail: String) {
+        broken.add(Break(rule, now(), detail))
+    }
+
+    private class Asked(val description: JobDescription, val queue: Queue) {
+        var isAccepted = false
+        var refusals = 0
+        var hasStarted = false
+        var cancelledAt: MonotonicTime? = null
+        val isCancelled: Boolean
+            get() = cancelledAt != null
+    }
+
+    private class Away(val since: MonotonicTime, val isPlanned: Boolean)
+
+    private companion object {
+        val CANCEL_TIME: Duration = 3_000.milliseconds
+        val NOTICE_TIME: Duration = 4_500.milliseconds
+    }
+}
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/RuleOracleTest.kt
@@ -0,0 +1,154 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import org.auburnstream.model.VmId
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Each rule is kept by the coordinator, and its oracle notices a coordinator that breaks it. */
+class RuleOracleTest {
+    private val small = StepDescription(count = 3, demand = Resources(1_000, 100), estimateMs = 500)
+    private val lasting = small.copy(lasting = true, mayMiss = 1, maxPerWorker = 1)
+
+    private fun fleet(): VirtualFleet {
+        val fleet = VirtualFleet(seed = 3)
+        fleet.start()
+        repeat(4) { fleet.addWorker("w$it") }
+        fleet.run(300.milliseconds)
+        return fleet
+    }
+
+    /** Plays [load] as it is, which must keep [rule], and once more with [fault], which must break it. */
+    private fun check(rule: Rule, load: VirtualFleet.() -> Unit, fault: VirtualFleet.(Action) -> List<Action>) {
+        val sound = fleet().apply(load)
+        sound.run(40.seconds)
+        sound.checkEnd()
+        assertEquals(emptyList(), sound.broken)
+
+        val faulty = fleet()
+        faulty.mutate = { faulty.fault(it) }
+        faulty.load()
+        faulty.run(40.seconds)
+        faulty.checkEnd()
+        assertContains(faulty.broken.map { it.rule }, rule)
+    }
+
+    @Test
+    fun aTaskHasOneRunAtATime() = check(Rule.TWICE, { offer("job", small) }) { action ->
+        val others = workers.values.map { it.profile }
+        if (action is Action.Start) others.map { action.copy(worker = it) } else listOf(action)
+    }
+
+    @Test
+    fun aTaskThatIsDoneDoesNotStartAgain() = check(Rule.TWICE, { offer("job", small.copy(count = 1)) }) { action ->
+        if (action is Action.Start) at(5.seconds) { inject(later(action)) }
+        listOf(action)
+    }
+
+    @Test
+    fun aStepStartsAfterThoseThatItDependsOn() =
+        check(Rule.ORDER, { offer("job", small, small.copy(dependsOn = listOf(0))) }) { action ->
+            val run = (action as? Action.Start)?.run
+            if (run?.task?.step?.step != 0) return@check listOf(action)
+            val early = RunId(run.task.copy(step = run.task.step.copy(step = 1)), number = 1)
+            listOf(action, action.copy(run = early))
+        }
+
+    @Test
+    fun aTaskStartsNoMoreAfterItsAttempts() = check(
+        Rule.BUDGET,
+        {
+            workers.values.forEach { it.fails = true }
+            offer("job", small.copy(count = 1))
+        },
+    ) { action ->
+        if (action is Action.Start) at(15.seconds) { inject(later(action)) }
+        listOf(action)
+    }
+
+    @Test
+    fun noWorkerIsBroughtOverItsCapacity() = check(Rule.ROOM, { offer("job", small.copy(count = 8)) }) { action ->
+        listOf(if (action is Action.Start) action.copy(worker = workers.values.first().profile) else action)
+    }
+
+    @Test
+    fun noWorkerRunsMoreTasksOfAStepThanItMay() =
+        check(Rule.ROOM, { offer("job", small.copy(maxPerWorker = 1)) }) { action ->
+            listOf(if (action is Action.Start) action.copy(worker = workers.values.first().profile) else action)
+        }
+
+    @Test
+    fun theMembersOfAGangStartTogether() =
+        check(Rule.GANG, { offer("job", small.copy(gang = true, estimateMs = 9_000)) }) { action ->
+            if (action is Action.Start && action.run.task.index == 2) emptyList() else listOf(action)
+        }
+
+    @Test
+    fun nothingStartsThatNobodyAskedFor() = check(Rule.UNASKED, { offer("job", small) }) { action ->
+        listOf(if (action is Action.Start) action.copy(payload = "other") else action)
+    }
+
+    @Test
+    fun nothingStartsOnceItsJobWasCancelled() = check(
+        Rule.UNASKED,
+        {
+            offer("job", small.copy(estimateMs = 30_000))
+            at(1.seconds) { call { Event.CancelOffered(it, JobId("job")) } }
+        },
+    ) { action ->
+        if (action is Action.Start) at(9.seconds) { inject(later(action)) }
+        listOf(action)
+    }
+
+    @Test
+    fun nothingStartsThatWasRefused() = check(Rule.REFUSED, { offer("job", small) }) { action ->
+        val refusal = Reply.NotAccepted(RefusalReason.OVERLOADED, 1.seconds)
+        listOf(if (action is Action.Answer && action.reply == Reply.Accepted) action.copy(reply = refusal) else action)
+    }
+
+    @Test
+    fun nothingIsLostThatWasAccepted() = check(Rule.LOST, { offer("job", small) }) { action ->
+        if (action !is Action.Commit) return@check listOf(action)
+        val kept = action.batch.records.filterNot { it is Record.JobAccepted }
+        listOf(Action.Commit(action.batch.copy(records = kept)))
+    }
+
+    @Test
+    fun noJobIsShownAsCompleteBeforeItsTasksAreDone() = check(Rule.LOST, { offer("job", small) }) { action ->
+        if (action !is Action.Commit) return@check listOf(action)
+        // The end of a run that has just been claimed is made up.
+        val claims = action.batch.records.filterIsInstance<Record.RunClaimed>()
+        val ends = claims.map { Record.RunEnded(it.run, it.life, RunEnd.DONE) }
+        listOf(Action.Commit(action.batch.copy(records = action.batch.records + ends)))
+    }
+
+    @Test
+    fun plannedWorkEndsNoMoreLastingTasksThanMayBeMissed() = check(Rule.AVAILABILITY, {
+        offerWave(cap = 1)
+    }) { action ->
+        if (action !is Action.OrderUpkeep) return@check listOf(action)
+        val stops = workers.values.filter { it.isUp }.flatMap { worker ->
+            worker.rows().map { Action.Stop(worker.profile, it.run) }
+        }
+        stops + action
+    }
+
+    @Test
+    fun aWaveTakesDownNoMoreVmsThanItsCap() = check(Rule.WAVE_CAP, { offerWave(cap = 1) }) { action ->
+        if (action !is Action.OrderUpkeep) return@check listOf(action)
+        workers.values.filter { it.isUp }.map { action.copy(vm = checkNotNull(it.profile.vm)) }
+    }
+
+    private fun VirtualFleet.offerWave(cap: Int) {
+        offer("job", lasting)
+        val vms = List(4) { VmId("vm-w$it") }
+        at(1.seconds) { call { Event.WaveOffered(it, 7, vms, 30.seconds, cap) } }
+    }
+
+    private fun later(order: Action.Start): Action.Start =
+        order.copy(run = order.run.copy(number = order.run.number + 10), untilMs = order.untilMs + 60_000)
+}
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -13,7 +13,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Workers, the log and one leader at a time in virtual time, with an oracle that watches every start.
+ * Callers, workers, VMs, the log and one leader at a time in virtual time, with a [RuleOracle] that watches them.
  *
  * Orders and answers travel for a random time; workers can be silenced, crash and come back. A change of the leader
  * drops the coordinator with everything that it has in flight, except for orders that are on their way.
@@ -21,23 +21,47 @@
 internal class VirtualFleet(seed: Int, private val settings: SchedulingSettings = SchedulingSettings()) {
     val random = Random(seed)
     val state = SchedulerState(retentionMs = 150_000)
-    val broken = ArrayList<String>()
+    private val oracle = RuleOracle { now }
+    val broken: List<Break>
+        get() = oracle.broken
     val replies = HashMap<CallId, Reply>()
     val workers = LinkedHashMap<WorkerId, VirtualWorker>()
     var now = MonotonicTime.Zero
         private set
+
+    /** VMs that are on their way to another life. */
+    private val away = HashSet<VmId>()
+    private val maintained = HashSet<Pair<Long, VmId>>()
+
+    /** When each task started for the first time. */
+    val startedAt = HashMap<TaskId, MonotonicTime>()
+
+    /** Moves and maintenances that have begun. */
+    var moves = 0
+        private set
     private val agenda = PriorityQueue<Due>(compareBy({ it.at.nanoseconds }, { it.order }))
     private var order = 0L
     private var calls = 0L
     private var fence = 1L
     private var coordinator = Coordinator(state, settings, now)
     private var generation = 0
-    private val done = HashSet<TaskId>()
     var commitTime: Duration = 10.milliseconds
 
     /** Share of the orders that get no answer and are carried out seconds later. */
     var lateShare = 0.0
 
+    /** Replaces what the coordinator decides by what a faulty one would. */
+    var mutate: (Action) -> List<Action> = { listOf(it) }
+
+    /** VMs that refuse every order. */
+    val leaving = LinkedHashSet<VmId>()
+
+    /** Whether the platform still lists the VMs that are leaving. */
+    var isListedAway = true
+
+    /** VMs that are switched off. */
+    val spares = LinkedHashSet<VmId>()
+
     /** Runs between the application of a batch and the event that tells of it. */
     var betweenApplyAndEvent: () -> Unit = {}
 
@@ -66,7 +90,9 @@
     fun call(make: (CallId) -> Event): CallId {
         calls += 1
         val id = CallId(calls)
-        feed(make(id))
+        val event = make(id)
+        oracle.called(event)
+        feed(event)
         return id
     }
 
@@ -100,22 +126,23 @@
 
     fun phase(id: String): JobPhase? = state.jobs[JobId(id)]?.phase
 
-    /** Notes a start and checks what must hold at that moment. */
-    fun started(worker: VirtualWorker, run: RunId) {
-        val elsewhere = workers.values.filter { it.runs(run.task) }
-        if (elsewhere.isNotEmpty()) broken.add("$now: ${run.task} runs twice, on ${worker.profile.life}")
-        if (run.task in done) broken.add("$now: ${run.task} starts after it was done")
-        val description = state.jobs[run.task.step.job]?.description ?: return broken.add("$now: $run unasked").let { }
-        val open = description.steps[run.task.step.step].dependsOn.filter { earlier ->
-            val count = description.steps[earlier].count
-            (0 until count).any { TaskId(run.task.step.copy(step = earlier), it) !in done }
-        }
-        if (open.isNotEmpty()) broken.add("$now: $run starts before steps $open are done")
+    fun started(worker: VirtualWorker, order: Action.Start) {
+        oracle.started(worker, order)
+        startedAt.putIfAbsent(order.run.task, now)
     }
 
-    fun finished(run: RunId) {
-        done.add(run.task)
-    }
+    fun ended(run: RunId, how: RunEnd) = oracle.ended(run, how)
+
+    fun planned(worker: VirtualWorker, run: RunId) = oracle.planned(worker, run)
+
+    /** Whether every member of the gang works under the number of [run]. */
+    fun isWhole(run: RunId, count: Int): Boolean = oracle.members(run) == count
+
+    /** Checks that nothing that was accepted is lost. */
+    fun checkEnd() = oracle.checkEnd { state.jobs[it]?.phase }
+
+    /** Has the leader's side carry out [action], whatever the coordinator decides. */
+    fun inject(action: Action) = carryOut(action, generation)
 
     private fun tick() {
         val own = generation
@@ -125,13 +152,16 @@
 
     private fun feed(event: Event, from: Int) {
         if (from != generation) return
-        coordinator.handle(event, now, nowMs).forEach { carryOut(it, from) }
+        coordinator.handle(event, now, nowMs).flatMap(mutate).forEach { carryOut(it, from) }
     }
 
     private fun carryOut(action: Action, from: Int) {
         when (action) {
             is Action.Commit -> at(commitTime) { commit(action.batch, from) }
-            is Action.Answer -> replies[action.call] = action.reply
+            is Action.Answer -> {
+                replies[action.call] = action.reply
+                oracle.answered(action.call, action.reply)
+            }
             is Action.Start -> order(action.worker, { it.start(action, fenceOf(from)) }) {
                 feed(Event.StartAnswered(action.worker.life, action.run, it), from)
             }
@@ -141,11 +171,66 @@
             is Action.Look -> look(action, from)
             is Action.Pace, is Action.AskAdvice, is Action.Note -> Unit
             is Action.OrderUpkeep -> at(travel()) {
-                feed(Event.UpkeepAnswered(action.wave, action.vm, UpkeepAnswer.BEGUN), from)
+                feed(Event.UpkeepAnswered(action.wave, action.vm, upkeep(action)), from)
+            }
+            is Action.OrderMove -> at(travel()) { feed(Event.MoveAnswered(action.vm, move(action)), from) }
+            Action.ListVms -> at(travel()) { feed(Event.VmsListed(listVms()), from) }
+        }
+    }
+
+    private fun upkeep(order: Action.OrderUpkeep): UpkeepAnswer {
+        val isBusy = order.vm in away || order.vm in leaving
+        val worker = workerOn(order.vm) ?: return if (isBusy) UpkeepAnswer.BUSY else UpkeepAnswer.UNKNOWN_VM
+        if (order.wave to order.vm in maintained) return UpkeepAnswer.BEGUN
+        maintained.add(order.wave to order.vm)
+        oracle.upkeepBegun(order.wave, order.vm)
+        restart(worker, worker.profile.service, settings.upkeepTime) { oracle.upkeepOver(order.wave, order.vm) }
+        return UpkeepAnswer.BEGUN
+    }
+
+    private fun move(order: Action.OrderMove): UpkeepAnswer {
+        val worker = workerOn(order.vm)
+        return when {
+            worker != null && worker.profile.service == order.service -> UpkeepAnswer.BEGUN
+            worker != null -> UpkeepAnswer.BEGUN.also { restart(worker, order.service, MOVE_TIME) { } }
+            spares.remove(order.vm) -> UpkeepAnswer.BEGUN.also { join(order.vm, order.service, MOVE_TIME) { } }
+            order.vm in away -> UpkeepAnswer.BUSY
+            else -> UpkeepAnswer.UNKNOWN_VM
+        }
+    }
+
+    private fun restart(worker: VirtualWorker, service: ServiceId, after: Duration, over: () -> Unit) {
+        worker.endByOrder()
+        join(checkNotNull(worker.profile.vm), service, after, over)
+    }
+
+    private fun join(vm: VmId, service: ServiceId, after: Duration, over: () -> Unit) {
+        moves += 1
+        if (service == SPARE) {
+            spares.add(vm)
+            return
+        }
+        away.add(vm)
+        val name = "$vm-$order"
+        at(after) {
+            away.remove(vm)
+            over()
+            addWorker(name, service, vm)
+        }
+    }
+
+    private fun workerOn(vm: VmId): VirtualWorker? = workers.values.lastOrNull { it.profile.vm == vm && it.isUp }
+
+    private fun listVms(): List<ListedVm> {
+        val up = workers.values.filter { it.isUp }.mapNotNull { worker ->
+            worker.profile.vm?.let {
+                ListedVm(it, worker.profile.service.value, VmCondition.UP, worker.profile.life.worker)
             }
-            is Action.OrderMove -> at(travel()) { feed(Event.MoveAnswered(action.vm, UpkeepAnswer.BEGUN), from) }
-            Action.ListVms -> at(travel()) { feed(Event.VmsListed(emptyList()), from) }
         }
+        val gone = if (isListedAway) leaving else emptySet()
+        return up + gone.map { ListedVm(it, "", VmCondition.DOWN, null) } +
+            away.map { ListedVm(it, "", VmCondition.MOVING, null) } +
+            spares.map { ListedVm(it, SPARE.value, VmCondition.UP, null) }
     }
 
     private fun commit(batch: RecordBatch, from: Int) {
@@ -208,6 +293,8 @@
     companion object {
         const val EPOCH_MS = 1_700_000_000_000L
         val SERVICE = ServiceId("s")
+        val SPARE = ServiceId("spare")
+        val MOVE_TIME = 1_500.milliseconds
         val QUEUE =
             Queue(
                 QueueName("q"),
@@ -251,9 +338,16 @@
     fun crash() {
         isUp = false
         isReachable = false
+        running.forEach { (task, run) -> fleet.ended(RunId(task, run.number), RunEnd.LAPSED) }
         running.clear()
     }
 
+    /** Ends with all runs because the platform restarts the VM on an order. */
+    fun endByOrder() {
+        running.forEach { (task, run) -> fleet.planned(this, RunId(task, run.number)) }
+        crash()
+    }
+
     fun report() {
         if (!isUp) return
         sequence += 1
@@ -270,11 +364,19 @@
         if (order.untilMs <= clockMs) return OrderAnswer(OrderResult.LATE, clockMs)
         renew(order.untilMs)
         starts += 1
-        fleet.started(this, run)
-        running[run.task] = Running(run.number)
-        val step = fleet.state.jobs.getValue(run.task.step.job).description.steps[run.task.step.step]
+        fleet.started(this, order)
+        val savedMs = order.saved.toLongOrNull() ?: 0
+        running[run.task] = Running(run.number, savedMs, fleet.now)
+        val step = fleet.state.jobs[run.task.step.job]?.description?.steps?.getOrNull(run.task.step.step)
+            ?: return OrderAnswer(OrderResult.DONE, clockMs)
+        if (step.gang) {
+            fleet.at(GANG_TIME) {
+                val isAlone = running[run.task]?.number == run.number && !fleet.isWhole(run, step.count)
+                if (isAlone) end(run, RunEnd.ALONE)
+            }
+        }
         if (!step.lasting) {
-            fleet.at(step.estimateMs.milliseconds) {
+            fleet.at((step.estimateMs - savedMs).coerceAtLeast(1).milliseconds) {
                 if (running[run.task]?.number == run.number) end(run, if (fails) RunEnd.FAILED else RunEnd.DONE)
             }
         }
@@ -284,7 +386,10 @@
     fun stop(run: RunId, fence: Long): OrderAnswer {
         if (fence < highestFence) return OrderAnswer(OrderResult.FENCED, clockMs)
         highestFence = fence
-        if (running[run.task]?.number == run.number) end(run, RunEnd.STOPPED)
+        if (running[run.task]?.number == run.number) {
+            fleet.planned(this, run)
+            end(run, RunEnd.STOPPED)
+        }
         closed[run.task] = maxOf(closed[run.task] ?: 0, run.number)
         return OrderAnswer(OrderResult.DONE, clockMs)
     }
@@ -314,13 +419,24 @@
     }
 
     private fun end(run: RunId, how: RunEnd) {
-        running.remove(run.task)
+        val ending = running.remove(run.task)
         closed[run.task] = maxOf(closed[run.task] ?: 0, run.number)
         endNumber += 1
-        ended.add(EndedRow(endNumber, run, how, ""))
-        if (how == RunEnd.DONE) fleet.finished(run)
+        ended.add(EndedRow(endNumber, run, how, ending?.saved(run, how).orEmpty()))
+        fleet.ended(run, how)
         waiting?.invoke()
     }
 
-    private class Running(val number: Int)
+    /** What a task that saves its progress has worked when it is stopped, as its saved state. */
+    private fun Running.saved(run: RunId, how: RunEnd): String {
+        val step = fleet.state.jobs[run.task.step.job]?.description?.steps?.getOrNull(run.task.step.step)
+        if (how != RunEnd.STOPPED || step?.savesProgress != true) return ""
+        return (savedMs + (fleet.now - since).inWholeMilliseconds).toString()
+    }
+
+    private class Running(val number: Int, val savedMs: Long, val since: MonotonicTime)
+
+    private companion object {
+        val GANG_TIME: Duration = 3.seconds
+    }
 }
