Set workers aside whose tasks hardly progress

Cause: a worker that is slow or stands still looks healthy and keeps its share of the tasks, and all of them are late.

Change: the speed of a worker is the work that its tasks did per time that they ran, in relation to the median of all. Below 0.35, or at once when nothing moves, it gets no tasks for 3 s, and what is sooner over elsewhere is stopped. Looks at workers with tasks that end return each second.

Test: SlowWorkerTest; without the watch 40 of 600 jobs are late beside one worker at an eighth of the speed (now 6 at most), and a task that stands still never ends. With estimates wrong by a factor of e^0.9 (one standard deviation) no run is stopped.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -28,7 +28,8 @@
     private val intake = Intake(state, settings) { actions.add(it) }
     private val contacts = Contacts(state, settings)
     private val durations = DurationBook()
-    private val runs = RunControl(state, settings, contacts, durations, intake::record) { actions.add(it) }
+    private val progress = ProgressWatch(state, contacts, durations)
+    private val runs = RunControl(state, settings, contacts, durations, progress, intake::record) { actions.add(it) }
     private val availability = Availability(state, contacts)
     private val waitingSteps = WaitingSteps(durations)
     private val waves = WaveControl(state, settings, now)
@@ -233,6 +234,7 @@
             vmsDue = false
             decideWaves(now, nowMs)
             decidePools(now)
+            progress.decide(now).forEach { (run, life) -> runs.evacuate(run, life, cause = "slow worker", now) }
         }
         if (planDirty) plan(now, nowMs)
         val records = intake.take()
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -17,6 +17,7 @@
     private val settings: SchedulingSettings,
     private val contacts: Contacts,
     private val durations: DurationBook,
+    private val progress: ProgressWatch,
     private val record: (Record) -> Unit,
     private val act: (Action) -> Unit,
 ) {
@@ -143,6 +144,8 @@
         if (contact.lookedAt == null) contact.clock.assumeGranted(now, settings.maxLease)
         contact.lookedAt = sentAt
         contact.running = answer.running
+        answer.ended.filter { it.end == RunEnd.DONE }.forEach { progress.done(contact, it.run, now) }
+        progress.looked(contact, answer.running, now)
         takeEnds(contact, answer)
         reconcile(contact, answer, sentAt, now)
         paces.decide(contact, answer, now)
@@ -307,7 +310,7 @@
         val isOver = paces.isOver(contact.life)
         return when {
             isShared && isOver -> settings.servingLookWait / 2
-            isShared -> settings.servingLookWait
+            isShared || claims.values.any { !it.lasting } -> settings.servingLookWait
             else -> settings.lookWait
         }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -18,7 +18,7 @@
  * @property predecessorTime time after which nothing that an earlier leader granted is in force any more: its
  *   election timeout, the longest lease on a slow clock and a margin.
  * @property lookWait time that a worker holds a look back while nothing ends.
- * @property servingLookWait the same for a worker where tasks that fill run beside serving ones.
+ * @property servingLookWait the same for a worker whose tasks' progress, or the tails of whose serving tasks, matter.
  * @property orderTimeout time after which an order without an answer is uncertain.
  * @property retryInterval time between two tries of an order or look that was not answered.
  * @property noticeTime time for which a lasting task may be away before it counts as unavailable.
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -9,6 +9,7 @@
     val clock = WorkerClock()
     val orders = HashMap<RunId, Order>()
     val health = WorkerHealth()
+    val speed = WorkerSpeed()
 
     /** Sequence of the latest report. */
     var sequence = Long.MIN_VALUE
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerHealth.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerHealth.kt
@@ -31,6 +31,11 @@
     /** Notes an answer by which the worker itself says that it is unhealthy. */
     fun refused(now: MonotonicTime): Boolean = setAside(now)
 
+    /** Notes that tasks progress far slower here than elsewhere. */
+    fun slow(now: MonotonicTime) {
+        asideUntil = now + SLOW_ASIDE
+    }
+
     fun succeeded() {
         failuresInRow = 0
         lastFailedJob = null
@@ -51,6 +56,9 @@
         const val FAILURES_ASIDE = 3
         val FIRST_ASIDE: Duration = 1.seconds
 
+        // Half the time that workers usually stay slow; the next tasks tell whether it is over.
+        val SLOW_ASIDE: Duration = 3.seconds
+
         // Longest time aside: 8 s, about the length of a worker's usual trouble.
         const val MAX_DOUBLINGS = 3
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -50,6 +50,12 @@
     /** Share of the orders that get no answer and are carried out seconds later. */
     var lateShare = 0.0
 
+    /** Work of a task in ms, which its estimate need not tell. */
+    var workOf: (TaskId, StepDescription) -> Long = { _, step -> step.estimateMs }
+
+    /** Notes of the coordinator by their event. */
+    val notes = HashMap<String, Int>()
+
     /** Replaces what the coordinator decides by what a faulty one would. */
     var mutate: (Action) -> List<Action> = { listOf(it) }
 
@@ -169,7 +175,8 @@
                 feed(Event.StopAnswered(action.worker.life, action.run, it), from)
             }
             is Action.Look -> look(action, from)
-            is Action.Pace, is Action.AskAdvice, is Action.Note -> Unit
+            is Action.Pace, is Action.AskAdvice -> Unit
+            is Action.Note -> notes.merge(action.event, 1, Int::plus)
             is Action.OrderUpkeep -> at(travel()) {
                 feed(Event.UpkeepAnswered(action.wave, action.vm, upkeep(action)), from)
             }
@@ -331,7 +338,18 @@
     private val clockMs: Long
         get() = (fleet.now - startedAt).inWholeMilliseconds
 
-    fun rows(): List<RunningRow> = running.map { (task, run) -> RunningRow(RunId(task, run.number), "", percent = 100) }
+    /** Factor by which tasks that start here take longer. */
+    var slowness = 1.0
+
+    fun rows(): List<RunningRow> =
+        running.map { (task, run) -> RunningRow(RunId(task, run.number), "", percentOf(run)) }
+
+    private fun percentOf(run: Running): Int {
+        val workMs = run.workMs ?: return WHOLE
+        return ((run.savedMs + run.workedMs()) * WHOLE / workMs).toInt().coerceAtMost(WHOLE)
+    }
+
+    private fun Running.workedMs(): Long = ((fleet.now - since).inWholeMilliseconds / slowness).toLong()
 
     fun runs(task: TaskId): Boolean = isUp && task in running
 
@@ -365,18 +383,19 @@
         renew(order.untilMs)
         starts += 1
         fleet.started(this, order)
-        val savedMs = order.saved.toLongOrNull() ?: 0
-        running[run.task] = Running(run.number, savedMs, fleet.now)
         val step = fleet.state.jobs[run.task.step.job]?.description?.steps?.getOrNull(run.task.step.step)
-            ?: return OrderAnswer(OrderResult.DONE, clockMs)
+        val savedMs = order.saved.toLongOrNull() ?: 0
+        val workMs = step?.takeIf { !it.lasting }?.let { fleet.workOf(run.task, it) }
+        running[run.task] = Running(run.number, savedMs, fleet.now, workMs, slowness)
+        if (step == null) return OrderAnswer(OrderResult.DONE, clockMs)
         if (step.gang) {
             fleet.at(GANG_TIME) {
                 val isAlone = running[run.task]?.number == run.number && !fleet.isWhole(run, step.count)
                 if (isAlone) end(run, RunEnd.ALONE)
             }
         }
-        if (!step.lasting) {
-            fleet.at((step.estimateMs - savedMs).coerceAtLeast(1).milliseconds) {
+        if (workMs != null) {
+            fleet.at(((workMs - savedMs) * slowness).toLong().coerceAtLeast(1).milliseconds) {
                 if (running[run.task]?.number == run.number) end(run, if (fails) RunEnd.FAILED else RunEnd.DONE)
             }
         }
@@ -431,12 +450,19 @@
     private fun Running.saved(run: RunId, how: RunEnd): String {
         val step = fleet.state.jobs[run.task.step.job]?.description?.steps?.getOrNull(run.task.step.step)
         if (how != RunEnd.STOPPED || step?.savesProgress != true) return ""
-        return (savedMs + (fleet.now - since).inWholeMilliseconds).toString()
+        return (savedMs + workedMs()).toString()
     }
 
-    private class Running(val number: Int, val savedMs: Long, val since: MonotonicTime)
+    private class Running(
+        val number: Int,
+        val savedMs: Long,
+        val since: MonotonicTime,
+        val workMs: Long?,
+        val slowness: Double,
+    )
 
     private companion object {
         val GANG_TIME: Duration = 3.seconds
+        const val WHOLE = 100
     }
 }
