Empty those VMs first that nothing holds up

Cause: the VM with the least load was emptied first, though one long task that does not save its progress holds it up.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -69,7 +69,7 @@
         confirmedAt.keys.retainAll(state.moves.keys)
         repeatOrders(now, decision)
         noteIdle(now)
-        borrow(now, decision)
+        borrow(now, decision, remaining)
         giveBack(now, decision)
         evacuate(remaining, decision)
         return decision
@@ -128,9 +128,9 @@
         idle.forEach { idleSince.getOrPut(it) { now } }
     }
 
-    private fun borrow(now: MonotonicTime, decision: PoolDecision) {
+    private fun borrow(now: MonotonicTime, decision: PoolDecision, remaining: (RunId, WorkerLife) -> Duration) {
         val pools = pools()
-        val wasEmptying = HashSet(emptying)
+        val pass = Pass(now, decision, HashSet(emptying), remaining)
         emptying.clear()
         val needs = HashMap<ServiceId, Int>()
         for ((service, pool) in pools) {
@@ -144,7 +144,7 @@
             .forEach { (service, _) -> needs[service] = 1 }
         for ((service, missing) in needs.entries.sortedByDescending { it.value }) {
             val left = missing - borrowSpares(service, missing, now, decision)
-            if (left > 0) lend(service, left, pools.filterKeys { it !in needs }.values, wasEmptying, now, decision)
+            if (left > 0) lend(service, left, pools.filterKeys { it !in needs }.values, pass)
         }
     }
 
@@ -160,23 +160,18 @@
      * Lends up to [wanted] VMs of services that can do without them: those that run nothing at once, and others once
      * they are empty, until when they get no new tasks.
      */
-    private fun lend(
-        service: ServiceId,
-        wanted: Int,
-        donors: Collection<ServicePool>,
-        wasEmptying: Set<VmId>,
-        now: MonotonicTime,
-        decision: PoolDecision,
-    ) {
+    private fun lend(service: ServiceId, wanted: Int, donors: Collection<ServicePool>, pass: Pass) {
         val offers = donors.filter { it.service != service }.flatMap { pool -> pool.workers.map { pool to it } }
         var left = wanted
-        for ((pool, worker) in offers.sortedBy { (_, worker) -> state.loadOf(worker) }) {
+        val soonest =
+            compareBy<Pair<ServicePool, Worker>>({ (_, it) -> heldUpFor(it, pass) }, { (_, it) -> state.loadOf(it) })
+        for ((pool, worker) in offers.sortedWith(soonest)) {
             val vm = worker.profile.vm ?: continue
-            if (left == 0 || pool.surplus <= 0 || !isOnOffer(worker, vm, decision, now)) continue
+            if (left == 0 || pool.surplus <= 0 || !isOnOffer(worker, vm, pass.decision, pass.now)) continue
             val idle = idleSince[vm]
             when {
-                idle != null && (vm in wasEmptying || now - idle > DONOR_IDLE) ->
-                    decision.begin(vm, pool.service, service, worker.profile.life.bornMs)
+                idle != null && (vm in pass.wasEmptying || pass.now - idle > DONOR_IDLE) ->
+                    pass.decision.begin(vm, pool.service, service, worker.profile.life.bornMs)
                 idle != null || !canEmpty(worker) -> continue
                 else -> emptying.add(vm)
             }
@@ -185,6 +180,13 @@
         }
     }
 
+    /** Time that runs which cannot go on elsewhere hold up the move of [worker], in steps that ignore small differences. */
+    private fun heldUpFor(worker: Worker, pass: Pass): Long {
+        val life = worker.profile.life
+        val last = state.claimsAt(life).filterValues { !it.savesProgress }.keys.maxOfOrNull { pass.remaining(it, life) }
+        return ((last ?: Duration.ZERO) / WORTH_MOVING).toLong()
+    }
+
     private fun isOnOffer(worker: Worker, vm: VmId, decision: PoolDecision, now: MonotonicTime): Boolean {
         val isTaken = vm in state.moves || vm in emptying || decision.begins(vm)
         return !isTaken && !worker.isLeaving && isAllowed(vm, now)
@@ -206,9 +208,8 @@
         for (worker in state.workers.values.filter { it.profile.vm in emptying }) {
             val life = worker.profile.life
             val claims = state.claimsAt(life)
-            val (short, long) = claims.keys.partition { remaining(it, life) < WORTH_MOVING }
-            val canMove = long.isNotEmpty() && short.size <= long.size && long.all { claims.getValue(it).savesProgress }
-            if (!canMove) continue
+            val long = claims.keys.filter { remaining(it, life) >= WORTH_MOVING }
+            if (long.isEmpty() || !long.all { claims.getValue(it).savesProgress }) continue
             val targets = long.map { run ->
                 val step = claims.getValue(run)
                 val room = rooms.of(worker.profile.service).firstOrNull { it.fits(run.task.step, step) }
@@ -249,6 +250,13 @@
 
     private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusedUntil[vm]?.let { now >= it } ?: true
 
+    private class Pass(
+        val now: MonotonicTime,
+        val decision: PoolDecision,
+        val wasEmptying: Set<VmId>,
+        val remaining: (RunId, WorkerLife) -> Duration,
+    )
+
     private class Shortage(val since: MonotonicTime) {
         var need = Unplaced()
     }
