Let a new leader order VMs that nobody ordered lately at once

Cause: each change of the leader cost four seconds of worth, though the next leader was there within one second. It ordered no VM for three more seconds, since an earlier leader's order could still arrive, and an idle worker got no tasks until its next report.

Change: the log names every VM that an earlier leader can have ordered; only these wait. A new leader looks at idle workers as well.

RuleOracle has a rule and a mutant for two leaders.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -32,8 +32,9 @@
     private val runs = RunControl(state, settings, contacts, durations, progress, intake::record) { actions.add(it) }
     private val availability = Availability(state, contacts)
     private val waitingSteps = WaitingSteps(durations)
-    private val waves = WaveControl(state, settings, now)
-    private val pools = PoolControl(state, settings, now)
+    private val succession = Succession(state, settings, now)
+    private val waves = WaveControl(state, settings, now, succession)
+    private val pools = PoolControl(state, now, succession)
     private val firstOrders = HashSet<VmId>()
     private val advice = AdviceBook()
     private var committing: RecordBatch? = null
@@ -80,6 +81,8 @@
         if (!isLate) {
             contact.sequence = event.sequence
             contact.heard(now, event.clockMs)
+            // A report proves as much as a look where nothing runs.
+            if (state.claimsAt(life).isEmpty()) contact.failedLooks = 0
         }
         intake.offer(event)
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -19,8 +19,8 @@
  */
 internal class PoolControl(
     private val state: SchedulerState,
-    private val settings: SchedulingSettings,
     private val startedAt: MonotonicTime,
+    private val succession: Succession,
 ) {
     private val shortages = HashMap<ServiceId, Shortage>()
     private val idleSince = HashMap<VmId, MonotonicTime>()
@@ -64,7 +64,6 @@
      */
     fun decide(now: MonotonicTime, remaining: (RunId, WorkerLife) -> Duration): PoolDecision {
         val decision = PoolDecision()
-        if (now - startedAt < settings.succession) return decision
         finish(now, decision)
         confirmedAt.keys.retainAll(state.moves.keys)
         repeatOrders(now, decision)
@@ -115,7 +114,7 @@
     private fun repeatOrders(now: MonotonicTime, decision: PoolDecision) {
         for ((vm, move) in state.moves) {
             val isDue = orderedAt[vm]?.let { now - it > ORDER_RETRY } ?: true
-            if (!move.isConfirmed && isDue) decision.orders.add(vm to move.to)
+            if (!move.isConfirmed && isDue && succession.mayOrder(vm, now)) decision.orders.add(vm to move.to)
         }
     }
 
@@ -180,7 +179,7 @@
         }
     }
 
-    /** Time that runs which cannot go on elsewhere hold up the move of [worker], in steps that ignore small differences. */
+    /** Time for which runs that cannot go on elsewhere hold up a move, in steps that ignore small differences. */
     private fun heldUpFor(worker: Worker, pass: Pass): Long {
         val life = worker.profile.life
         val last = state.claimsAt(life).filterValues { !it.savesProgress }.keys.maxOfOrNull { pass.remaining(it, life) }
@@ -248,7 +247,8 @@
 
     private fun spareService(): ServiceId? = state.catalog?.services?.firstOrNull { it.spare }?.service
 
-    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusedUntil[vm]?.let { now >= it } ?: true
+    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean =
+        succession.mayOrder(vm, now) && refusedUntil[vm]?.let { now >= it } ?: true
 
     private class Pass(
         val now: MonotonicTime,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -202,6 +202,9 @@
             repeatStops(contact, now)
             look(contact, now)
         }
+        // A new leader asks idle workers as well, so that it need not wait for their next reports.
+        state.workers.values.map { contacts.of(it.profile.life, now) }.filter { it.heardAt == null }
+            .forEach { look(it, now) }
     }
 
     private fun takeEnds(contact: WorkerContact, answer: LookAnswer) {
@@ -291,7 +294,8 @@
     private fun look(contact: WorkerContact, now: MonotonicTime) {
         val worker = state.worker(contact.life) ?: return
         val isDue = contact.lookingSince == null && now >= contact.nextLook
-        if (!isDue || state.claimsAt(contact.life).isEmpty()) return
+        val isOfInterest = contact.heardAt == null || state.claimsAt(contact.life).isNotEmpty()
+        if (!isDue || !isOfInterest) return
         // Ends that wait to be recorded would make the worker answer at once, with nothing new.
         if (recorded.any { it.second == contact.life }) return
         contact.lookingSince = now
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -25,6 +25,10 @@
     private val waveTable = LinkedHashMap<Long, Wave>()
     private val moveTable = LinkedHashMap<VmId, Move>()
     private val homeTable = LinkedHashMap<VmId, ServiceId>()
+    private val orderTable = LinkedHashMap<VmId, Long>()
+
+    /** Latest time of day of any batch, in Unix milliseconds. */
+    private var latestMs = 0L
     private val activeJobs = LinkedHashMap<JobId, Job>()
     private val claimTable = HashMap<WorkerLife, LinkedHashMap<RunId, StepDescription>>()
     private val overJobs = ArrayDeque<Job>()
@@ -77,9 +81,21 @@
     public fun waiting(queue: QueueName): Int =
         activeJobs.values.count { it.queue.name == queue && !it.hasStarted && it.description.schedule == null }
 
+    /**
+     * Returns the VMs for which an order may have gone out within [withinMs] before the latest batch, and those whose
+     * order is not confirmed.
+     */
+    public fun recentlyOrdered(withinMs: Long): Set<VmId> {
+        val unconfirmed = moveTable.filterValues { !it.isConfirmed }.keys +
+            waveTable.values.flatMap { it.begun.keys - it.confirmed - it.ended }
+        return unconfirmed + orderTable.filterValues { it >= latestMs - withinMs }.keys
+    }
+
     /** Applies [batch]. */
     public fun apply(batch: RecordBatch) {
         batch.records.forEach { apply(it, batch.atMs) }
+        latestMs = maxOf(latestMs, batch.atMs)
+        batch.records.forEach { record -> orderedVm(record)?.let { orderTable[it] = batch.atMs } }
         forget(batch.atMs)
     }
 
@@ -92,11 +108,14 @@
         waves = waveTable.values.toList(),
         moves = HashMap(moveTable),
         homes = HashMap(homeTable),
+        orders = HashMap(orderTable),
+        latestMs = latestMs,
     )
 
     /** Replaces the state by [image]. */
     public fun restore(image: StateImage) {
-        listOf(jobTable, workerTable, waveTable, moveTable, homeTable, activeJobs, claimTable).forEach { it.clear() }
+        listOf(jobTable, workerTable, waveTable, moveTable, homeTable, orderTable, activeJobs, claimTable)
+            .forEach { it.clear() }
         overJobs.clear()
         catalog = image.catalog
         document = image.document
@@ -104,6 +123,8 @@
         image.waves.forEach { waveTable[it.number] = it }
         moveTable.putAll(image.moves)
         homeTable.putAll(image.homes)
+        orderTable.putAll(image.orders)
+        latestMs = image.latestMs
         for (job in image.jobs) {
             jobTable[job.id] = job
             if (job.isActive) activeJobs[job.id] = job
@@ -151,6 +172,17 @@
         }
     }
 
+    /** VM that the record tells of an order for, or null. */
+    private fun orderedVm(record: Record): VmId? = when (record) {
+        is Record.MoveBegun -> record.vm
+        is Record.MoveConfirmed -> record.vm
+        is Record.MoveRefused -> record.vm
+        is Record.UpkeepBegun -> record.vm
+        is Record.UpkeepConfirmed -> record.vm
+        is Record.UpkeepRefused -> record.vm
+        else -> null
+    }
+
     private fun accept(record: Record.CatalogAccepted) {
         val current = catalog
         if (current != null && record.catalog.version <= current.version) return
@@ -321,6 +353,8 @@
     public val waves: List<Wave>,
     public val moves: Map<VmId, Move> = emptyMap(),
     public val homes: Map<VmId, ServiceId> = emptyMap(),
+    public val orders: Map<VmId, Long> = emptyMap(),
+    public val latestMs: Long = 0,
 )
 
 /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -15,6 +15,7 @@
  * @property stopTime longest time from the order to stop a run to its end.
  * @property earlyStart time by which an occurrence may start before it is due; half of it is used.
  * @property succession time for which another leader's orders for a VM may still arrive.
+ * @property maxClockSkew most by which the clocks of two leaders differ.
  * @property predecessorTime time after which nothing that an earlier leader granted is in force any more: its
  *   election timeout, the longest lease on a slow clock and a margin.
  * @property lookWait time that a worker holds a look back while nothing ends.
@@ -34,6 +35,7 @@
     val stopTime: Duration = 900.milliseconds,
     val earlyStart: Duration = 250.milliseconds,
     val succession: Duration = 3.seconds,
+    val maxClockSkew: Duration = 5.seconds,
     val predecessorTime: Duration = maxLease * (1 + 2 * clockSlowness) + 3500.milliseconds,
     val lookWait: Duration = 2.seconds,
     val servingLookWait: Duration = 1.seconds,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -16,6 +16,7 @@
     private val state: SchedulerState,
     private val settings: SchedulingSettings,
     private val startedAt: MonotonicTime,
+    private val succession: Succession,
 ) {
     private val emptying = HashMap<VmId, MonotonicTime>()
     private val ordered = HashMap<VmId, Ordered>()
@@ -61,7 +62,6 @@
         val orders = ArrayList<Pair<Long, VmId>>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
         val pass = Pass(now, nowMs, workers, availability)
-        if (now - startedAt < settings.succession) return WaveDecision(pass.records, orders, emptyMap())
         for (wave in state.waves.values) {
             if (wave.isComplete) continue
             for (vm in wave.begun.keys.filter { it !in wave.ended }) {
@@ -70,7 +70,7 @@
                 if (isConfirmed && bornMs > wave.begun.getValue(vm)) {
                     pass.records.add(Record.UpkeepEnded(wave.number, vm))
                     ordered.remove(vm)
-                } else if (!isConfirmed && retryIsDue(vm, now)) {
+                } else if (!isConfirmed && retryIsDue(vm, now) && succession.mayOrder(vm, now)) {
                     orders.add(wave.number to vm)
                 }
             }
@@ -203,7 +203,8 @@
 
     private fun isEmpty(worker: Worker): Boolean = state.claimsAt(worker.profile.life).values.all { it.lasting }
 
-    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean = refusals[vm]?.let { now >= it.until } ?: true
+    private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean =
+        succession.mayOrder(vm, now) && refusals[vm]?.let { now >= it.until } ?: true
 
     private fun retryIsDue(vm: VmId, now: MonotonicTime): Boolean {
         val order = ordered[vm] ?: return true
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/RuleOracle.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/RuleOracle.kt
@@ -9,7 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What must always hold, each as callers, workers and the platform see it. */
-internal enum class Rule { TWICE, ORDER, BUDGET, ROOM, GANG, UNASKED, REFUSED, LOST, AVAILABILITY, WAVE_CAP }
+internal enum class Rule { TWICE, ORDER, BUDGET, ROOM, GANG, UNASKED, REFUSED, LOST, AVAILABILITY, WAVE_CAP, ONE }
 
 /** A rule that was seen to be broken. */
 internal data class Break(val rule: Rule, val at: MonotonicTime, val detail: String) {
@@ -31,6 +31,7 @@
     private val failures = HashMap<TaskId, Int>()
     private val away = HashMap<TaskId, Away>()
     private val waves = HashMap<Long, Int>()
+    private val holders = HashMap<VmId, Holder>()
     private val inUpkeep = HashMap<Long, HashSet<VmId>>()
 
     fun called(event: Event) {
@@ -109,6 +110,14 @@
         away[run.task] = Away(now(), isPlanned = true)
     }
 
+    /** Notes that an order for [vm] under the leader's token [fence] has arrived at the platform. */
+    fun vmOrdered(vm: VmId, fence: Long) {
+        val last = holders.put(vm, Holder(fence, now()))
+        if (last == null || last.fence == fence) return
+        if (fence < last.fence) report(Rule.ONE, "$vm is ordered by leader $fence after leader ${last.fence}")
+        if (now() - last.at < LEASE) report(Rule.ONE, "$vm is ordered by two leaders within ${now() - last.at}")
+    }
+
     fun upkeepBegun(wave: Long, vm: VmId) {
         val down = inUpkeep.getOrPut(wave) { HashSet() }
         val cap = waves[wave] ?: return report(Rule.UNASKED, "wave $wave was never asked for")
@@ -190,7 +199,10 @@
 
     private class Away(val since: MonotonicTime, val isPlanned: Boolean)
 
+    private class Holder(val fence: Long, val at: MonotonicTime)
+
     private companion object {
+        val LEASE: Duration = 3_000.milliseconds
         val CANCEL_TIME: Duration = 3_000.milliseconds
         val NOTICE_TIME: Duration = 4_500.milliseconds
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/RuleOracleTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/RuleOracleTest.kt
@@ -143,6 +143,19 @@
         workers.values.filter { it.isUp }.map { action.copy(vm = checkNotNull(it.profile.vm)) }
     }
 
+    @Test
+    fun noVmIsOrderedByTwoLeadersInTurn() = check(
+        Rule.ONE,
+        {
+            offerWave(cap = 4)
+            at(1_100.milliseconds) { changeLeader() }
+        },
+    ) { action ->
+        // The next leader repeats at once what the earlier one may have ordered.
+        if (action is Action.OrderUpkeep) at(500.milliseconds) { inject(action) }
+        listOf(action)
+    }
+
     private fun VirtualFleet.offerWave(cap: Int) {
         offer("job", lasting)
         val vms = List(4) { VmId("vm-w$it") }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -137,7 +137,14 @@
         startedAt.putIfAbsent(order.run.task, now)
     }
 
-    fun ended(run: RunId, how: RunEnd) = oracle.ended(run, how)
+    /** Notes the end of a run; the other members of a gang end with it. */
+    fun ended(run: RunId, how: RunEnd) {
+        oracle.ended(run, how)
+        val step = state.jobs[run.task.step.job]?.description?.steps?.getOrNull(run.task.step.step)
+        if (step?.gang != true || how == RunEnd.BROKEN) return
+        val others = if (how == RunEnd.DONE) RunEnd.DONE else RunEnd.BROKEN
+        workers.values.toList().forEach { it.endMembers(run, others) }
+    }
 
     fun planned(worker: VirtualWorker, run: RunId) = oracle.planned(worker, run)
 
@@ -178,9 +185,13 @@
             is Action.Pace, is Action.AskAdvice -> Unit
             is Action.Note -> notes.merge(action.event, 1, Int::plus)
             is Action.OrderUpkeep -> at(travel()) {
+                oracle.vmOrdered(action.vm, fenceOf(from))
                 feed(Event.UpkeepAnswered(action.wave, action.vm, upkeep(action)), from)
             }
-            is Action.OrderMove -> at(travel()) { feed(Event.MoveAnswered(action.vm, move(action)), from) }
+            is Action.OrderMove -> at(travel()) {
+                oracle.vmOrdered(action.vm, fenceOf(from))
+                feed(Event.MoveAnswered(action.vm, move(action)), from)
+            }
             Action.ListVms -> at(travel()) { feed(Event.VmsListed(listVms()), from) }
         }
     }
@@ -356,8 +367,9 @@
     fun crash() {
         isUp = false
         isReachable = false
-        running.forEach { (task, run) -> fleet.ended(RunId(task, run.number), RunEnd.LAPSED) }
+        val lost = running.map { (task, run) -> RunId(task, run.number) }
         running.clear()
+        lost.forEach { fleet.ended(it, RunEnd.LAPSED) }
     }
 
     /** Ends with all runs because the platform restarts the VM on an order. */
@@ -427,6 +439,12 @@
         fleet.at(action.wait) { if (waiting === answer) answer() }
     }
 
+    /** Ends the members of the gang of [run] that work here. */
+    fun endMembers(run: RunId, how: RunEnd) {
+        running.filter { (task, member) -> task.step == run.task.step && member.number == run.number }
+            .forEach { (task, member) -> end(RunId(task, member.number), how) }
+    }
+
     private fun renew(untilMs: Long) {
         leaseMs = maxOf(leaseMs, minOf(untilMs, clockMs + 6_000))
         val until = leaseMs
@@ -438,10 +456,10 @@
     }
 
     private fun end(run: RunId, how: RunEnd) {
-        val ending = running.remove(run.task)
+        val ending = running.remove(run.task) ?: return
         closed[run.task] = maxOf(closed[run.task] ?: 0, run.number)
         endNumber += 1
-        ended.add(EndedRow(endNumber, run, how, ending?.saved(run, how).orEmpty()))
+        ended.add(EndedRow(endNumber, run, how, ending.saved(run, how)))
         fleet.ended(run, how)
         waiting?.invoke()
     }
