Log the end of each job

Cause: the line for a job that is over compared the time at which its batch was applied with the time of the batch, which differ by the commit, so it was never written.

Change: the batch's own time is compared, and a job whose last runs end in one batch is noted once. CoordinatorTest counts the line and fails without either part (none, and two).

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.scheduling
 
+import org.auburnstream.model.JobId
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
@@ -55,7 +56,7 @@
             is Event.WaveOffered -> intake.offer(event, nowMs)
             is Event.WorkerReported -> report(event, now)
             is Event.WorkerLeft -> intake.offer(event)
-            is Event.BatchApplied -> applied(now, nowMs)
+            is Event.BatchApplied -> applied(now)
             is Event.BatchRejected -> rejected()
             is Event.StartAnswered -> runs.startAnswered(event, now)
             is Event.StopAnswered -> runs.stopAnswered(event, now)
@@ -163,7 +164,7 @@
             .forEach { intake.record(Record.WorkerGone(it.profile.life)) }
     }
 
-    private fun applied(now: MonotonicTime, nowMs: Long) {
+    private fun applied(now: MonotonicTime) {
         val batch = committing ?: return
         committing = null
         runs.settled()
@@ -185,10 +186,11 @@
         }
         runs.afterCommit(now)
         planDirty = true
-        logBatch(batch, nowMs)
+        logBatch(batch)
     }
 
-    private fun logBatch(batch: RecordBatch, nowMs: Long) {
+    private fun logBatch(batch: RecordBatch) {
+        val over = HashSet<JobId>()
         for (record in batch.records) {
             when (record) {
                 is Record.JobAccepted -> note("job_accepted", "job" to record.id, "queue" to record.queue.name)
@@ -203,7 +205,7 @@
                 is Record.WorkerGone -> note("worker_gone", "worker" to record.life)
                 is Record.RunClaimed -> note("run_claimed", "run" to record.run, "worker" to record.life)
                 is Record.RunReleased -> note("run_released", "run" to record.run, "worker" to record.life)
-                is Record.RunEnded -> noteEnd(record, nowMs)
+                is Record.RunEnded -> noteEnd(record, batch.atMs, over)
                 is Record.WaveAccepted -> note("wave_accepted", "wave" to record.wave, "vms" to record.vms.size)
                 is Record.UpkeepBegun -> note("upkeep_begun", "wave" to record.wave, "vm" to record.vm)
                 is Record.UpkeepEnded -> note("upkeep_ended", "wave" to record.wave, "vm" to record.vm)
@@ -216,11 +218,12 @@
         }
     }
 
-    private fun noteEnd(record: Record.RunEnded, nowMs: Long) {
+    /** Notes the end of a run, and that of its job once; [over] has the jobs whose end was noted. */
+    private fun noteEnd(record: Record.RunEnded, atMs: Long, over: MutableSet<JobId>) {
         note("run_ended", "run" to record.run, "worker" to record.life, "end" to record.end)
         val job = state.jobs[record.run.task.step.job] ?: return
-        if (!job.isActive && job.endedMs == nowMs) {
-            note("job_over", "job" to job.id, "phase" to job.phase, "age_ms" to nowMs - job.acceptedMs)
+        if (!job.isActive && job.endedMs == atMs && over.add(job.id)) {
+            note("job_over", "job" to job.id, "phase" to job.phase, "age_ms" to atMs - job.acceptedMs)
         }
     }
 
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
@@ -30,6 +30,7 @@
         assertEquals(Reply.Accepted, fleet.replies[call])
         assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
         assertEquals(emptyList(), fleet.broken)
+        assertEquals(1, fleet.notes["job_over"], "the log tells of the job's end")
     }
 
     @Test
