--- a/testkit/src/test/kotlin/org/auburnstream/testkit/daemons/BadInputTest.kt
+++ b/testkit/src/test/kotlin/org/auburnstream/testkit/daemons/BadInputTest.kt
@@ -71,9 +71,10 @@
 
         assertIs<CallerResult.Answered>(deployment.awaitAnswer(0, "/print/after"))
         // The log is written by a thread of its own and may come after the answer.
-        deployment[0].child.await("the line of a refused link", 10.seconds) {
-            "event=link_refused".takeIf { it in deployment[0].child.text() }
-        }
+        val child = deployment[0].child
+        val line = "event=link_refused"
+        child.await("the line of a refused link", 10.seconds) { line.takeIf { it in child.text() } }
+        assertContains(child.text(), line)
     }
 
     private class Case(val port: Int, val input: String, val status: String, val type: String)
