Log what decides that a lease has run out

From the log alone an early release and a right one looked alike. A release now tells the end of the grant, the reading of the worker's clock with its age, the last look and the age of the contact; a claim tells the lease that its order grants; an unknown run tells where its task runs besides; a release of a run that was not listed tells what was known of its order. auburnstream_events_total counts the lines by event.

One line for each claim as before: it moves from the batch to the order. No decision changes.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -83,7 +83,10 @@
         when (action) {
             is Action.Commit -> commitBatch(action.batch)
             is Action.Answer -> calls.remove(action.call)?.invoke(action.reply)
-            is Action.Note -> log.note(action.event, action.fields)
+            is Action.Note -> {
+                metrics.noted(action.event)
+                log.note(action.event, action.fields)
+            }
             else -> {
                 // An order of a leader that was frozen must not go out before a quorum has confirmed it again.
                 if (!isConfirmed()) {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
@@ -25,6 +25,10 @@
         Counter.builder().name("auburnstream_orders_total").help("Orders sent to workers and the platform, by kind.")
             .labelNames("kind").register(registry)
     }
+    private val events by lazy {
+        Counter.builder().name("auburnstream_events_total").help("Decisions and changes of belief, by log event.")
+            .labelNames("event").register(registry)
+    }
     private val commitTime by lazy {
         Histogram.builder().name("auburnstream_commit_seconds").help("Time from proposal to commitment of a batch.")
             .classicOnly().classicUpperBounds(*SECONDS).register(registry)
@@ -44,6 +48,11 @@
         orders.labelValues(action.javaClass.simpleName.lowercase()).inc()
     }
 
+    /** Counts a line of the log, also one that was dropped. */
+    public fun noted(event: String) {
+        events.labelValues(event).inc()
+    }
+
     /** Counts a batch of [count] records that took [elapsed] to commit. */
     public fun committed(elapsed: Duration, count: Int) {
         commitTime.observe(elapsed.toDouble(DurationUnit.SECONDS))
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -203,7 +203,6 @@
                     "leaving" to record.leaving,
                 )
                 is Record.WorkerGone -> note("worker_gone", "worker" to record.life)
-                is Record.RunClaimed -> note("run_claimed", "run" to record.run, "worker" to record.life)
                 is Record.RunReleased -> note("run_released", "run" to record.run, "worker" to record.life)
                 is Record.RunEnded -> noteEnd(record, batch.atMs, over)
                 is Record.WaveAccepted -> note("wave_accepted", "wave" to record.wave, "vms" to record.vms.size)
@@ -213,6 +212,8 @@
                 is Record.MoveBegun -> note("move_begun", "vm" to record.vm, "from" to record.from, "to" to record.to)
                 is Record.MoveEnded -> note("move_ended", "vm" to record.vm)
                 is Record.MoveRefused -> note("move_refused", "vm" to record.vm)
+                // The line of a claim tells of its order as well, which is sent just after.
+                is Record.RunClaimed -> Unit
                 is Record.MoveConfirmed, is Record.UpkeepConfirmed, is Record.EndsNoted -> Unit
             }
         }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -46,7 +46,7 @@
         val worker = state.worker(claim.life)
         val job = state.active[claim.run.task.step.job]
         val isClaimed = claim.run in state.claimsAt(claim.life)
-        if (!isClaimed) return
+        if (!isClaimed) return note("run_not_claimed", "run" to claim.run, "worker" to claim.life)
         val contact = contacts.of(claim.life, now)
         val isGone = worker == null || worker.isLeaving || !contact.clock.isKnown
         if (job == null || worker == null || isGone) {
@@ -58,6 +58,13 @@
         val progress = job.step(claim.run.task.step)
         val saved = if (description.gang) progress.saved else progress.tasks[claim.run.task.index].saved
         val until = contact.clock.grant(now, settings.maxLease)
+        note(
+            "run_claimed",
+            "run" to claim.run,
+            "worker" to claim.life,
+            "until_ms" to until,
+            "clock_age_ms" to contact.clock.readingAge(now)?.inWholeMilliseconds,
+        )
         act(Action.Start(worker.profile, claim.run, job.description.payload, until, saved, ticket))
     }
 
@@ -125,7 +132,7 @@
         if (answer == null) {
             contact.failedLooks += 1
             contact.nextLook = now + settings.retryInterval
-            if (contact.failedLooks == 1) note("worker_silent", "worker" to event.life)
+            if (contact.failedLooks == 1) note("worker_silent", contact.leaseFields(now), "worker" to event.life)
             return
         }
         val isOther = answer.otherLife || (answer.bornMs != null && answer.bornMs != event.life.bornMs)
@@ -196,7 +203,8 @@
         for (life in state.claimedLives.toList()) {
             val contact = contacts.of(life, now)
             if (state.worker(life) == null || (contact.failedLooks > 0 && contact.hasLapsed(now, settings))) {
-                state.claimsAt(life).keys.filter { it !in unsent }.forEach { release(it, life, "lease ran out") }
+                val inputs = contact.leaseFields(now)
+                state.claimsAt(life).keys.filter { it !in unsent }.forEach { release(it, life, "lease ran out", inputs) }
                 continue
             }
             repeatStops(contact, now)
@@ -231,12 +239,14 @@
             val isHere = run in running
             if (isHere) noteStarted(contact, run, sentAt, now)
             val isOpen = isHere || run in listed || (run to life) in recorded
-            if (!isOpen && isSettled(contact.orders[run], sentAt)) release(run, life, "not listed")
+            val order = contact.orders[run]
+            if (!isOpen && isSettled(order, sentAt)) release(run, life, "not listed", orderFields(order, sentAt))
             val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task)
             if (isHere && isOver) stop(run, life, now)
         }
         running.keys.filter { it !in claims && (it to life) !in recorded }.forEach { run ->
-            note("unknown_run", "run" to run, "worker" to life)
+            val elsewhere = state.task(run.task)?.claims?.map { "${it.life}#${it.number}" }
+            note("unknown_run", "run" to run, "worker" to life, "claimed_at" to elsewhere)
             state.worker(life)?.let { act(Action.Stop(it.profile, run)) }
         }
     }
@@ -254,6 +264,13 @@
         return since != null && since <= sentAt
     }
 
+    /** How long before a look sent at [sentAt] the order was sent and answered, for the log. */
+    private fun orderFields(order: Order?, sentAt: MonotonicTime): List<Pair<String, Any?>> = listOf(
+        "sent_before_ms" to order?.let { (sentAt - it.sentAt).inWholeMilliseconds },
+        "started_before_ms" to order?.startedAt?.let { (sentAt - it).inWholeMilliseconds },
+        "stopped_before_ms" to order?.stoppedAt?.let { (sentAt - it).inWholeMilliseconds },
+    )
+
     /** Stops what has no use once [run] is over: copies of a task that is done, and the other members of a gang. */
     private fun stopRest(run: RunId, now: MonotonicTime) {
         val id = run.task.step
@@ -330,13 +347,21 @@
         record(Record.WorkerGone(life))
     }
 
-    private fun release(run: RunId, life: WorkerLife, cause: String) {
+    private fun release(
+        run: RunId,
+        life: WorkerLife,
+        cause: String,
+        inputs: List<Pair<String, Any?>> = emptyList(),
+    ) {
         if (!recorded.add(run to life)) return
-        note("run_not_there", "run" to run, "worker" to life, "cause" to cause)
+        note("run_not_there", inputs, "run" to run, "worker" to life, "cause" to cause)
         record(Record.RunReleased(run, life))
     }
 
-    private fun note(event: String, vararg fields: Pair<String, Any?>) = act(Action.Note(event, fields.toList()))
+    private fun note(event: String, vararg fields: Pair<String, Any?>) = note(event, emptyList(), *fields)
+
+    private fun note(event: String, inputs: List<Pair<String, Any?>>, vararg fields: Pair<String, Any?>) =
+        act(Action.Note(event, fields.toList() + inputs))
 
     private companion object {
         /** One repeat bridges a lost answer; a worker that is cut off keeps what it was granted by then. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -46,6 +46,16 @@
         return clock.earliestMs(now, settings.clockSlowness) > granted + LAPSE_MARGIN_MS
     }
 
+    /** What decides whether a lease has run out, for the log; ages and times are in ms. */
+    fun leaseFields(now: MonotonicTime): List<Pair<String, Any?>> = listOf(
+        "granted_until_ms" to clock.grantedUntilMs,
+        "clock_ms" to clock.latestMs(now),
+        "clock_age_ms" to clock.readingAge(now)?.inWholeMilliseconds,
+        "look_age_ms" to lookedAt?.let { (now - it).inWholeMilliseconds },
+        "contact_age_ms" to (now - since).inWholeMilliseconds,
+        "failed_looks" to failedLooks,
+    )
+
     private companion object {
         // The rounding of clock readings, and the worker's own timer.
         const val LAPSE_MARGIN_MS = 250
@@ -108,5 +118,8 @@
         grantedUntilMs = maxOf(grantedUntilMs ?: 0, latestMs(now) + duration.inWholeMilliseconds)
     }
 
-    private fun elapsed(now: MonotonicTime): Duration = readAt?.let { now - it } ?: 0.milliseconds
+    /** Age of the latest reading, or null before the first. */
+    fun readingAge(now: MonotonicTime): Duration? = readAt?.let { now - it }
+
+    private fun elapsed(now: MonotonicTime): Duration = readingAge(now) ?: 0.milliseconds
 }
