Show that a run is released within its lease

Three tests in virtual time that fail on the present code: a worker that falls silent at its first start, an order to start that is late while its worker is cut off, and cuts of many workers of a large fleet.

--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/EarlyReleaseTest.kt
@@ -0,0 +1,78 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.Resources
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A run that is released too early starts a second time while the first is at work. */
+class EarlyReleaseTest {
+    private val step = StepDescription(count = 3, demand = Resources(1_000, 100), estimateMs = 30_000, maxPerWorker = 1)
+
+    @Test
+    fun aRunIsReleasedWithinItsLeaseWhenItsWorkerFallsSilentAtItsFirstStart() {
+        repeat(40) { seed ->
+            val fleet = VirtualFleet.withWorkers(6, seed)
+            // Workers that report and run nothing are not looked at.
+            fleet.run((seed * 700).milliseconds)
+            fleet.offer("job", step)
+            while (fleet.workers.values.none { it.starts > 0 }) fleet.run(1.milliseconds)
+            fleet.workers.values.first { it.starts > 0 }.isReachable = false
+            fleet.run(90.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+        }
+    }
+
+    @Test
+    fun aRunIsReleasedBeforeItsLateStartWhenItsWorkerIsCutOffMeanwhile() {
+        repeat(40) { seed ->
+            val fleet = VirtualFleet.withWorkers(6, seed)
+            fleet.run((seed * 700).milliseconds)
+            fleet.lateShare = 1.0
+            fleet.offer("job", step)
+            // The job and its claims are committed one after the other.
+            fleet.run(fleet.commitTime * 2)
+            fleet.lateShare = 0.0
+            fleet.workers.values.forEach { it.isReachable = false }
+            // Orders that are late arrive 2 to 9 s after they were sent, and grant 6 s.
+            fleet.at(1_900.milliseconds) { fleet.workers.values.forEach { it.isReachable = true } }
+            fleet.run(90.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+        }
+    }
+
+    @Test
+    fun aRunIsReleasedWithinItsLeaseWhenManyWorkersAreCutOffOnALargeFleet() {
+        repeat(40) { seed ->
+            val fleet = VirtualFleet.withWorkers(30, seed)
+            fleet.lateShare = 0.2
+            repeat(12) { number ->
+                fleet.at((8_000 + number * 1_500).milliseconds) {
+                    fleet.offer("job-$number", step.copy(count = 2 + number, estimateMs = 2_000))
+                }
+            }
+            repeat(60) { number ->
+                fleet.at((8_000 + number * 300 + seed * 7).milliseconds) { cut(fleet, 1_000L + 37L * number) }
+            }
+            fleet.run(90.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+        }
+    }
+
+    private fun cut(fleet: VirtualFleet, forMs: Long) {
+        val worker = fleet.workers.values.random(fleet.random)
+        val loseOrders = fleet.random.nextBoolean()
+        if (loseOrders) worker.isReachable = false else worker.isHeard = false
+        fleet.at(forMs.milliseconds) {
+            worker.isReachable = true
+            worker.isHeard = true
+        }
+    }
+}
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -275,8 +275,9 @@
                     OrderAnswer(OrderResult.OTHER_LIFE)
                 }
                 at(travel()) {
-                    if (!isAnswered && !isLate) answered(answer)
-                    if (!isLate) isAnswered = true
+                    val arrives = !isLate && worker.isHeard
+                    if (!isAnswered && arrives) answered(answer)
+                    if (arrives) isAnswered = true
                 }
             }
         }
@@ -293,8 +294,9 @@
             val worker = workers[life.worker]?.takeIf { it.isReachable }
             worker?.look(action, fenceOf(from)) { answer ->
                 at(travel()) {
-                    if (!isAnswered) feed(Event.LookAnswered(life, answer), from)
-                    isAnswered = true
+                    val arrives = worker.isHeard
+                    if (!isAnswered && arrives) feed(Event.LookAnswered(life, answer), from)
+                    if (arrives) isAnswered = true
                 }
             }
         }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -17,6 +17,9 @@
     private var waiting: (() -> Unit)? = null
     private val startedAt = fleet.now
     var isReachable = true
+
+    /** Whether reports and answers arrive; orders may arrive though they do not. */
+    var isHeard = true
     var isUp = true
         private set
     var fails = false
@@ -58,7 +61,7 @@
     fun report() {
         if (!isUp) return
         sequence += 1
-        if (isReachable) fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving = false, clockMs) }
+        if (isReachable && isHeard) fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving = false, clockMs) }
         fleet.at(1_500.milliseconds) { report() }
     }
 
