Wait for the own grant before a silent worker's runs are released

Cause: for a worker that had answered no look of this leader, hasLapsed compared the age of the contact with the time after which nothing of earlier leaders is in force, and left out the lease that a start of this leader had granted through the same contact. A worker that reports and runs nothing is not looked at, so on a large fleet a contact is often older than that when its first start goes out. If the first look was not answered, the run was released a second after an order that grants six.

Why it works: both bounds must have passed now, that of the earlier leaders and that of what this leader granted. The first answered look still joins the first into the second.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -39,10 +39,17 @@
         if (clockMs != null) clock.observe(clockMs, now)
     }
 
-    /** Whether everything that may run there has certainly lost its lease. */
-    fun hasLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean {
-        val granted = clock.grantedUntilMs
-        if (lookedAt == null || granted == null) return now - since > settings.predecessorTime
+    /** Whether everything that may run there has certainly lost its lease, whichever leader granted it. */
+    fun hasLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean =
+        haveEarlierGrantsLapsed(now, settings) && hasOwnGrantLapsed(now, settings)
+
+    private fun haveEarlierGrantsLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean {
+        // The first look that is answered raises the fence, and adds what earlier leaders granted to the own grants.
+        return lookedAt != null || now - since > settings.predecessorTime
+    }
+
+    private fun hasOwnGrantLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean {
+        val granted = clock.grantedUntilMs ?: return true
         return clock.earliestMs(now, settings.clockSlowness) > granted + LAPSE_MARGIN_MS
     }
 
