Keep leases on a slow clock from reaching farther with each minute

What callers would see: TWICE after a change of the leader, on a worker whose clock is slow, once a leadership has lasted for some minutes.

Cause: a reading below the extrapolation of an earlier one was dropped, and the extrapolation counted at the full rate. On a clock that is slow by 2 % no reading was ever taken again, so the ends of the granted leases ran ahead of the worker's clock by 1.2 s a minute. predecessorTime allows for 3.5 s in all, so after three minutes a late order of an earlier leader could start a run after the next leader had given the lease up for lost.

Why it works: the estimate is now the highest bound from below that the readings and the slowness prove. It never runs ahead of the worker, and each reading that arrives without delay corrects it. What earlier leaders may have granted is bounded by the clock that came with the first answered look.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -11,7 +11,8 @@
     val all: Collection<WorkerContact>
         get() = byLife.values
 
-    fun of(life: WorkerLife, now: MonotonicTime): WorkerContact = byLife.getOrPut(life) { WorkerContact(life, now) }
+    fun of(life: WorkerLife, now: MonotonicTime): WorkerContact =
+        byLife.getOrPut(life) { WorkerContact(life, now, settings.clockSlowness) }
 
     fun find(life: WorkerLife): WorkerContact? = byLife[life]
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -148,7 +148,7 @@
             contact.nextLook = now + settings.retryInterval
             return
         }
-        if (contact.lookedAt == null) contact.clock.assumeGranted(now, settings.maxLease)
+        if (contact.lookedAt == null) contact.clock.assumeGranted(answer.clockMs, settings.maxLease)
         contact.lookedAt = sentAt
         contact.running = answer.running
         answer.ended.filter { it.end == RunEnd.DONE }.forEach { progress.done(contact, it.run, now) }
@@ -204,7 +204,9 @@
             val contact = contacts.of(life, now)
             if (state.worker(life) == null || (contact.failedLooks > 0 && contact.hasLapsed(now, settings))) {
                 val inputs = contact.leaseFields(now)
-                state.claimsAt(life).keys.filter { it !in unsent }.forEach { release(it, life, "lease ran out", inputs) }
+                state.claimsAt(life).keys.filter {
+                    it !in unsent
+                }.forEach { release(it, life, "lease ran out", inputs) }
                 continue
             }
             repeatStops(contact, now)
@@ -240,7 +242,11 @@
             if (isHere) noteStarted(contact, run, sentAt, now)
             val isOpen = isHere || run in listed || (run to life) in recorded
             val order = contact.orders[run]
-            if (!isOpen && isSettled(order, sentAt)) release(run, life, "not listed", orderFields(order, sentAt))
+            if (!isOpen &&
+                isSettled(order, sentAt)
+            ) {
+                release(run, life, "not listed", order?.ageFields(sentAt).orEmpty())
+            }
             val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task)
             if (isHere && isOver) stop(run, life, now)
         }
@@ -264,13 +270,6 @@
         return since != null && since <= sentAt
     }
 
-    /** How long before a look sent at [sentAt] the order was sent and answered, for the log. */
-    private fun orderFields(order: Order?, sentAt: MonotonicTime): List<Pair<String, Any?>> = listOf(
-        "sent_before_ms" to order?.let { (sentAt - it.sentAt).inWholeMilliseconds },
-        "started_before_ms" to order?.startedAt?.let { (sentAt - it).inWholeMilliseconds },
-        "stopped_before_ms" to order?.stoppedAt?.let { (sentAt - it).inWholeMilliseconds },
-    )
-
     /** Stops what has no use once [run] is over: copies of a task that is done, and the other members of a gang. */
     private fun stopRest(run: RunId, now: MonotonicTime) {
         val id = run.task.step
@@ -347,12 +346,7 @@
         record(Record.WorkerGone(life))
     }
 
-    private fun release(
-        run: RunId,
-        life: WorkerLife,
-        cause: String,
-        inputs: List<Pair<String, Any?>> = emptyList(),
-    ) {
+    private fun release(run: RunId, life: WorkerLife, cause: String, inputs: List<Pair<String, Any?>> = emptyList()) {
         if (!recorded.add(run to life)) return
         note("run_not_there", inputs, "run" to run, "worker" to life, "cause" to cause)
         record(Record.RunReleased(run, life))
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -1,12 +1,10 @@
 package org.auburnstream.scheduling
 
 import org.auburnstream.model.MonotonicTime
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** What one leader knows of one worker life from its own contact with it. */
-internal class WorkerContact(val life: WorkerLife, val since: MonotonicTime) {
-    val clock = WorkerClock()
+internal class WorkerContact(val life: WorkerLife, val since: MonotonicTime, clockSlowness: Double) {
+    val clock = WorkerClock(clockSlowness)
     val orders = HashMap<RunId, Order>()
     val health = WorkerHealth()
     val speed = WorkerSpeed()
@@ -41,22 +39,22 @@
 
     /** Whether everything that may run there has certainly lost its lease, whichever leader granted it. */
     fun hasLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean =
-        haveEarlierGrantsLapsed(now, settings) && hasOwnGrantLapsed(now, settings)
+        haveEarlierGrantsLapsed(now, settings) && hasOwnGrantLapsed(now)
 
     private fun haveEarlierGrantsLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean {
         // The first look that is answered raises the fence, and adds what earlier leaders granted to the own grants.
         return lookedAt != null || now - since > settings.predecessorTime
     }
 
-    private fun hasOwnGrantLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean {
+    private fun hasOwnGrantLapsed(now: MonotonicTime): Boolean {
         val granted = clock.grantedUntilMs ?: return true
-        return clock.earliestMs(now, settings.clockSlowness) > granted + LAPSE_MARGIN_MS
+        return clock.earliestMs(now) > granted + LAPSE_MARGIN_MS
     }
 
     /** What decides whether a lease has run out, for the log; ages and times are in ms. */
     fun leaseFields(now: MonotonicTime): List<Pair<String, Any?>> = listOf(
         "granted_until_ms" to clock.grantedUntilMs,
-        "clock_ms" to clock.latestMs(now),
+        "clock_ms" to clock.earliestMs(now),
         "clock_age_ms" to clock.readingAge(now)?.inWholeMilliseconds,
         "look_age_ms" to lookedAt?.let { (now - it).inWholeMilliseconds },
         "contact_age_ms" to (now - since).inWholeMilliseconds,
@@ -80,53 +78,11 @@
     /** When the first order to stop the run was answered, or null. */
     var stoppedAt: MonotonicTime? = null
     var wantsStop = false
-}
-
-/**
- * Estimates a worker's own clock and remembers how far its lease may reach.
- *
- * A reading is never ahead of the worker's clock at the time it arrives, and the worker's clock may be slow, so the
- * two estimates bound it from both sides as far as the lease needs.
- */
-internal class WorkerClock {
-    private var readingMs = 0L
-    private var readAt: MonotonicTime? = null
-
-    /** Latest time on the worker's clock that any lease may reach, or null if none is known. */
-    var grantedUntilMs: Long? = null
-        private set
-
-    val isKnown: Boolean
-        get() = readAt != null
-
-    fun observe(clockMs: Long, now: MonotonicTime) {
-        val last = readAt
-        if (last != null && clockMs < readingMs + (now - last).inWholeMilliseconds) return
-        readingMs = clockMs
-        readAt = now
-    }
 
-    /** The latest that the clock may show, but for the time that the last reading travelled. */
-    fun latestMs(now: MonotonicTime): Long = readingMs + elapsed(now).inWholeMilliseconds
-
-    /** The earliest that the clock may show if it is slow by [slowness]. */
-    fun earliestMs(now: MonotonicTime, slowness: Double): Long =
-        readingMs + (elapsed(now) * (1 - slowness)).inWholeMilliseconds
-
-    /** Returns the end of a lease of [duration] from now on, and remembers it. */
-    fun grant(now: MonotonicTime, duration: Duration): Long {
-        val until = latestMs(now) + duration.inWholeMilliseconds
-        grantedUntilMs = maxOf(grantedUntilMs ?: 0, until)
-        return until
-    }
-
-    /** Notes that an earlier leader may have granted [duration] until now. */
-    fun assumeGranted(now: MonotonicTime, duration: Duration) {
-        grantedUntilMs = maxOf(grantedUntilMs ?: 0, latestMs(now) + duration.inWholeMilliseconds)
-    }
-
-    /** Age of the latest reading, or null before the first. */
-    fun readingAge(now: MonotonicTime): Duration? = readAt?.let { now - it }
-
-    private fun elapsed(now: MonotonicTime): Duration = readingAge(now) ?: 0.milliseconds
+    /** How long before [at] the order was sent and answered, in ms, for the log. */
+    fun ageFields(at: MonotonicTime): List<Pair<String, Any?>> = listOf(
+        "sent_before_ms" to (at - sentAt).inWholeMilliseconds,
+        "started_before_ms" to startedAt?.let { (at - it).inWholeMilliseconds },
+        "stopped_before_ms" to stoppedAt?.let { (at - it).inWholeMilliseconds },
+    )
 }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/EarlyReleaseTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/EarlyReleaseTest.kt
@@ -50,6 +50,7 @@
     fun aRunIsReleasedWithinItsLeaseWhenManyWorkersAreCutOffOnALargeFleet() {
         repeat(40) { seed ->
             val fleet = VirtualFleet.withWorkers(30, seed)
+            fleet.workers.values.forEach { it.clockRate = fleet.random.nextDouble(0.98, 1.0) }
             fleet.lateShare = 0.2
             repeat(12) { number ->
                 fleet.at((8_000 + number * 1_500).milliseconds) {
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -27,7 +27,10 @@
         private set
 
     private val clockMs: Long
-        get() = (fleet.now - startedAt).inWholeMilliseconds
+        get() = ((fleet.now - startedAt).inWholeMilliseconds * clockRate).toLong()
+
+    /** Share of the time that the worker's own clock counts. */
+    var clockRate = 1.0
 
     /** Factor by which tasks that start here take longer. */
     var slowness = 1.0
@@ -61,7 +64,11 @@
     fun report() {
         if (!isUp) return
         sequence += 1
-        if (isReachable && isHeard) fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving = false, clockMs) }
+        if (isReachable &&
+            isHeard
+        ) {
+            fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving = false, clockMs) }
+        }
         fleet.at(1_500.milliseconds) { report() }
     }
 
@@ -128,7 +135,7 @@
     private fun renew(untilMs: Long) {
         leaseMs = maxOf(leaseMs, minOf(untilMs, clockMs + 6_000))
         val until = leaseMs
-        fleet.at((until - clockMs).milliseconds) { if (leaseMs == until) lapse() }
+        fleet.at(((until - clockMs) / clockRate).toLong().milliseconds) { if (leaseMs == until) lapse() }
     }
 
     private fun lapse() {
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/WorkerClockTest.kt
@@ -0,0 +1,64 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.MonotonicTime
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class WorkerClockTest {
+    private val lease = 6.seconds
+
+    @Test
+    fun leasesOnASlowClockReachFartherTheLongerALeadershipLasts() {
+        val worker = Clock(rate = 1 - SLOWNESS)
+        val clock = WorkerClock(SLOWNESS)
+        while (worker.now < MonotonicTime.Zero + 1.hours) {
+            worker.pass(1_500.milliseconds)
+            clock.observe(worker.readingMs, worker.now)
+        }
+        val until = clock.grant(worker.now, lease)
+
+        assertTrue(until <= worker.readingMs + lease.inWholeMilliseconds, "$until at ${worker.readingMs}")
+    }
+
+    @Test
+    fun theEstimateIsNeverAheadOfTheClockAndFollowsItClosely() {
+        repeat(200) { seed ->
+            val random = Random(seed)
+            val worker = Clock(rate = random.nextDouble(1 - SLOWNESS, 1.0))
+            val clock = WorkerClock(SLOWNESS)
+            repeat(500) {
+                val readingMs = worker.readingMs
+                // A report may travel for long, and others may overtake it.
+                worker.pass(random.nextLong(1, if (it % 10 == 9) 3_000 else 5).milliseconds)
+                clock.observe(readingMs, worker.now)
+                worker.pass(random.nextLong(0, 2_000).milliseconds)
+                val estimate = clock.earliestMs(worker.now)
+                assertTrue(estimate <= worker.readingMs, "seed $seed: $estimate at ${worker.readingMs}")
+                // Slowness since the reading before the last, which a late one cannot replace, and its travel.
+                assertTrue(estimate >= worker.readingMs - 200, "seed $seed: $estimate at ${worker.readingMs}")
+            }
+        }
+    }
+
+    private class Clock(private val rate: Double) {
+        var now = MonotonicTime.Zero
+            private set
+
+        /** Whole milliseconds, as a worker tells them. */
+        val readingMs: Long
+            get() = ((now - MonotonicTime.Zero).inWholeMilliseconds * rate).toLong()
+
+        fun pass(duration: Duration) {
+            now += duration
+        }
+    }
+
+    private companion object {
+        const val SLOWNESS = 0.02
+    }
+}
