--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -128,3 +128,7 @@
 /** A run that may be in progress at [life]. */
 @Serializable
 public data class Claim(val number: Int, val life: WorkerLife)
+
+/** Lives and numbers of the runs of a task that may be in progress, for the log. */
+internal val Task?.claimants: List<String>
+    get() = this?.claims.orEmpty().map { "${it.life}#${it.number}" }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -132,7 +132,7 @@
         if (answer == null) {
             contact.failedLooks += 1
             contact.nextLook = now + settings.retryInterval
-            if (contact.failedLooks == 1) note("worker_silent", contact.leaseFields(now), "worker" to event.life)
+            if (contact.failedLooks == 1) note("worker_silent", "worker" to event.life, *contact.leaseFields(now))
             return
         }
         val isOther = answer.otherLife || (answer.bornMs != null && answer.bornMs != event.life.bornMs)
@@ -242,16 +242,12 @@
             if (isHere) noteStarted(contact, run, sentAt, now)
             val isOpen = isHere || run in listed || (run to life) in recorded
             val order = contact.orders[run]
-            if (!isOpen &&
-                isSettled(order, sentAt)
-            ) {
-                release(run, life, "not listed", order?.ageFields(sentAt).orEmpty())
-            }
+            if (!isOpen && isSettled(order, sentAt)) release(run, life, "not listed", order.ageFields(sentAt))
             val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task)
             if (isHere && isOver) stop(run, life, now)
         }
         running.keys.filter { it !in claims && (it to life) !in recorded }.forEach { run ->
-            val elsewhere = state.task(run.task)?.claims?.map { "${it.life}#${it.number}" }
+            val elsewhere = state.task(run.task).claimants
             note("unknown_run", "run" to run, "worker" to life, "claimed_at" to elsewhere)
             state.worker(life)?.let { act(Action.Stop(it.profile, run)) }
         }
@@ -348,14 +344,11 @@
 
     private fun release(run: RunId, life: WorkerLife, cause: String, inputs: List<Pair<String, Any?>> = emptyList()) {
         if (!recorded.add(run to life)) return
-        note("run_not_there", inputs, "run" to run, "worker" to life, "cause" to cause)
+        note("run_not_there", "run" to run, "worker" to life, "cause" to cause, *inputs)
         record(Record.RunReleased(run, life))
     }
 
-    private fun note(event: String, vararg fields: Pair<String, Any?>) = note(event, emptyList(), *fields)
-
-    private fun note(event: String, inputs: List<Pair<String, Any?>>, vararg fields: Pair<String, Any?>) =
-        act(Action.Note(event, fields.toList() + inputs))
+    private fun note(event: String, vararg fields: Pair<String, Any?>) = act(Action.Note(event, fields.toList()))
 
     private companion object {
         /** One repeat bridges a lost answer; a worker that is cut off keeps what it was granted by then. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -52,7 +52,7 @@
     }
 
     /** What decides whether a lease has run out, for the log; ages and times are in ms. */
-    fun leaseFields(now: MonotonicTime): List<Pair<String, Any?>> = listOf(
+    fun leaseFields(now: MonotonicTime): Array<Pair<String, Any?>> = arrayOf(
         "granted_until_ms" to clock.grantedUntilMs,
         "clock_ms" to clock.earliestMs(now),
         "clock_age_ms" to clock.readingAge(now)?.inWholeMilliseconds,
@@ -78,11 +78,11 @@
     /** When the first order to stop the run was answered, or null. */
     var stoppedAt: MonotonicTime? = null
     var wantsStop = false
-
-    /** How long before [at] the order was sent and answered, in ms, for the log. */
-    fun ageFields(at: MonotonicTime): List<Pair<String, Any?>> = listOf(
-        "sent_before_ms" to (at - sentAt).inWholeMilliseconds,
-        "started_before_ms" to startedAt?.let { (at - it).inWholeMilliseconds },
-        "stopped_before_ms" to stoppedAt?.let { (at - it).inWholeMilliseconds },
-    )
 }
+
+/** How long before [at] the order was sent and answered, in ms, for the log. */
+internal fun Order?.ageFields(at: MonotonicTime): Array<Pair<String, Any?>> = arrayOf(
+    "sent_before_ms" to this?.let { (at - it.sentAt).inWholeMilliseconds },
+    "started_before_ms" to this?.startedAt?.let { (at - it).inWholeMilliseconds },
+    "stopped_before_ms" to this?.stoppedAt?.let { (at - it).inWholeMilliseconds },
+)
