Count a job as waiting until a run of it is known to be at work

Cause: a job counted as begun from its first claim, though the order to start may have been lost, or the claim waits for a lease to run out. It is also shown as running then.

Why it works: a record tells once for each job that a worker has started a run of it, by the answer to the order or by a look; the end of a run tells the same. A claim alone says nothing.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -214,7 +214,7 @@
                 is Record.MoveRefused -> note("move_refused", "vm" to record.vm)
                 // The line of a claim tells of its order as well, which is sent just after.
                 is Record.RunClaimed -> Unit
-                is Record.MoveConfirmed, is Record.UpkeepConfirmed, is Record.EndsNoted -> Unit
+                is Record.MoveConfirmed, is Record.UpkeepConfirmed, is Record.EndsNoted, is Record.JobBegun -> Unit
             }
         }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -9,7 +9,7 @@
  * @property queue terms of the queue when the job was accepted; they hold on if the queue is removed.
  * @property acceptedMs when the job was accepted, in Unix milliseconds.
  * @property endedMs when the job was over, in Unix milliseconds, or 0.
- * @property hasStarted whether a run of any task was ever claimed.
+ * @property hasStarted whether a run of any task is known to have been at work.
  */
 @Serializable
 public class Job(
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -36,6 +36,11 @@
     @SerialName("x")
     public data class JobCancelled(@SerialName("i") val id: JobId) : Record
 
+    /** A run of the job is known to have been at work. */
+    @Serializable
+    @SerialName("a")
+    public data class JobBegun(@SerialName("i") val id: JobId) : Record
+
     /** A worker life was heard for the first time, or began to leave, or changed its address. */
     @Serializable
     @SerialName("w")
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -23,6 +23,7 @@
 ) {
     private val recorded = HashSet<Pair<RunId, WorkerLife>>()
     private val paces = PaceOrders(state, act)
+    private val begunJobs = BegunJobs(state, record)
 
     /**
      * Claims whose batch is being committed.
@@ -39,6 +40,7 @@
     /** Notes that the orders of the batch's claims go out now, or that it was rejected. */
     fun settled() {
         unsent = emptySet()
+        begunJobs.settled()
     }
 
     /** Sends the order for a claim that was committed. */
@@ -97,6 +99,7 @@
             null -> stop(event.run, event.life, now)
             OrderResult.DONE -> {
                 order.startedAt = order.startedAt ?: now
+                begunJobs.started(event.run)
                 if (order.wantsStop) sendStop(event.run, event.life, order, now)
                 scheduleLook(contact, now)
             }
@@ -256,6 +259,7 @@
     private fun noteStarted(contact: WorkerContact, run: RunId, sentAt: MonotonicTime, now: MonotonicTime) {
         val order = contact.orders.getOrPut(run) { Order(now) }
         if (order.startedAt == null) order.startedAt = sentAt
+        begunJobs.started(run)
     }
 
     /** Whether a run that a look sent at [sentAt] did not list can never be there any more. */
@@ -342,7 +346,12 @@
         record(Record.WorkerGone(life))
     }
 
-    private fun release(run: RunId, life: WorkerLife, cause: String, inputs: List<Pair<String, Any?>> = emptyList()) {
+    private fun release(
+        run: RunId,
+        life: WorkerLife,
+        cause: String,
+        inputs: Array<Pair<String, Any?>> = emptyArray(),
+    ) {
         if (!recorded.add(run to life)) return
         note("run_not_there", "run" to run, "worker" to life, "cause" to cause, *inputs)
         record(Record.RunReleased(run, life))
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -77,7 +77,7 @@
         return job.isDone(id.step.occurrence) || task(id)?.isDone == true
     }
 
-    /** Returns how many accepted jobs of [queue] have not started any task; jobs with a schedule do not count. */
+    /** Returns how many accepted jobs of [queue] are not known to have started any task; jobs with a schedule do not count. */
     public fun waiting(queue: QueueName): Int =
         activeJobs.values.count { it.queue.name == queue && !it.hasStarted && it.description.schedule == null }
 
@@ -148,6 +148,7 @@
         when (record) {
             is Record.CatalogAccepted -> accept(record)
             is Record.JobAccepted -> accept(record, atMs)
+            is Record.JobBegun -> jobTable[record.id]?.hasStarted = true
             is Record.JobCancelled -> activeJobs[record.id]?.let { end(it, JobPhase.CANCELLED, atMs) }
             is Record.WorkerSeen -> see(record)
             is Record.WorkerGone -> if (worker(record.life) != null) remove(record.life)
@@ -233,7 +234,6 @@
         val task = job.step(id.step).tasks[id.index]
         task.claims.add(Claim(record.run.number, record.life))
         task.lastRun = maxOf(task.lastRun, record.run.number)
-        job.hasStarted = true
         claimsOf(record.life)[record.run] = job.description.steps[id.step.step]
     }
 
@@ -248,6 +248,7 @@
         release(record.run, record.life)
         val id = record.run.task
         val job = jobTable[id.step.job] ?: return
+        job.hasStarted = true
         val task = task(id) ?: return
         val step = job.step(id.step)
         val description = job.description.steps[id.step.step]
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
@@ -85,6 +85,25 @@
         }
     }
 
+    @Test
+    fun aJobThatIsOnlyClaimedIsNotCountedAsWaiting() {
+        val fleet = fleet()
+        fleet.lateShare = 1.0
+        fleet.offer("late", small)
+        fleet.run(1.seconds)
+        assertTrue(
+            fleet.state.jobs.getValue(JobId("late")).open.values.any {
+                it.steps[0].tasks.any { it.lastRun > 0 }
+            },
+        )
+
+        assertEquals(1, fleet.state.waiting(VirtualFleet.QUEUE.name), "no worker has begun it")
+        fleet.lateShare = 0.0
+        fleet.run(20.seconds)
+        assertEquals(0, fleet.state.waiting(VirtualFleet.QUEUE.name))
+        assertEquals(JobPhase.COMPLETE, fleet.phase("late"))
+    }
+
     @Test
     fun whatRanOnASilentWorkerStartsElsewhereOnceItsLeaseHasRunOut() {
         val fleet = fleet(workers = 2)
