Start a task elsewhere at once when its order never left

What callers would see, now that releases wait for the lease: a task that was placed on a worker that has just crashed waits 6 s and more, though its order was never sent.

Cause: the client told a call that found no listener, or whose connection never stood, and one that was written and not answered alike: no answer.

Why it works: a call of which no byte was written is told apart. Its run certainly does not run and is released, and the worker gets no tasks until it answers a look. A call that was written in part is uncertain as before.

Tests: aTaskWhoseOrderWasNeverSentWaitsForALeaseToRunOut fails while such an order counts as unanswered (the job is not over after 2 s) and passes now; HttpClientTest tells the two cases apart over sockets.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
@@ -12,7 +12,7 @@
  * Calls HTTP/1.1 servers over few kept connections, with one call in progress on each.
  *
  * A call is never repeated by the client: a connection that ends or stays silent before the answer is whole gives no
- * answer, and what became of the call is not known.
+ * answer, and what became of the call is not known. A call of which no byte was written is told apart.
  *
  * @property maxConnections connections to one address for calls of one [lane]; further calls wait.
  */
@@ -24,7 +24,7 @@
         private set
 
     /**
-     * Calls [address] and passes the answer to [done], or null if there is none within [timeout].
+     * Calls [address] and passes to [done] what became of the call by [timeout] at the latest.
      *
      * @param lane calls of different lanes do not wait for each other.
      */
@@ -33,7 +33,7 @@
         request: HttpRequest,
         timeout: Duration,
         lane: String = "",
-        done: (HttpResponse?) -> Unit,
+        done: (CallResult) -> Unit,
     ) {
         pools.getOrPut(address to lane) { Pool(address) }.submit(Call(request, timeout, done))
     }
@@ -95,7 +95,7 @@
             if (call.isOver) return
             val line = call.line
             if (line == null) waiting.remove(call)
-            call.end(null)
+            call.end()
             line?.close()
         }
     }
@@ -133,6 +133,7 @@
         }
 
         private fun send(connection: Connection, call: Call) {
+            call.isSent = true
             val head = pool.request(call.request)
             if (call.request.body.isEmpty()) connection.write(head) else connection.write(head, call.request.body)
         }
@@ -147,7 +148,7 @@
             usedAt = loop.now
             // Bytes behind an answer belong to no call, so the connection cannot be trusted any more.
             val isReusable = !parser.isInMessage && parsed.response.headers["connection"]?.lowercase() != "close"
-            current.end(parsed.response)
+            current.end(CallResult.Answered(parsed.response))
             if (isReusable) pool.pump() else close()
         }
 
@@ -157,21 +158,24 @@
             val current = call
             call = null
             pool.ended(this)
-            current?.end(null)
+            current?.end()
         }
     }
 
-    private class Call(val request: HttpRequest, val timeout: Duration, private val done: (HttpResponse?) -> Unit) {
+    private class Call(val request: HttpRequest, val timeout: Duration, private val done: (CallResult) -> Unit) {
         var timer: EventLoop.Timer? = null
         var line: Line? = null
+
+        /** Whether a part of the request may have been written. */
+        var isSent = false
         var isOver = false
             private set
 
-        fun end(response: HttpResponse?) {
+        fun end(result: CallResult = if (isSent) CallResult.Unknown else CallResult.Unsent) {
             if (isOver) return
             isOver = true
             timer?.cancel()
-            done(response)
+            done(result)
         }
     }
 
--- /dev/null
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpClientTest.kt
@@ -0,0 +1,53 @@
+package org.auburnstream.dispatch.http
+
+import org.auburnstream.dispatch.loop.EventLoop
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class HttpClientTest {
+    private val loop = EventLoop()
+    private val loopThread = Thread(loop::run, "loop")
+    private val loopback = InetAddress.getLoopbackAddress()
+
+    @BeforeEach
+    fun start() = loopThread.start()
+
+    @AfterEach
+    fun stop() {
+        loop.stop()
+        loopThread.join()
+    }
+
+    private fun call(port: Int): CallResult {
+        val result = CompletableFuture<CallResult>()
+        loop.post {
+            val request = HttpRequest("POST", "/", emptyMap(), ByteArray(0))
+            HttpClient(loop).call("127.0.0.1:$port", request, 10.seconds) { result.complete(it) }
+        }
+        return result.get(20, TimeUnit.SECONDS)
+    }
+
+    @Test
+    fun aCallThatFoundNoListenerIsTakenForOneThatMayBeCarriedOut() {
+        val port = ServerSocket(0, 1, loopback).use { it.localPort }
+
+        assertEquals(CallResult.Unsent, call(port))
+    }
+
+    @Test
+    fun aCallThatWasReadAndCutIsTakenForOneThatWasNotSent() {
+        ServerSocket(0, 1, loopback).use { server ->
+            thread { server.accept().use { it.getInputStream().read() } }
+
+            assertEquals(CallResult.Unknown, call(server.localPort))
+        }
+    }
+}
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
@@ -117,6 +117,9 @@
 
     /** The order was malformed for the worker. */
     REFUSED,
+
+    /** The worker could not be reached, and nothing of the order left. */
+    UNSENT,
 }
 
 /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -91,7 +91,7 @@
         val contact = contacts.find(event.life) ?: return
         val order = contact.orders[event.run] ?: return
         val answer = event.answer
-        if (answer != null) contact.heard(now, answer.clockMs)
+        if (answer != null && answer.result != OrderResult.UNSENT) contact.heard(now, answer.clockMs)
         if (answer?.result != OrderResult.DONE) {
             note("start_failed", "run" to event.run, "worker" to event.life, "answer" to answer?.result)
         }
@@ -104,6 +104,10 @@
                 scheduleLook(contact, now)
             }
             OrderResult.OTHER_LIFE -> gone(event.life)
+            OrderResult.UNSENT -> {
+                contact.isUnreachable = true
+                release(event.run, event.life, "order not sent")
+            }
             OrderResult.NO_ROOM -> {
                 contact.fullUntil = now + FULL_PAUSE
                 release(event.run, event.life, "no room")
@@ -119,7 +123,7 @@
 
     fun stopAnswered(event: Event.StopAnswered, now: MonotonicTime) {
         val contact = contacts.find(event.life) ?: return
-        val answer = event.answer ?: return
+        val answer = event.answer?.takeIf { it.result != OrderResult.UNSENT } ?: return
         contact.heard(now, answer.clockMs)
         if (answer.result == OrderResult.OTHER_LIFE) return gone(event.life)
         val order = contact.orders[event.run] ?: return
@@ -146,6 +150,7 @@
             note("worker_answers", "worker" to event.life, "failed_looks" to contact.failedLooks)
         }
         contact.failedLooks = 0
+        contact.isUnreachable = false
         contact.heard(now, answer.clockMs)
         if (answer.isFenced) {
             contact.nextLook = now + settings.retryInterval
@@ -216,7 +221,7 @@
             look(contact, now)
         }
         // A new leader asks idle workers as well, so that it need not wait for their next reports.
-        state.workers.values.map { contacts.of(it.profile.life, now) }.filter { it.heardAt == null }
+        state.workers.values.map { contacts.of(it.profile.life, now) }.filter { it.isInDoubt }
             .forEach { look(it, now) }
     }
 
@@ -310,7 +315,7 @@
     private fun look(contact: WorkerContact, now: MonotonicTime) {
         val worker = state.worker(contact.life) ?: return
         val isDue = contact.lookingSince == null && now >= contact.nextLook
-        val isOfInterest = contact.heardAt == null || state.claimsAt(contact.life).isNotEmpty()
+        val isOfInterest = contact.isInDoubt || state.claimsAt(contact.life).isNotEmpty()
         if (!isDue || !isOfInterest) return
         // Ends that wait to be recorded would make the worker answer at once, with nothing new.
         if (recorded.any { it.second == contact.life }) return
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -23,6 +23,9 @@
     var nextLook: MonotonicTime = since
     var failedLooks = 0
 
+    /** Whether an order could not be sent, and no look was answered since; reports do not show that orders arrive. */
+    var isUnreachable = false
+
     /** Highest number of an end that was put into a batch. */
     var endsTaken = 0L
 
@@ -32,6 +35,10 @@
     /** Orders of a room that the worker refused count as in use until this time. */
     var fullUntil: MonotonicTime? = null
 
+    /** Whether a look has to show that the worker is there, also if it runs nothing. */
+    val isInDoubt: Boolean
+        get() = heardAt == null || isUnreachable
+
     fun heard(now: MonotonicTime, clockMs: Long?) {
         heardAt = now
         if (clockMs != null) clock.observe(clockMs, now)
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
@@ -117,6 +117,18 @@
         assertTrue(fleet.workers.values.any { it !== silent && it.runs(task("job", 0)) })
     }
 
+    @Test
+    fun aTaskWhoseOrderWasNeverSentWaitsForALeaseToRunOut() {
+        val fleet = fleet(workers = 4)
+        fleet.run(12.seconds)
+        fleet.workers.values.first().crash()
+        fleet.offer("job", small.copy(maxPerWorker = 1))
+        fleet.run(2.seconds)
+
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+        assertEquals(emptyList(), fleet.broken)
+    }
+
     @Test
     fun aGangWhoseMemberDidNotStartIsStoppedAsAWhole() {
         val fleet = fleet(workers = 2)
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -265,6 +265,12 @@
         var isAnswered = false
         val isLate = random.nextDouble() < lateShare
         at(if (isLate) random.nextLong(2_000, 9_000).milliseconds else travel()) {
+            val isDown = workers[to.life.worker]?.isUp != true
+            if (isDown && !isLate && !isAnswered) {
+                // Nothing listens at the address, so the connection is refused.
+                isAnswered = true
+                at(travel()) { answered(OrderAnswer(OrderResult.UNSENT)) }
+            }
             val worker = workers[to.life.worker]?.takeIf { it.isReachable }
             if (worker != null) {
                 val answer = if (worker.profile.life ==
