Repeat no order whose refusal is being recorded

A wave would have more VMs down than its cap, and a VM would be lent without a trace of its loan, so that it never goes back.

Cause: between the platform's refusal and its record the state still shows the order as open, while WaveControl has dropped what it knew of the order. A tick in that time sends the order again; then the refusal is applied, and the repeat is carried out for a VM that counts as not begun. An order of a wave is open to this whenever the answer comes while another batch is being committed, a move once the commit takes longer than two seconds. A batch that was rejected left a confirmed order marked as answered, so that it was never repeated.

Both controls now keep the VMs whose answer waits to be recorded and repeat nothing for them until the batch that has the record is applied or rejected. Since only the record closes the order, no copy can be sent after the answer that closes it. The stand-in of the platform now refuses moves of VMs that refuse every order, as it says.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -167,7 +167,7 @@
     private fun applied(now: MonotonicTime) {
         val batch = committing ?: return
         committing = null
-        runs.settled()
+        settled(batch)
         intake.committed()
         for (record in batch.records) {
             when (record) {
@@ -229,12 +229,20 @@
     }
 
     private fun rejected() {
+        committing?.let(::settled)
         committing = null
-        runs.settled()
         intake.rejected()
         planDirty = true
     }
 
+    private fun settled(batch: RecordBatch) {
+        runs.settled()
+        for (record in batch.records) {
+            waves.settled(record)
+            pools.settled(record)
+        }
+    }
+
     private fun decide(now: MonotonicTime, nowMs: Long) {
         // Between two batches the state shows every claim, and no plan can take a VM that is about to go.
         if (vmsDue) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -28,6 +28,9 @@
     private val refusedUntil = HashMap<VmId, MonotonicTime>()
     private val confirmedAt = HashMap<VmId, MonotonicTime>()
     private val emptying = HashSet<VmId>()
+
+    /** VMs of which an answer waits to be recorded; until then the state shows their order as open. */
+    private val unrecorded = HashSet<VmId>()
     private val trends = HashMap<ServiceId, DemandTrend>()
     private var spares: List<ListedVm> = emptyList()
     private var listedAt: MonotonicTime? = null
@@ -78,13 +81,25 @@
         orderedAt[vm] = now
     }
 
-    /** Returns the record that follows from the platform's [answer], or null. */
-    fun answered(vm: VmId, answer: UpkeepAnswer, isFirst: Boolean, now: MonotonicTime): Record? = when (answer) {
-        UpkeepAnswer.BEGUN -> Record.MoveConfirmed(vm)
-        UpkeepAnswer.UNKNOWN_VM -> refuse(vm, now)
-        // A copy that was not answered may have begun the move; a repeat tells once it is over.
-        UpkeepAnswer.BUSY -> if (isFirst) refuse(vm, now) else null
-        UpkeepAnswer.FENCED, UpkeepAnswer.UNCERTAIN -> null
+    /** Returns the record that follows from the platform's [answer], or null; [settled] tells what became of it. */
+    fun answered(vm: VmId, answer: UpkeepAnswer, isFirst: Boolean, now: MonotonicTime): Record? {
+        val record = when (answer) {
+            UpkeepAnswer.BEGUN -> Record.MoveConfirmed(vm)
+            UpkeepAnswer.UNKNOWN_VM -> refuse(vm, now)
+            // A copy that was not answered may have begun the move; a repeat tells once it is over.
+            UpkeepAnswer.BUSY -> if (isFirst) refuse(vm, now) else null
+            UpkeepAnswer.FENCED, UpkeepAnswer.UNCERTAIN -> null
+        }
+        return record?.also { unrecorded.add(vm) }
+    }
+
+    /** Notes that [record] is applied or was rejected. */
+    fun settled(record: Record) {
+        when (record) {
+            is Record.MoveConfirmed -> unrecorded.remove(record.vm)
+            is Record.MoveRefused -> unrecorded.remove(record.vm)
+            else -> Unit
+        }
     }
 
     private fun refuse(vm: VmId, now: MonotonicTime): Record {
@@ -114,7 +129,8 @@
     private fun repeatOrders(now: MonotonicTime, decision: PoolDecision) {
         for ((vm, move) in state.moves) {
             val isDue = orderedAt[vm]?.let { now - it > ORDER_RETRY } ?: true
-            if (!move.isConfirmed && isDue && succession.mayOrder(vm, now)) decision.orders.add(vm to move.to)
+            val isOpen = !move.isConfirmed && vm !in unrecorded
+            if (isOpen && isDue && succession.mayOrder(vm, now)) decision.orders.add(vm to move.to)
         }
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -21,6 +21,9 @@
     private val emptying = HashMap<VmId, MonotonicTime>()
     private val ordered = HashMap<VmId, Ordered>()
     private val refusals = HashMap<VmId, Refusals>()
+
+    /** VMs of which an answer or an end waits to be recorded; until then the state shows their order as open. */
+    private val unrecorded = HashSet<VmId>()
     private var listedAt: MonotonicTime? = null
 
     /** Whether a list of the VMs is needed to learn what became of an order, or why one is refused again and again. */
@@ -70,7 +73,7 @@
                 if (isConfirmed && bornMs > wave.begun.getValue(vm)) {
                     pass.records.add(Record.UpkeepEnded(wave.number, vm))
                     ordered.remove(vm)
-                } else if (!isConfirmed && retryIsDue(vm, now) && succession.mayOrder(vm, now)) {
+                } else if (!isConfirmed && mayRepeat(vm, now)) {
                     orders.add(wave.number to vm)
                 }
             }
@@ -83,18 +86,30 @@
 
     fun orderSent(vm: VmId, now: MonotonicTime, isFresh: Boolean) {
         val isRepeat = vm in ordered
-        val order = ordered.getOrPut(vm) { Ordered(now, isAnswered = false) }
+        val order = ordered.getOrPut(vm) { Ordered(now) }
         order.sentAt = now
         // An order that this leader did not begin itself may have reached the platform before.
         if (isRepeat || !isFresh) order.wasUncertain = true
     }
 
-    /** Returns the record that follows from the platform's [answer], or null. */
-    fun answered(wave: Long, vm: VmId, answer: UpkeepAnswer, now: MonotonicTime): Record? {
+    /** Returns the record that follows from the platform's [answer], or null; [settled] tells what became of it. */
+    fun answered(wave: Long, vm: VmId, answer: UpkeepAnswer, now: MonotonicTime): Record? =
+        recordOf(wave, vm, answer, now)?.also { unrecorded.add(vm) }
+
+    /** Notes that [record] is applied or was rejected. */
+    fun settled(record: Record) {
+        when (record) {
+            is Record.UpkeepConfirmed -> unrecorded.remove(record.vm)
+            is Record.UpkeepRefused -> unrecorded.remove(record.vm)
+            is Record.UpkeepEnded -> unrecorded.remove(record.vm)
+            else -> Unit
+        }
+    }
+
+    private fun recordOf(wave: Long, vm: VmId, answer: UpkeepAnswer, now: MonotonicTime): Record? {
         val order = ordered[vm]
         return when (answer) {
             UpkeepAnswer.BEGUN -> {
-                order?.isAnswered = true
                 order?.sentAt = now
                 Record.UpkeepConfirmed(wave, vm)
             }
@@ -131,6 +146,7 @@
                 val isBack = vm in wave.confirmed && entry?.state == VmCondition.UP
                 if (entry == null || isBack) {
                     records.add(Record.UpkeepEnded(wave.number, vm))
+                    unrecorded.add(vm)
                     ordered.remove(vm)
                 }
             }
@@ -206,9 +222,9 @@
     private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean =
         succession.mayOrder(vm, now) && refusals[vm]?.let { now >= it.until } ?: true
 
-    private fun retryIsDue(vm: VmId, now: MonotonicTime): Boolean {
-        val order = ordered[vm] ?: return true
-        return !order.isAnswered && now - order.sentAt > ORDER_RETRY
+    private fun mayRepeat(vm: VmId, now: MonotonicTime): Boolean {
+        val isDue = ordered[vm]?.let { now - it.sentAt > ORDER_RETRY } ?: true
+        return isDue && vm !in unrecorded && succession.mayOrder(vm, now)
     }
 
     private fun isOverdue(vm: VmId, now: MonotonicTime): Boolean {
@@ -231,7 +247,7 @@
         val planned = PlannedLoss(lost, evacuations.keys)
     }
 
-    private class Ordered(var sentAt: MonotonicTime, var isAnswered: Boolean) {
+    private class Ordered(var sentAt: MonotonicTime) {
         var wasUncertain = false
     }
 
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/LoanTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/LoanTest.kt
@@ -121,6 +121,34 @@
         assertTrue(fleet.moves <= 4, "${fleet.moves} moves")
     }
 
+    @Test
+    fun aMoveIsNotRepeatedWhileItsRefusalIsBeingRecorded() {
+        repeat(10) { seed ->
+            val fleet = fleet(seed, plateVms = 2, proofVms = 2, spares = 1)
+            val spare = VmId("spare0")
+            fleet.leaving.add(spare)
+            // Commits that take longer than the time until an order is repeated.
+            fleet.commitTime = 2_500.milliseconds
+            fleet.mutate = { decided ->
+                val isRefusal = decided is Action.Note && decided.event == "move_answered" &&
+                    "answer" to UpkeepAnswer.BUSY in decided.fields
+                if (isRefusal) fleet.leaving.clear()
+                listOf(decided)
+            }
+            repeat(60) { number ->
+                fleet.at((number * 250).milliseconds) {
+                    fleet.offer("proof$number", task.copy(count = 2), queue = proofs)
+                }
+            }
+            fleet.run(15.seconds)
+            fleet.commitTime = 10.milliseconds
+            fleet.run(60.seconds)
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertEquals(setOf(spare), fleet.spares, "seed $seed: the VM was lent unseen and never goes back")
+        }
+    }
+
     private fun VirtualFleet.lastStart(name: String, jobs: Int): Duration {
         val all = (0 until jobs).flatMap { job -> (0..1).map { startedAt.getValue(taskOf("$name$job", it)) } }
         return all.max() - all.min()
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
@@ -74,5 +74,47 @@
         assertEquals(4, fleet.workers.values.sumOf { worker -> (0..3).count { worker.runs(task(it)) } })
     }
 
+    @Test
+    fun anOrderIsNotRepeatedWhileItsRefusalIsBeingRecorded() {
+        repeat(40) { seed ->
+            val fleet = fleet(seed)
+            fleet.commitTime = 200.milliseconds
+            // Something is always being committed when the platform answers.
+            repeat(40) { number ->
+                fleet.at((number * 100 + seed * 5).milliseconds) {
+                    fleet.offer("job$number", StepDescription(1, Resources(1_000, 100), estimateMs = 300))
+                }
+            }
+            val slow = VmId("vm-slow")
+            fleet.leaving.add(slow)
+            fleet.whenRefused(slow) {
+                fleet.at((20 + seed * 5).milliseconds) {
+                    fleet.leaving.clear()
+                    fleet.addWorker("slow", vm = slow)
+                }
+            }
+            fleet.call { Event.WaveOffered(it, 7, listOf(slow, VmId("vm-w0"), VmId("vm-w1")), 20.seconds, cap = 1) }
+            fleet.run(40.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertTrue(fleet.state.waves.getValue(7).isComplete, "seed $seed: the wave is late")
+        }
+    }
+
+    /** Runs [action] once, when the coordinator has learned that the platform refused the maintenance of [vm]. */
+    private fun VirtualFleet.whenRefused(vm: VmId, action: () -> Unit) {
+        var isDone = false
+        mutate = { decided ->
+            val isRefusal = decided is Action.Note && decided.event == "upkeep_answered" &&
+                decided.fields.containsAll(listOf("vm" to vm, "answer" to UpkeepAnswer.BUSY))
+            if (isRefusal && !isDone) {
+                isDone = true
+                action()
+            }
+            listOf(decided)
+        }
+    }
+
     private fun task(index: Int) = TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index)
 }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -209,6 +209,7 @@
     private fun move(order: Action.OrderMove): UpkeepAnswer {
         val worker = workerOn(order.vm)
         return when {
+            order.vm in leaving -> UpkeepAnswer.BUSY
             worker != null && worker.profile.service == order.service -> UpkeepAnswer.BEGUN
             worker != null -> UpkeepAnswer.BEGUN.also { restart(worker, order.service, MOVE_TIME) { } }
             spares.remove(order.vm) -> UpkeepAnswer.BEGUN.also { join(order.vm, order.service, MOVE_TIME) { } }
