End a maintenance only once it can be over

A wave took the next VM down while the one before was still in maintenance, beyond its cap.

Cause: an end was recorded as soon as a life was known that is later than the one in the record of the order. A worker that starts again between that record and the order is such a life, and so is any life if none was known when the VM was chosen: the order ends it, and it was taken for the life after the maintenance. The record bounds what ran before the decision, not what ran at the order.

The end now needs a later life and the length of a maintenance since the platform's answer, or since the beginning of the leadership for an order of an earlier leader. The answer comes after the beginning of the maintenance, so nothing is taken for over too soon, whatever lives are known.

After: 60 seeds, half of them with a change of the leader, keep the cap and complete the wave.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -70,7 +70,7 @@
             for (vm in wave.begun.keys.filter { it !in wave.ended }) {
                 val bornMs = bornMsOf(workers[vm])
                 val isConfirmed = vm in wave.confirmed
-                if (isConfirmed && bornMs > wave.begun.getValue(vm)) {
+                if (isConfirmed && bornMs > wave.begun.getValue(vm) && hasLasted(vm, now)) {
                     pass.records.add(Record.UpkeepEnded(wave.number, vm))
                     ordered.remove(vm)
                 } else if (!isConfirmed && mayRepeat(vm, now)) {
@@ -227,6 +227,15 @@
         return isDue && vm !in unrecorded && succession.mayOrder(vm, now)
     }
 
+    /**
+     * Whether the maintenance that was confirmed is over by its length.
+     *
+     * The VM may have started again between the record of its life and the order, so a later life alone proves
+     * nothing.
+     */
+    private fun hasLasted(vm: VmId, now: MonotonicTime): Boolean =
+        now - (ordered[vm]?.sentAt ?: startedAt) >= settings.upkeepTime
+
     private fun isOverdue(vm: VmId, now: MonotonicTime): Boolean {
         val order = ordered[vm] ?: return now - startedAt > settings.upkeepTime + OVERDUE_MARGIN
         return now - order.sentAt > settings.upkeepTime + OVERDUE_MARGIN
@@ -247,6 +256,7 @@
         val planned = PlannedLoss(lost, evacuations.keys)
     }
 
+    /** An order of this leader; [sentAt] is when the last copy was sent, or when its answer came. */
     private class Ordered(var sentAt: MonotonicTime) {
         var wasUncertain = false
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
@@ -116,5 +116,26 @@
         }
     }
 
+    @Test
+    fun aLifeThatBeganBeforeTheMaintenanceDoesNotEndIt() {
+        repeat(60) { seed ->
+            val fleet = VirtualFleet.withWorkers(3, seed)
+            fleet.commitTime = 100.milliseconds
+            val vms = List(3) { VmId("vm-w$it") }
+            fleet.call { Event.WaveOffered(it, 7, vms, 20.seconds, cap = 1) }
+            // The worker of the VM that is next starts again between the decision and the order.
+            fleet.at((seed * 10).milliseconds) {
+                fleet.workers.values.first().crash()
+                fleet.addWorker("again", vm = VmId("vm-w0"))
+            }
+            // Half of the plays have a new leader once the order was answered.
+            if (seed % 2 == 1) fleet.at((700 + seed * 10).milliseconds) { fleet.changeLeader() }
+            fleet.run(30.seconds)
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertTrue(fleet.state.waves.getValue(7).isComplete, "seed $seed: the wave is late")
+        }
+    }
+
     private fun task(index: Int) = TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index)
 }
