Repeat an order for maintenance only while its tasks may be missed

The maintenance of a VM ended lasting tasks while others of their step were away, beyond what the step may miss.

Cause: whether the tasks may end was asked once, before the record of the order. An order that the platform did not answer was repeated every second, and by each later leader, on the strength of that decision, whatever had become of the other tasks since.

A repeat now asks again. VMs in maintenance, and those whose order was sent within the last two seconds, count as lost, so that of several open orders one goes out after the other. A VM whose order is withheld takes tasks again and is emptied as one that is next would be, since a task that is away may have no other place. A copy that is still on its way cannot be called back.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -24,6 +24,9 @@
 
     /** VMs of which an answer or an end waits to be recorded; until then the state shows their order as open. */
     private val unrecorded = HashSet<VmId>()
+
+    /** VMs whose order is not repeated now, because it would end tasks that must not be missed. */
+    private val withheld = HashSet<VmId>()
     private var listedAt: MonotonicTime? = null
 
     /** Whether a list of the VMs is needed to learn what became of an order, or why one is refused again and again. */
@@ -45,7 +48,7 @@
     /** Whether the VM of [worker] is being emptied or in maintenance. */
     fun isHeld(worker: WorkerProfile): Boolean {
         val vm = worker.vm ?: return false
-        return vm in emptying || vm in ordered
+        return vm in emptying || (vm in ordered && vm !in withheld)
     }
 
     /** Whether any wave is in progress. */
@@ -65,6 +68,8 @@
         val orders = ArrayList<Pair<Long, VmId>>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
         val pass = Pass(now, nowMs, workers, availability)
+        withheld.clear()
+        state.waves.values.forEach { wave -> leavingNow(wave, now).mapNotNullTo(pass.lost) { lifeOn(it, pass) } }
         for (wave in state.waves.values) {
             if (wave.isComplete) continue
             for (vm in wave.begun.keys.filter { it !in wave.ended }) {
@@ -73,7 +78,7 @@
                 if (isConfirmed && bornMs > wave.begun.getValue(vm) && hasLasted(vm, now)) {
                     pass.records.add(Record.UpkeepEnded(wave.number, vm))
                     ordered.remove(vm)
-                } else if (!isConfirmed && mayRepeat(vm, now)) {
+                } else if (!isConfirmed && mayRepeat(vm, now) && mayEnd(vm, workers[vm], pass)) {
                     orders.add(wave.number to vm)
                 }
             }
@@ -161,7 +166,7 @@
         val patience = patience(wave, left.size, pass.nowMs)
         // What was ordered may still look at work; it counts as lost from the order on.
         val leaving = state.waves.values.flatMap { it.begun.keys - it.ended }
-        leaving.mapNotNullTo(pass.lost) { pass.workers[it]?.profile?.life }
+        leaving.mapNotNullTo(pass.lost) { lifeOn(it, pass) }
         val order = left.sortedWith(compareBy({ it !in emptying }, { vm -> pass.workers[vm]?.let(::load) ?: 0L }))
         for (vm in order) {
             if (room == 0) break
@@ -236,6 +241,30 @@
     private fun hasLasted(vm: VmId, now: MonotonicTime): Boolean =
         now - (ordered[vm]?.sentAt ?: startedAt) >= settings.upkeepTime
 
+    /** VMs of [wave] whose maintenance has begun, or may begin by an order that is on its way. */
+    private fun leavingNow(wave: Wave, now: MonotonicTime): List<VmId> = wave.begun.keys.filter { vm ->
+        val isOnItsWay = ordered[vm]?.let { now - it.sentAt <= MAX_ORDER_TIME } ?: false
+        vm !in wave.ended && (vm in wave.confirmed || isOnItsWay)
+    }
+
+    /**
+     * Whether an order for [vm] that was not answered may be repeated although it ends what runs at [worker].
+     *
+     * Others may be away by now that were not when the maintenance was decided.
+     */
+    private fun mayEnd(vm: VmId, worker: Worker?, pass: Pass): Boolean {
+        if (worker == null) return true
+        if (pass.availability.canLose(worker, pass.planned)) {
+            pass.lost.add(worker.profile.life)
+            return true
+        }
+        withheld.add(vm)
+        evacuate(vm, worker, pass)
+        return false
+    }
+
+    private fun lifeOn(vm: VmId, pass: Pass): WorkerLife? = pass.workers[vm]?.profile?.life
+
     private fun isOverdue(vm: VmId, now: MonotonicTime): Boolean {
         val order = ordered[vm] ?: return now - startedAt > settings.upkeepTime + OVERDUE_MARGIN
         return now - order.sentAt > settings.upkeepTime + OVERDUE_MARGIN
@@ -286,6 +315,9 @@
         val ORDER_TIME: Duration = 300.milliseconds
         val OVERDUE_MARGIN: Duration = 3.seconds
 
+        /** Time for which an order without an answer counts as on its way; the call to the platform ends within it. */
+        val MAX_ORDER_TIME: Duration = 2.seconds
+
         /** Longest time to empty one VM; a few times the usual task. */
         val MAX_PATIENCE: Duration = 4.seconds
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
@@ -137,5 +137,34 @@
         }
     }
 
+    /**
+     * Two VMs run one task each of a step that may miss one. The platform takes no order for 8 s; a second after the
+     * first order for one VM the other's worker crashes, and its task finds no place until a third VM comes.
+     */
+    private fun waveWhoseOrderIsHeldUp(seed: Int): VirtualFleet {
+        val fleet = fleet(seed)
+        fleet.offer("job", lasting.copy(count = 2, maxPerWorker = 1))
+        fleet.run(1.seconds)
+        var isUnavailable = true
+        fleet.mutate = { if (it is Action.OrderUpkeep && isUnavailable) emptyList() else listOf(it) }
+        fleet.call { Event.WaveOffered(it, 7, listOf(VmId("vm-w0")), 10.seconds, cap = 1) }
+        fleet.at((1_000 + seed * 20).milliseconds) { fleet.workers.values.last().crash() }
+        fleet.at(8.seconds) { isUnavailable = false }
+        fleet.at(30.seconds) { fleet.addWorker("third") }
+        return fleet
+    }
+
+    @Test
+    fun anOrderIsNotRepeatedOnceItWouldEndMoreTasksThanMayBeMissed() {
+        repeat(40) { seed ->
+            val fleet = waveWhoseOrderIsHeldUp(seed)
+            if (seed % 2 == 1) fleet.at((2_000 + seed * 50).milliseconds) { fleet.changeLeader() }
+            fleet.run(60.seconds)
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertTrue(fleet.state.waves.getValue(7).isComplete, "seed $seed: the wave is not complete")
+        }
+    }
+
     private fun task(index: Int) = TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index)
 }
