--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -21,6 +21,12 @@
     private val emptying = HashMap<VmId, MonotonicTime>()
     private val ordered = HashMap<VmId, Ordered>()
     private val refusals = HashMap<VmId, Refusals>()
+
+    /** VMs of which an answer or an end waits to be recorded; until then the state shows their order as open. */
+    private val unrecorded = HashSet<VmId>()
+
+    /** VMs whose order is not repeated now, because it would end tasks that must not be missed. */
+    private val withheld = HashSet<VmId>()
     private var listedAt: MonotonicTime? = null
 
     /** Whether a list of the VMs is needed to learn what became of an order, or why one is refused again and again. */
@@ -42,7 +48,7 @@
     /** Whether the VM of [worker] is being emptied or in maintenance. */
     fun isHeld(worker: WorkerProfile): Boolean {
         val vm = worker.vm ?: return false
-        return vm in emptying || vm in ordered
+        return vm in emptying || (vm in ordered && vm !in withheld)
     }
 
     /** Whether any wave is in progress. */
@@ -62,15 +68,17 @@
         val orders = ArrayList<Pair<Long, VmId>>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
         val pass = Pass(now, nowMs, workers, availability)
+        withheld.clear()
+        state.waves.values.forEach { wave -> leavingNow(wave, now).mapNotNullTo(pass.lost) { lifeOn(it, pass) } }
         for (wave in state.waves.values) {
             if (wave.isComplete) continue
             for (vm in wave.begun.keys.filter { it !in wave.ended }) {
                 val bornMs = bornMsOf(workers[vm])
                 val isConfirmed = vm in wave.confirmed
-                if (isConfirmed && bornMs > wave.begun.getValue(vm)) {
+                if (isConfirmed && bornMs > wave.begun.getValue(vm) && hasLasted(vm, now)) {
                     pass.records.add(Record.UpkeepEnded(wave.number, vm))
                     ordered.remove(vm)
-                } else if (!isConfirmed && retryIsDue(vm, now) && succession.mayOrder(vm, now)) {
+                } else if (!isConfirmed && mayRepeat(vm, now) && mayEnd(vm, workers[vm], pass)) {
                     orders.add(wave.number to vm)
                 }
             }
@@ -83,18 +91,30 @@
 
     fun orderSent(vm: VmId, now: MonotonicTime, isFresh: Boolean) {
         val isRepeat = vm in ordered
-        val order = ordered.getOrPut(vm) { Ordered(now, isAnswered = false) }
+        val order = ordered.getOrPut(vm) { Ordered(now) }
         order.sentAt = now
         // An order that this leader did not begin itself may have reached the platform before.
         if (isRepeat || !isFresh) order.wasUncertain = true
     }
 
-    /** Returns the record that follows from the platform's [answer], or null. */
-    fun answered(wave: Long, vm: VmId, answer: UpkeepAnswer, now: MonotonicTime): Record? {
+    /** Returns the record that follows from the platform's [answer], or null; [settled] tells what became of it. */
+    fun answered(wave: Long, vm: VmId, answer: UpkeepAnswer, now: MonotonicTime): Record? =
+        recordOf(wave, vm, answer, now)?.also { unrecorded.add(vm) }
+
+    /** Notes that [record] is applied or was rejected. */
+    fun settled(record: Record) {
+        when (record) {
+            is Record.UpkeepConfirmed -> unrecorded.remove(record.vm)
+            is Record.UpkeepRefused -> unrecorded.remove(record.vm)
+            is Record.UpkeepEnded -> unrecorded.remove(record.vm)
+            else -> Unit
+        }
+    }
+
+    private fun recordOf(wave: Long, vm: VmId, answer: UpkeepAnswer, now: MonotonicTime): Record? {
         val order = ordered[vm]
         return when (answer) {
             UpkeepAnswer.BEGUN -> {
-                order?.isAnswered = true
                 order?.sentAt = now
                 Record.UpkeepConfirmed(wave, vm)
             }
@@ -131,6 +151,7 @@
                 val isBack = vm in wave.confirmed && entry?.state == VmCondition.UP
                 if (entry == null || isBack) {
                     records.add(Record.UpkeepEnded(wave.number, vm))
+                    unrecorded.add(vm)
                     ordered.remove(vm)
                 }
             }
@@ -145,7 +166,7 @@
         val patience = patience(wave, left.size, pass.nowMs)
         // What was ordered may still look at work; it counts as lost from the order on.
         val leaving = state.waves.values.flatMap { it.begun.keys - it.ended }
-        leaving.mapNotNullTo(pass.lost) { pass.workers[it]?.profile?.life }
+        leaving.mapNotNullTo(pass.lost) { lifeOn(it, pass) }
         val order = left.sortedWith(compareBy({ it !in emptying }, { vm -> pass.workers[vm]?.let(::load) ?: 0L }))
         for (vm in order) {
             if (room == 0) break
@@ -206,11 +227,44 @@
     private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean =
         succession.mayOrder(vm, now) && refusals[vm]?.let { now >= it.until } ?: true
 
-    private fun retryIsDue(vm: VmId, now: MonotonicTime): Boolean {
-        val order = ordered[vm] ?: return true
-        return !order.isAnswered && now - order.sentAt > ORDER_RETRY
+    private fun mayRepeat(vm: VmId, now: MonotonicTime): Boolean {
+        val isDue = ordered[vm]?.let { now - it.sentAt > ORDER_RETRY } ?: true
+        return isDue && vm !in unrecorded && succession.mayOrder(vm, now)
+    }
+
+    /**
+     * Whether the maintenance that was confirmed is over by its length.
+     *
+     * The VM may have started again between the record of its life and the order, so a later life alone proves
+     * nothing.
+     */
+    private fun hasLasted(vm: VmId, now: MonotonicTime): Boolean =
+        now - (ordered[vm]?.sentAt ?: startedAt) >= settings.upkeepTime
+
+    /** VMs of [wave] whose maintenance has begun, or may begin by an order that is on its way. */
+    private fun leavingNow(wave: Wave, now: MonotonicTime): List<VmId> = wave.begun.keys.filter { vm ->
+        val isOnItsWay = ordered[vm]?.let { now - it.sentAt <= MAX_ORDER_TIME } ?: false
+        vm !in wave.ended && (vm in wave.confirmed || isOnItsWay)
+    }
+
+    /**
+     * Whether an order for [vm] that was not answered may be repeated although it ends what runs at [worker].
+     *
+     * Others may be away by now that were not when the maintenance was decided.
+     */
+    private fun mayEnd(vm: VmId, worker: Worker?, pass: Pass): Boolean {
+        if (worker == null) return true
+        if (pass.availability.canLose(worker, pass.planned)) {
+            pass.lost.add(worker.profile.life)
+            return true
+        }
+        withheld.add(vm)
+        evacuate(vm, worker, pass)
+        return false
     }
 
+    private fun lifeOn(vm: VmId, pass: Pass): WorkerLife? = pass.workers[vm]?.profile?.life
+
     private fun isOverdue(vm: VmId, now: MonotonicTime): Boolean {
         val order = ordered[vm] ?: return now - startedAt > settings.upkeepTime + OVERDUE_MARGIN
         return now - order.sentAt > settings.upkeepTime + OVERDUE_MARGIN
@@ -231,7 +285,8 @@
         val planned = PlannedLoss(lost, evacuations.keys)
     }
 
-    private class Ordered(var sentAt: MonotonicTime, var isAnswered: Boolean) {
+    /** An order of this leader; [sentAt] is when the last copy was sent, or when its answer came. */
+    private class Ordered(var sentAt: MonotonicTime) {
         var wasUncertain = false
     }
 
@@ -260,6 +315,9 @@
         val ORDER_TIME: Duration = 300.milliseconds
         val OVERDUE_MARGIN: Duration = 3.seconds
 
+        /** Time for which an order without an answer counts as on its way; the call to the platform ends within it. */
+        val MAX_ORDER_TIME: Duration = 2.seconds
+
         /** Longest time to empty one VM; a few times the usual task. */
         val MAX_PATIENCE: Duration = 4.seconds
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/MaintenanceTest.kt
@@ -74,5 +74,97 @@
         assertEquals(4, fleet.workers.values.sumOf { worker -> (0..3).count { worker.runs(task(it)) } })
     }
 
+    @Test
+    fun anOrderIsNotRepeatedWhileItsRefusalIsBeingRecorded() {
+        repeat(40) { seed ->
+            val fleet = fleet(seed)
+            fleet.commitTime = 200.milliseconds
+            // Something is always being committed when the platform answers.
+            repeat(40) { number ->
+                fleet.at((number * 100 + seed * 5).milliseconds) {
+                    fleet.offer("job$number", StepDescription(1, Resources(1_000, 100), estimateMs = 300))
+                }
+            }
+            val slow = VmId("vm-slow")
+            fleet.leaving.add(slow)
+            fleet.whenRefused(slow) {
+                fleet.at((20 + seed * 5).milliseconds) {
+                    fleet.leaving.clear()
+                    fleet.addWorker("slow", vm = slow)
+                }
+            }
+            fleet.call { Event.WaveOffered(it, 7, listOf(slow, VmId("vm-w0"), VmId("vm-w1")), 20.seconds, cap = 1) }
+            fleet.run(40.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertTrue(fleet.state.waves.getValue(7).isComplete, "seed $seed: the wave is late")
+        }
+    }
+
+    /** Runs [action] once, when the coordinator has learned that the platform refused the maintenance of [vm]. */
+    private fun VirtualFleet.whenRefused(vm: VmId, action: () -> Unit) {
+        var isDone = false
+        mutate = { decided ->
+            val isRefusal = decided is Action.Note && decided.event == "upkeep_answered" &&
+                decided.fields.containsAll(listOf("vm" to vm, "answer" to UpkeepAnswer.BUSY))
+            if (isRefusal && !isDone) {
+                isDone = true
+                action()
+            }
+            listOf(decided)
+        }
+    }
+
+    @Test
+    fun aLifeThatBeganBeforeTheMaintenanceDoesNotEndIt() {
+        repeat(60) { seed ->
+            val fleet = VirtualFleet.withWorkers(3, seed)
+            fleet.commitTime = 100.milliseconds
+            val vms = List(3) { VmId("vm-w$it") }
+            fleet.call { Event.WaveOffered(it, 7, vms, 20.seconds, cap = 1) }
+            // The worker of the VM that is next starts again between the decision and the order.
+            fleet.at((seed * 10).milliseconds) {
+                fleet.workers.values.first().crash()
+                fleet.addWorker("again", vm = VmId("vm-w0"))
+            }
+            // Half of the plays have a new leader once the order was answered.
+            if (seed % 2 == 1) fleet.at((700 + seed * 10).milliseconds) { fleet.changeLeader() }
+            fleet.run(30.seconds)
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertTrue(fleet.state.waves.getValue(7).isComplete, "seed $seed: the wave is late")
+        }
+    }
+
+    /**
+     * Two VMs run one task each of a step that may miss one. The platform takes no order for 8 s; a second after the
+     * first order for one VM the other's worker crashes, and its task finds no place until a third VM comes.
+     */
+    private fun waveWhoseOrderIsHeldUp(seed: Int): VirtualFleet {
+        val fleet = fleet(seed)
+        fleet.offer("job", lasting.copy(count = 2, maxPerWorker = 1))
+        fleet.run(1.seconds)
+        var isUnavailable = true
+        fleet.mutate = { if (it is Action.OrderUpkeep && isUnavailable) emptyList() else listOf(it) }
+        fleet.call { Event.WaveOffered(it, 7, listOf(VmId("vm-w0")), 10.seconds, cap = 1) }
+        fleet.at((1_000 + seed * 20).milliseconds) { fleet.workers.values.last().crash() }
+        fleet.at(8.seconds) { isUnavailable = false }
+        fleet.at(30.seconds) { fleet.addWorker("third") }
+        return fleet
+    }
+
+    @Test
+    fun anOrderIsNotRepeatedOnceItWouldEndMoreTasksThanMayBeMissed() {
+        repeat(40) { seed ->
+            val fleet = waveWhoseOrderIsHeldUp(seed)
+            if (seed % 2 == 1) fleet.at((2_000 + seed * 50).milliseconds) { fleet.changeLeader() }
+            fleet.run(60.seconds)
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+            assertTrue(fleet.state.waves.getValue(7).isComplete, "seed $seed: the wave is not complete")
+        }
+    }
+
     private fun task(index: Int) = TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index)
 }
