Let a later life of a worker refuse what was ordered for the life before

A worker that crashes and starts again keeps its id, and orders name the id only. An order to start that was meant for the earlier life is carried out by the later one. Callers would see two runs of a task, or a start after its task was done.

Cause: the state released all claims of a life when a later life of the same worker reported, and the leader did the same when a look was answered by another birth. The task then started elsewhere while the first order was still on its way.

Now the claims move to the later life, which is told to stop the runs; the usual look after an answered stop releases or ends them. A look that a later life answers only waits for its report: it renews no lease, notes no end, and the life gets no tasks. An answer of another id at the address stays proof that the life has ended. Starts that were not answered are remembered for 12 s, also after their claim is released, and a later life refuses them before it is used. It is looked at once before that, so that it knows the leader's fence. If it falls silent at once, its claims wait until no order for the life before can keep them at work.

In virtual time, orders now go by id.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -7,6 +7,7 @@
 /** Contacts of one leader with the workers, and which of them may be given tasks. */
 internal class Contacts(private val state: SchedulerState, private val settings: SchedulingSettings) {
     private val byLife = HashMap<WorkerLife, WorkerContact>()
+    val lateStarts = LateStarts(settings.orderDelay)
 
     val all: Collection<WorkerContact>
         get() = byLife.values
@@ -19,8 +20,19 @@
         byLife.remove(life)
     }
 
+    /** Whether [worker] may still carry out orders that earlier leaders sent for its earlier life. */
+    fun isUnfenced(worker: Worker): Boolean = worker.earlier != null && byLife[worker.profile.life]?.lookedAt == null
+
+    /** Whether orders for an earlier life may keep runs at work at [contact], whatever was granted there. */
+    fun isHeldByLateOrders(contact: WorkerContact, now: MonotonicTime): Boolean {
+        val isUnfenced = state.worker(contact.life)?.let(::isUnfenced) ?: false
+        val until = contact.heldUntil ?: if (isUnfenced) contact.since + settings.lateLease else return false
+        return now < until
+    }
+
     /** Drops the contacts of lives that have ended and have no claims. */
-    fun prune() {
+    fun prune(now: MonotonicTime) {
+        lateStarts.prune(now)
         byLife.keys.removeAll { state.worker(it) == null && state.claimsAt(it).isEmpty() }
     }
 
@@ -31,6 +43,8 @@
         val heardAt = contact.heardAt ?: return false
         if (!contact.clock.isKnown || now - heardAt > settings.reportInterval * MISSED_REPORTS) return false
         if (contact.failedLooks > 0 || contact.health.isAside(now)) return false
+        val mayStartOther = contact.isReplaced || isUnfenced(worker) || lateStarts.openAt(contact.life).isNotEmpty()
+        if (mayStartOther) return false
         if (contact.fullUntil?.let { now < it } == true) return false
         // Until the worker has said under this leadership what it runs, its room is known from the log only.
         return state.claimsAt(worker.profile.life).isEmpty() || contact.lookedAt != null || contact.orders.isNotEmpty()
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -184,6 +184,7 @@
                 else -> Unit
             }
         }
+        if (batch.records.any { it is Record.WorkerSeen }) runs.takeOver.tick(now)
         runs.afterCommit(now)
         planDirty = true
         logBatch(batch)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -36,7 +36,11 @@
     @SerialName("x")
     public data class JobCancelled(@SerialName("i") val id: JobId) : Record
 
-    /** A worker life was heard for the first time, or began to leave, or changed its address. */
+    /**
+     * A worker life was heard for the first time, or began to leave, or changed its address.
+     *
+     * The claims of an earlier life of the same worker move to it, because it may carry out that life's orders.
+     */
     @Serializable
     @SerialName("w")
     public data class WorkerSeen(@SerialName("p") val profile: WorkerProfile, @SerialName("l") val leaving: Boolean) :
@@ -47,7 +51,11 @@
     @SerialName("g")
     public data class WorkerGone(@SerialName("l") val life: WorkerLife) : Record
 
-    /** The run belongs to [life] until it ends there or is released; its order is sent after this is committed. */
+    /**
+     * The run belongs to [life] until it ends there or is released; its order is sent after this is committed.
+     *
+     * A later life of the same worker takes it over.
+     */
     @Serializable
     @SerialName("s")
     public data class RunClaimed(@SerialName("r") val run: RunId, @SerialName("l") val life: WorkerLife) : Record
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -11,6 +11,9 @@
  * An order that was not answered may be carried out later. The run is then stopped first: a worker that has
  * answered the stop refuses a start that arrives after it, so the next look shows what became of the run. Claims
  * of earlier leaders are settled by the first look that a worker answers, because the look raises the fence.
+ *
+ * Orders name a worker and not its life. What was ordered for a life is stopped at the later life that replaces it,
+ * and the run is released only once that one has refused it.
  */
 internal class RunControl(
     private val state: SchedulerState,
@@ -24,6 +27,9 @@
     private val recorded = HashSet<Pair<RunId, WorkerLife>>()
     private val paces = PaceOrders(state, act)
 
+    /** Has later lives of a worker refuse what was ordered for earlier ones. */
+    val takeOver = TakeOver(state, settings, contacts, ::stop, act)
+
     /**
      * Claims whose batch is being committed.
      *
@@ -48,12 +54,13 @@
         val isClaimed = claim.run in state.claimsAt(claim.life)
         if (!isClaimed) return note("run_not_claimed", "run" to claim.run, "worker" to claim.life)
         val contact = contacts.of(claim.life, now)
-        val isGone = worker == null || worker.isLeaving || !contact.clock.isKnown
+        val isGone = worker == null || worker.isLeaving || contact.isReplaced || !contact.clock.isKnown
         if (job == null || worker == null || isGone) {
             return release(claim.run, claim.life, "worker or job gone")
         }
         val order = Order(now)
         contact.orders[claim.run] = order
+        contacts.lateStarts.sent(claim.run, claim.life, now)
         val description = job.description.steps[claim.run.task.step.step]
         val progress = job.step(claim.run.task.step)
         val saved = if (description.gang) progress.saved else progress.tasks[claim.run.task.index].saved
@@ -86,6 +93,7 @@
     }
 
     fun startAnswered(event: Event.StartAnswered, now: MonotonicTime) {
+        if (event.answer != null) contacts.lateStarts.settled(event.run, event.life.worker)
         val contact = contacts.find(event.life) ?: return
         val order = contact.orders[event.run] ?: return
         val answer = event.answer
@@ -119,6 +127,7 @@
         val answer = event.answer ?: return
         contact.heard(now, answer.clockMs)
         if (answer.result == OrderResult.OTHER_LIFE) return gone(event.life)
+        if (answer.result == OrderResult.DONE) contacts.lateStarts.refused(event.run, event.life)
         val order = contact.orders[event.run] ?: return
         if (answer.result == OrderResult.DONE && order.stoppedAt == null) order.stoppedAt = now
         scheduleLook(contact, now)
@@ -135,8 +144,10 @@
             if (contact.failedLooks == 1) note("worker_silent", contact.leaseFields(now), "worker" to event.life)
             return
         }
-        val isOther = answer.otherLife || (answer.bornMs != null && answer.bornMs != event.life.bornMs)
-        if (isOther) return gone(event.life)
+        if (answer.otherLife) return gone(event.life)
+        if (answer.bornMs != null && answer.bornMs != event.life.bornMs) {
+            return takeOver.answered(contact, answer.bornMs, unsent, now)
+        }
         if (contact.failedLooks >
             0
         ) {
@@ -164,6 +175,7 @@
     }
 
     fun ended(end: Record.RunEnded, now: MonotonicTime) {
+        contacts.lateStarts.settled(end.run, end.life.worker)
         recorded.remove(end.run to end.life)
         val contact = contacts.find(end.life)
         val startedAt = contact?.orders?.remove(end.run)?.startedAt
@@ -199,20 +211,25 @@
     }
 
     fun tick(now: MonotonicTime) {
-        contacts.prune()
+        takeOver.tick(now)
+        contacts.prune(now)
         for (life in state.claimedLives.toList()) {
             val contact = contacts.of(life, now)
-            if (state.worker(life) == null || (contact.failedLooks > 0 && contact.hasLapsed(now, settings))) {
+            val isSilent = contact.isReplaced || (contact.failedLooks > 0 && contact.hasLapsed(now, settings))
+            if (state.worker(life) == null || (isSilent && !contacts.isHeldByLateOrders(contact, now))) {
                 val inputs = contact.leaseFields(now)
-                state.claimsAt(life).keys.filter { it !in unsent }.forEach { release(it, life, "lease ran out", inputs) }
+                state.claimsAt(life).keys.filter {
+                    it !in unsent
+                }.forEach { release(it, life, "lease ran out", inputs) }
                 continue
             }
             repeatStops(contact, now)
             look(contact, now)
         }
         // A new leader asks idle workers as well, so that it need not wait for their next reports.
-        state.workers.values.map { contacts.of(it.profile.life, now) }.filter { it.heardAt == null }
-            .forEach { look(it, now) }
+        state.workers.values.map { it to contacts.of(it.profile.life, now) }
+            .filter { (worker, contact) -> contact.heardAt == null || contacts.isUnfenced(worker) }
+            .forEach { (_, contact) -> look(contact, now) }
     }
 
     private fun takeEnds(contact: WorkerContact, answer: LookAnswer) {
@@ -240,7 +257,7 @@
             if (isHere) noteStarted(contact, run, sentAt, now)
             val isOpen = isHere || run in listed || (run to life) in recorded
             val order = contact.orders[run]
-            if (!isOpen && isSettled(order, sentAt)) release(run, life, "not listed", orderFields(order, sentAt))
+            if (!isOpen && order.isSettledBy(sentAt)) release(run, life, "not listed", order.fields(sentAt))
             val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task)
             if (isHere && isOver) stop(run, life, now)
         }
@@ -254,23 +271,9 @@
     private fun noteStarted(contact: WorkerContact, run: RunId, sentAt: MonotonicTime, now: MonotonicTime) {
         val order = contact.orders.getOrPut(run) { Order(now) }
         if (order.startedAt == null) order.startedAt = sentAt
+        contacts.lateStarts.settled(run, contact.life.worker)
     }
 
-    /** Whether a run that a look sent at [sentAt] did not list can never be there any more. */
-    private fun isSettled(order: Order?, sentAt: MonotonicTime): Boolean {
-        // The fence that came with the look keeps out what an earlier leader sent.
-        if (order == null) return true
-        val since = order.stoppedAt ?: order.startedAt
-        return since != null && since <= sentAt
-    }
-
-    /** How long before a look sent at [sentAt] the order was sent and answered, for the log. */
-    private fun orderFields(order: Order?, sentAt: MonotonicTime): List<Pair<String, Any?>> = listOf(
-        "sent_before_ms" to order?.let { (sentAt - it.sentAt).inWholeMilliseconds },
-        "started_before_ms" to order?.startedAt?.let { (sentAt - it).inWholeMilliseconds },
-        "stopped_before_ms" to order?.stoppedAt?.let { (sentAt - it).inWholeMilliseconds },
-    )
-
     /** Stops what has no use once [run] is over: copies of a task that is done, and the other members of a gang. */
     private fun stopRest(run: RunId, now: MonotonicTime) {
         val id = run.task.step
@@ -311,20 +314,23 @@
     private fun look(contact: WorkerContact, now: MonotonicTime) {
         val worker = state.worker(contact.life) ?: return
         val isDue = contact.lookingSince == null && now >= contact.nextLook
-        val isOfInterest = contact.heardAt == null || state.claimsAt(contact.life).isNotEmpty()
+        val isOfInterest = contact.heardAt == null || contacts.isUnfenced(worker) ||
+            state.claimsAt(contact.life).isNotEmpty()
         if (!isDue || !isOfInterest) return
         // Ends that wait to be recorded would make the worker answer at once, with nothing new.
         if (recorded.any { it.second == contact.life }) return
         contact.lookingSince = now
         // Renewing again and again without an answer would put off the time when the lease has certainly run out.
-        val mayRenew = contact.clock.isKnown && contact.failedLooks < LOOKS_THAT_RENEW
+        val mayRenew = contact.clock.isKnown && contact.failedLooks < LOOKS_THAT_RENEW && !contact.isReplaced
         val until = if (mayRenew) contact.clock.grant(now, settings.maxLease) else null
-        act(Action.Look(worker.profile, until, worker.endsNoted, waitFor(contact)))
+        // A later life numbers its ends anew, and would forget those that no one has read.
+        val endsNoted = if (contact.isReplaced) 0 else worker.endsNoted
+        act(Action.Look(worker.profile, until, endsNoted, waitFor(contact)))
     }
 
     private fun waitFor(contact: WorkerContact): Duration {
         val claims = state.claimsAt(contact.life)
-        val isUnsettled = contact.lookedAt == null || contact.failedLooks > 0 ||
+        val isUnsettled = contact.lookedAt == null || contact.failedLooks > 0 || contact.isReplaced ||
             claims.keys.any { contact.orders[it]?.stoppedAt != null }
         if (isUnsettled) return Duration.ZERO
         val isShared = claims.values.any { it.fillsUnused } && claims.values.any { it.tailTargetMs > 0 }
@@ -347,12 +353,7 @@
         record(Record.WorkerGone(life))
     }
 
-    private fun release(
-        run: RunId,
-        life: WorkerLife,
-        cause: String,
-        inputs: List<Pair<String, Any?>> = emptyList(),
-    ) {
+    private fun release(run: RunId, life: WorkerLife, cause: String, inputs: List<Pair<String, Any?>> = emptyList()) {
         if (!recorded.add(run to life)) return
         note("run_not_there", inputs, "run" to run, "worker" to life, "cause" to cause)
         record(Record.RunReleased(run, life))
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -211,8 +211,21 @@
             it.profile.life.worker == life.worker || (vm != null && it.profile.vm == vm)
         }
         if (others.any { it.profile.life.bornMs > life.bornMs }) return
-        others.forEach { remove(it.profile.life) }
-        workerTable[life.worker] = Worker(record.profile, record.leaving)
+        others.filter { it !== known }.forEach { remove(it.profile.life) }
+        val earlier = known?.profile?.life
+        workerTable[life.worker] = Worker(record.profile, record.leaving, earlier = earlier)
+        if (earlier != null) moveClaims(earlier, life)
+    }
+
+    /** Moves the claims of a life to a later one of its worker, which may carry out the orders of both. */
+    private fun moveClaims(from: WorkerLife, to: WorkerLife) {
+        val claims = claimTable.remove(from) ?: return
+        claimsOf(to).putAll(claims)
+        for (run in claims.keys) {
+            task(run.task)?.claims?.replaceAll {
+                if (it.number == run.number && it.life == from) Claim(run.number, to) else it
+            }
+        }
     }
 
     private fun remove(life: WorkerLife) {
@@ -311,12 +324,14 @@
  * @property profile what the worker says of itself.
  * @property isLeaving whether the worker has said that it ends soon.
  * @property endsNoted number of the last end that is recorded.
+ * @property earlier life of the same worker that this one replaced, or null if none is known.
  */
 @Serializable
 public class Worker internal constructor(
     public var profile: WorkerProfile,
     public var isLeaving: Boolean,
     public var endsNoted: Long = 0,
+    public val earlier: WorkerLife? = null,
 )
 
 /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -21,6 +21,7 @@
  * @property lookWait time that a worker holds a look back while nothing ends.
  * @property servingLookWait the same for a worker whose tasks' progress, or the tails of whose serving tasks, matter.
  * @property orderTimeout time after which an order without an answer is uncertain.
+ * @property orderDelay time after which an order without an answer is certainly not carried out any more.
  * @property retryInterval time between two tries of an order or look that was not answered.
  * @property noticeTime time for which a lasting task may be away before it counts as unavailable.
  * @property upkeepTime time that the maintenance of a VM takes.
@@ -40,10 +41,15 @@
     val lookWait: Duration = 2.seconds,
     val servingLookWait: Duration = 1.seconds,
     val orderTimeout: Duration = 1.seconds,
+    val orderDelay: Duration = 12.seconds,
     val retryInterval: Duration = 300.milliseconds,
     val noticeTime: Duration = 4500.milliseconds,
     val upkeepTime: Duration = 2.seconds,
     val maxWaitingJobs: Int = 2_000,
     val farFactor: Double = 2.0,
     val paceTime: Duration = 100.milliseconds,
-)
+) {
+    /** Time after which nothing that was ordered for an earlier life of a worker keeps a run at work at a later one. */
+    internal val lateLease: Duration
+        get() = orderDelay + maxLease * (1 + 2 * clockSlowness)
+}
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -34,6 +34,12 @@
     /** Orders of a room that the worker refused count as in use until this time. */
     var fullUntil: MonotonicTime? = null
 
+    /** Whether a later life of the worker has answered in its place. */
+    var isReplaced = false
+
+    /** Until when orders that were sent for an earlier life may keep runs at work, or null if there were none. */
+    var heldUntil: MonotonicTime? = null
+
     fun heard(now: MonotonicTime, clockMs: Long?) {
         heardAt = now
         if (clockMs != null) clock.observe(clockMs, now)
@@ -75,6 +81,21 @@
     var wantsStop = false
 }
 
+/** Whether the run, if a look sent at [lookAt] did not list it, can never be there any more. */
+internal fun Order?.isSettledBy(lookAt: MonotonicTime): Boolean {
+    // The fence that came with the look keeps out what an earlier leader sent.
+    if (this == null) return true
+    val since = stoppedAt ?: startedAt
+    return since != null && since <= lookAt
+}
+
+/** How long before a look sent at [lookAt] the order was sent and answered, for the log. */
+internal fun Order?.fields(lookAt: MonotonicTime): List<Pair<String, Any?>> = listOf(
+    "sent_before_ms" to this?.let { (lookAt - it.sentAt).inWholeMilliseconds },
+    "started_before_ms" to this?.startedAt?.let { (lookAt - it).inWholeMilliseconds },
+    "stopped_before_ms" to this?.stoppedAt?.let { (lookAt - it).inWholeMilliseconds },
+)
+
 /**
  * Estimates a worker's own clock and remembers how far its lease may reach.
  *
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/RebornWorkerTest.kt
@@ -0,0 +1,158 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A worker that starts again under its id carries out orders that were meant for its earlier life. */
+class RebornWorkerTest {
+    private val step = StepDescription(count = 1, demand = Resources(1_000, 100), estimateMs = 20_000)
+    private val run = RunId(TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index = 0), number = 1)
+
+    @Test
+    fun aRunIsReleasedWhenALaterLifeReportsThoughItsStartIsOnItsWay() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetWithLateStart(seed)
+            fleet.run((seed * 20).milliseconds)
+            fleet.restart(claimant(fleet), after = 100.milliseconds)
+            finish(fleet, seed)
+        }
+    }
+
+    @Test
+    fun aRunIsReleasedWhenALaterLifeAnswersALookThoughItsStartIsOnItsWay() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetWithLateStart(seed)
+            fleet.run((seed * 20).milliseconds)
+            // The later life answers the look that is on its way, before any order to stop the run.
+            fleet.restart(claimant(fleet), after = Duration.ZERO, firstReport = 1_400.milliseconds)
+            finish(fleet, seed)
+        }
+    }
+
+    @Test
+    fun aLateStartRunsAtALaterLifeThoughTheEarlierOneHadAnsweredItsStop() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetWithLateStart(seed)
+            while (fleet.state.task(run.task)?.claims?.any { it.number == run.number } == true) fleet.run(STEP)
+            fleet.restart(fleet.workers.values.elementAt(claimedBefore), after = 100.milliseconds)
+            finish(fleet, seed)
+        }
+    }
+
+    @Test
+    fun aLateStartOfAnEarlierLeaderRunsAtALaterLife() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetWithLateStart(seed)
+            fleet.run((seed * 10).milliseconds)
+            fleet.changeLeader()
+            while (fleet.state.task(run.task)?.claims?.any { it.number == run.number } == true) fleet.run(STEP)
+            fleet.restart(fleet.workers.values.elementAt(claimedBefore), after = 100.milliseconds)
+            finish(fleet, seed)
+        }
+    }
+
+    @Test
+    fun aRunIsReleasedWhenTheLeaderChangesAsALaterLifeReports() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetWithLateStart(seed)
+            fleet.run((seed * 20).milliseconds)
+            fleet.restart(claimant(fleet), after = 100.milliseconds)
+            fleet.at((95 + seed).milliseconds) { fleet.changeLeader() }
+            finish(fleet, seed)
+        }
+    }
+
+    @Test
+    fun tasksRunTwiceWhileWorkersStartAgainAndOrdersAreLate() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetOfRestarts(seed, firstReport = Duration.ZERO)
+            fleet.run(90.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+        }
+    }
+
+    @Test
+    fun aLateStartRunsAtALaterLifeThatHasNotReportedYet() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetOfRestarts(seed, firstReport = 1_400.milliseconds)
+            fleet.run(90.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+        }
+    }
+
+    private fun fleetOfRestarts(seed: Int, firstReport: Duration): VirtualFleet {
+        val fleet = VirtualFleet.withWorkers(6, seed)
+        fleet.lateShare = 0.1
+        repeat(30) { number ->
+            fleet.at((number * 300).milliseconds) {
+                fleet.offer("job-$number", step.copy(count = 2, estimateMs = 800))
+            }
+        }
+        repeat(12) { number ->
+            fleet.at((900 + number * 800 + seed * 13).milliseconds) { restartAny(fleet, firstReport) }
+        }
+        repeat(2) { number -> fleet.at((3_000 + number * 4_100 + seed * 17).milliseconds) { fleet.changeLeader() } }
+        return fleet
+    }
+
+    private fun restartAny(fleet: VirtualFleet, firstReport: Duration) {
+        val worker = fleet.workers.values.filter { it.isUp }.randomOrNull(fleet.random) ?: return
+        fleet.restart(worker, after = fleet.random.nextLong(20, 1_500).milliseconds, firstReport)
+    }
+
+    @Test
+    fun whatRanAtAWorkerWaitsForItsLeaseThoughAnotherAnswersAtItsAddress() {
+        val fleet = VirtualFleet.withWorkers(2)
+        fleet.offer("job", step)
+        fleet.run(500.milliseconds)
+        val worker = claimant(fleet)
+        worker.crash()
+        fleet.addWorker("other", address = worker.profile.address)
+        fleet.run(3_500.milliseconds)
+
+        assertTrue(fleet.workers.values.any { it.runs(run.task) }, "the run has not started elsewhere")
+        assertEquals(emptyList(), fleet.broken)
+    }
+
+    /** Returns a fleet whose leader has just sent the only start, which arrives seconds later. */
+    private fun fleetWithLateStart(seed: Int): VirtualFleet {
+        val fleet = VirtualFleet.withWorkers(2, seed)
+        fleet.lateShare = 1.0
+        fleet.offer("job", step)
+        // The job and its claim are committed one after the other.
+        fleet.run(fleet.commitTime * 2)
+        fleet.lateShare = 0.0
+        claimedBefore = fleet.workers.values.indexOf(claimant(fleet))
+        return fleet
+    }
+
+    private var claimedBefore = 0
+
+    private fun claimant(fleet: VirtualFleet): VirtualWorker {
+        val claim = checkNotNull(fleet.state.task(run.task)).claims.single()
+        return fleet.workers.getValue(claim.life.worker)
+    }
+
+    private fun finish(fleet: VirtualFleet, seed: Int) {
+        fleet.run(60.seconds)
+        fleet.checkEnd()
+
+        assertEquals(emptyList(), fleet.broken, "seed $seed")
+        assertTrue(fleet.phase("job") == JobPhase.COMPLETE, "seed $seed: the job is not over")
+    }
+
+    private companion object {
+        const val SEEDS = 40
+        val STEP = 10.milliseconds
+    }
+}
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -112,11 +112,18 @@
         tick()
     }
 
-    fun addWorker(name: String, service: ServiceId = SERVICE, vm: VmId = VmId("vm-$name"), cpu: Long = 4_000) {
+    fun addWorker(
+        name: String,
+        service: ServiceId = SERVICE,
+        vm: VmId = VmId("vm-$name"),
+        cpu: Long = 4_000,
+        firstReport: Duration = Duration.ZERO,
+        address: String = "$name:1",
+    ) {
         val profile = WorkerProfile(
             life = WorkerLife(WorkerId(name), nowMs),
             service = service,
-            address = "$name:1",
+            address = address,
             dataCentre = DataCentreId("a"),
             vm = vm,
             capacity = Resources(cpu, 16_000),
@@ -124,7 +131,22 @@
         )
         val worker = VirtualWorker(profile, this)
         workers[profile.life.worker] = worker
-        worker.report()
+        if (firstReport == Duration.ZERO) worker.report() else at(firstReport) { worker.report() }
+    }
+
+    /** Has [worker] crash now and start again under its id, where it takes orders [firstReport] before it reports. */
+    fun restart(worker: VirtualWorker, after: Duration, firstReport: Duration = Duration.ZERO) {
+        worker.crash()
+        val profile = worker.profile
+        at(after) {
+            addWorker(
+                profile.life.worker.value,
+                profile.service,
+                checkNotNull(profile.vm),
+                profile.capacity.millicores,
+                firstReport,
+            )
+        }
     }
 
     fun offer(id: String, vararg steps: StepDescription, queue: Queue = QUEUE): CallId =
@@ -265,15 +287,10 @@
         var isAnswered = false
         val isLate = random.nextDouble() < lateShare
         at(if (isLate) random.nextLong(2_000, 9_000).milliseconds else travel()) {
-            val worker = workers[to.life.worker]?.takeIf { it.isReachable }
+            val worker = reached(to)
             if (worker != null) {
-                val answer = if (worker.profile.life ==
-                    to.life
-                ) {
-                    execute(worker)
-                } else {
-                    OrderAnswer(OrderResult.OTHER_LIFE)
-                }
+                val isOther = worker.profile.life.worker != to.life.worker
+                val answer = if (isOther) OrderAnswer(OrderResult.OTHER_LIFE) else execute(worker)
                 at(travel()) {
                     val arrives = !isLate && worker.isHeard
                     if (!isAnswered && arrives) answered(answer)
@@ -291,14 +308,16 @@
         var isAnswered = false
         val life = action.worker.life
         at(travel()) {
-            val worker = workers[life.worker]?.takeIf { it.isReachable }
-            worker?.look(action, fenceOf(from)) { answer ->
+            val worker = reached(action.worker)
+            val isOther = worker != null && worker.profile.life.worker != life.worker
+            val answered = { answer: LookAnswer ->
                 at(travel()) {
-                    val arrives = worker.isHeard
+                    val arrives = worker?.isHeard == true
                     if (!isAnswered && arrives) feed(Event.LookAnswered(life, answer), from)
                     if (arrives) isAnswered = true
                 }
             }
+            if (isOther) answered(LookAnswer(otherLife = true)) else worker?.look(action, fenceOf(from), answered)
         }
         at(action.wait + 900.milliseconds) {
             if (!isAnswered) feed(Event.LookAnswered(life, null), from)
@@ -306,6 +325,10 @@
         }
     }
 
+    /** Worker that takes the orders for [to]: a later life of it as well, and one of another id refuses them. */
+    private fun reached(to: WorkerProfile): VirtualWorker? = workers[to.life.worker]?.takeIf { it.isReachable }
+        ?: workers.values.firstOrNull { it.isReachable && it.profile.address == to.address }
+
     private fun travel(): Duration = random.nextLong(1, 4).milliseconds
 
     private class Due(val at: MonotonicTime, val order: Long, val action: () -> Unit)
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -47,6 +47,7 @@
     fun crash() {
         isUp = false
         isReachable = false
+        waiting = null
         val lost = running.map { (task, run) -> RunId(task, run.number) }
         running.clear()
         lost.forEach { fleet.ended(it, RunEnd.LAPSED) }
@@ -61,7 +62,11 @@
     fun report() {
         if (!isUp) return
         sequence += 1
-        if (isReachable && isHeard) fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving = false, clockMs) }
+        if (isReachable &&
+            isHeard
+        ) {
+            fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving = false, clockMs) }
+        }
         fleet.at(1_500.milliseconds) { report() }
     }
 
