Answer a worker's farewell only once nothing may run there

A worker that says farewell ends when it has the answer, or some seconds later without one. Its claims were released as soon as the farewell was committed. When the answer is lost, callers would see the tasks run at another worker while the leaving one is still at work. A claim that was being committed when the farewell came was released with its order on the way.

Now the worker counts as leaving from the farewell on, also for a later leader, and its runs are stopped, which keeps their saved state. The life is recorded as gone and the farewell answered once it has no claims. A worker that ends or falls silent meanwhile is settled by its lease. Calls that wait are answered as unknown when the leadership ends, as all others.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -43,8 +43,8 @@
         val heardAt = contact.heardAt ?: return false
         if (!contact.clock.isKnown || now - heardAt > settings.reportInterval * MISSED_REPORTS) return false
         if (contact.failedLooks > 0 || contact.health.isAside(now)) return false
-        val mayStartOther = contact.isReplaced || isUnfenced(worker) || lateStarts.openAt(contact.life).isNotEmpty()
-        if (mayStartOther) return false
+        val isBarred = contact.isRetired || isUnfenced(worker) || lateStarts.openAt(contact.life).isNotEmpty()
+        if (isBarred) return false
         if (contact.fullUntil?.let { now < it } == true) return false
         // Until the worker has said under this leadership what it runs, its room is known from the log only.
         return state.claimsAt(worker.profile.life).isEmpty() || contact.lookedAt != null || contact.orders.isNotEmpty()
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -31,6 +31,7 @@
     private val durations = DurationBook()
     private val progress = ProgressWatch(state, contacts, durations)
     private val runs = RunControl(state, settings, contacts, durations, progress, intake::record) { actions.add(it) }
+    private val farewells = Farewells(state, contacts, intake, runs) { actions.add(it) }
     private val availability = Availability(state, contacts)
     private val waitingSteps = WaitingSteps(durations)
     private val succession = Succession(state, settings, now)
@@ -55,7 +56,7 @@
             is Event.CatalogOffered -> intake.offer(event)
             is Event.WaveOffered -> intake.offer(event, nowMs)
             is Event.WorkerReported -> report(event, now)
-            is Event.WorkerLeft -> intake.offer(event)
+            is Event.WorkerLeft -> farewells.offer(event, now)
             is Event.BatchApplied -> applied(now)
             is Event.BatchRejected -> rejected()
             is Event.StartAnswered -> runs.startAnswered(event, now)
@@ -244,6 +245,7 @@
             decidePools(now)
             progress.decide(now).forEach { (run, life) -> runs.evacuate(run, life, cause = "slow worker", now) }
         }
+        farewells.decide(now)
         if (planDirty) plan(now, nowMs)
         val records = intake.take()
         if (records.isEmpty()) return
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
@@ -98,11 +98,10 @@
         calls.add(event.call)
     }
 
-    fun offer(event: Event.WorkerLeft) {
-        val life = state.workers[event.worker]?.profile?.life
-        if (life == null || (event.bornMs != null && event.bornMs != life.bornMs)) return accept(event.call)
+    /** Records that [life] has ended, and answers its farewells once that is committed. */
+    fun leave(life: WorkerLife, farewells: List<CallId>) {
         records.add(Record.WorkerGone(life))
-        calls.add(event.call)
+        calls.addAll(farewells)
     }
 
     /** Takes the records of the next batch, with the calls that wait for them. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -54,7 +54,7 @@
         val isClaimed = claim.run in state.claimsAt(claim.life)
         if (!isClaimed) return note("run_not_claimed", "run" to claim.run, "worker" to claim.life)
         val contact = contacts.of(claim.life, now)
-        val isGone = worker == null || worker.isLeaving || contact.isReplaced || !contact.clock.isKnown
+        val isGone = worker == null || worker.isLeaving || contact.isRetired || !contact.clock.isKnown
         if (job == null || worker == null || isGone) {
             return release(claim.run, claim.life, "worker or job gone")
         }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -37,6 +37,13 @@
     /** Whether a later life of the worker has answered in its place. */
     var isReplaced = false
 
+    /** Whether the worker has said farewell and ends soon. */
+    var hasLeft = false
+
+    /** Whether no run may start here any more. */
+    val isRetired: Boolean
+        get() = isReplaced || hasLeft
+
     /** Until when orders that were sent for an earlier life may keep runs at work, or null if there were none. */
     var heldUntil: MonotonicTime? = null
 
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/FarewellsTest.kt
@@ -0,0 +1,115 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class FarewellsTest {
+    private val step =
+        StepDescription(count = 1, demand = Resources(1_000, 100), estimateMs = 6_000, savesProgress = true)
+    private val task = TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index = 0)
+
+    @Test
+    fun aRunIsReleasedWhileItsWorkerThatLeavesIsStillAtWork() {
+        repeat(SEEDS) { seed ->
+            val fleet = fleetAtWork(seed)
+            fleet.run((500 + seed * 10).milliseconds)
+            runner(fleet).leave(isAnswerLost = true)
+            finish(fleet, seed)
+        }
+    }
+
+    @Test
+    fun aRunIsClaimedWhileItsWorkerLeavesAndStartsThereAsWell() {
+        repeat(SEEDS) { seed ->
+            val fleet = VirtualFleet.withWorkers(2, seed)
+            fleet.offer("job", step)
+            // The claim is being committed.
+            fleet.run(fleet.commitTime + 5.milliseconds)
+            fleet.workers.values.first().leave(isAnswerLost = true)
+            finish(fleet, seed)
+        }
+    }
+
+    @Test
+    fun theWorkOfAWorkerThatLeavesIsLost() {
+        val fleet = fleetAtWork(seed = 1)
+        fleet.run(3.seconds)
+        runner(fleet).leave(isAnswerLost = false)
+        // Of 6 s of work, 3 s are done.
+        fleet.run(4_500.milliseconds)
+
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+        assertEquals(emptyList(), fleet.broken)
+    }
+
+    @Test
+    fun aFarewellWaitsForALeaseThoughItsWorkerAnswersTheStops() {
+        val fleet = fleetAtWork(seed = 1)
+        fleet.run(500.milliseconds)
+        val worker = runner(fleet)
+        val call = worker.leave(isAnswerLost = false)
+        fleet.run(1.seconds)
+
+        assertEquals(Reply.Accepted, fleet.replies[call])
+        assertNull(fleet.state.worker(worker.profile.life))
+    }
+
+    @Test
+    fun aFarewellIsNeverAnsweredWhenItsWorkerFallsSilent() {
+        val fleet = fleetAtWork(seed = 1)
+        fleet.run(500.milliseconds)
+        val worker = runner(fleet)
+        val call = worker.leave(isAnswerLost = true)
+        worker.isReachable = false
+        fleet.run(30.seconds)
+
+        assertEquals(Reply.Accepted, fleet.replies[call])
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+        assertEquals(emptyList(), fleet.broken)
+    }
+
+    @Test
+    fun aWorkerThatLeavesIsGivenTasksByTheNextLeader() {
+        val fleet = fleetAtWork(seed = 1)
+        fleet.run(500.milliseconds)
+        val worker = runner(fleet)
+        // Its stop is not answered before the leader changes.
+        worker.leave(isAnswerLost = true)
+        worker.isReachable = false
+        fleet.run(50.milliseconds)
+        fleet.changeLeader()
+        worker.isReachable = true
+        val starts = worker.starts
+        repeat(8) { fleet.offer("other-$it", step) }
+        fleet.run(3.seconds)
+
+        assertEquals(starts, worker.starts)
+    }
+
+    private fun fleetAtWork(seed: Int): VirtualFleet {
+        val fleet = VirtualFleet.withWorkers(2, seed)
+        fleet.offer("job", step)
+        fleet.run(100.milliseconds)
+        return fleet
+    }
+
+    private fun runner(fleet: VirtualFleet): VirtualWorker = fleet.workers.values.single { it.runs(task) }
+
+    private fun finish(fleet: VirtualFleet, seed: Int) {
+        fleet.run(30.seconds)
+        fleet.checkEnd()
+
+        assertEquals(emptyList(), fleet.broken, "seed $seed")
+        assertTrue(fleet.phase("job") == JobPhase.COMPLETE, "seed $seed: the job is not over")
+    }
+
+    private companion object {
+        const val SEEDS = 40
+    }
+}
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -59,6 +59,26 @@
         crash()
     }
 
+    /**
+     * Says that the worker ends, which it does once it has the answer, or [patience] later without one.
+     *
+     * @param isAnswerLost whether the answer does not arrive.
+     */
+    fun leave(isAnswerLost: Boolean, patience: Duration = 4.seconds): CallId {
+        val call = fleet.call { Event.WorkerLeft(it, profile.life.worker, profile.life.bornMs) }
+        fleet.at(patience) { if (isUp) crash() }
+        if (!isAnswerLost) endOnceAnswered(call)
+        return call
+    }
+
+    private fun endOnceAnswered(call: CallId) {
+        when {
+            !isUp -> Unit
+            fleet.replies[call] == Reply.Accepted -> crash()
+            else -> fleet.at(10.milliseconds) { endOnceAnswered(call) }
+        }
+    }
+
     fun report() {
         if (!isUp) return
         sequence += 1
