--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -35,6 +35,19 @@
     /** Orders of a room that the worker refused count as in use until this time. */
     var fullUntil: MonotonicTime? = null
 
+    /** Whether a later life of the worker has answered in its place. */
+    var isReplaced = false
+
+    /** Whether the worker has said farewell and ends soon. */
+    var hasLeft = false
+
+    /** Whether no run may start here any more. */
+    val isRetired: Boolean
+        get() = isReplaced || hasLeft
+
+    /** Until when orders that were sent for an earlier life may keep runs at work, or null if there were none. */
+    var heldUntil: MonotonicTime? = null
+
     /** Whether a look has to show that the worker is there, also if it runs nothing. */
     val isInDoubt: Boolean
         get() = heardAt == null || isUnreachable
@@ -87,6 +100,14 @@
     var wantsStop = false
 }
 
+/** Whether the run, if a look sent at [lookAt] did not list it, can never be there any more. */
+internal fun Order?.isSettledBy(lookAt: MonotonicTime): Boolean {
+    // The fence that came with the look keeps out what an earlier leader sent.
+    if (this == null) return true
+    val since = stoppedAt ?: startedAt
+    return since != null && since <= lookAt
+}
+
 /** How long before [at] the order was sent and answered, in ms, for the log. */
 internal fun Order?.ageFields(at: MonotonicTime): Array<Pair<String, Any?>> = arrayOf(
     "sent_before_ms" to this?.let { (at - it.sentAt).inWholeMilliseconds },
