Tell an end that was lost with its worker from one that was noted

The oracle of the tests took each start after a run had ended as done for a fault. The rule counts it only if note of that end is taken then or later: an end that nobody was told of is lost when its worker crashes, and the task has to run again.

As strict otherwise: an end counts as noted as soon as it is recorded or the worker is told, and a start before that is reported when the note comes.

--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -168,6 +168,8 @@
         workers.values.toList().forEach { it.endMembers(run, others) }
     }
 
+    fun noted(run: RunId) = oracle.noted(run)
+
     fun planned(worker: VirtualWorker, run: RunId) = oracle.planned(worker, run)
 
     /** Whether every member of the gang works under the number of [run]. */
@@ -278,6 +280,8 @@
         // A batch of a leader that has gone may still be committed before the next one leads; here it is lost.
         if (from != generation) return
         state.apply(batch)
+        // What is recorded counts as noted, also before the worker is told.
+        batch.records.filterIsInstance<Record.RunEnded>().filter { it.end == RunEnd.DONE }.forEach { noted(it.run) }
         betweenApplyAndEvent()
         feed(Event.BatchApplied, from)
     }
