Ignore late reports of lives that have ended

A report that a cut had held up arrived 0.3 s after the move of its VM was confirmed, and the life was seen again (worker_gone, then worker_seen worker=i-865150de8e/). Tasks would be placed on a life that has ended, and wait there for a lease.

Cause: the state forgets a life when it ends, so its report looks like that of a new one. Only a later life of its worker or VM in the table told the two apart.

Its reports are accepted, change nothing and leave no contact. A later life of a worker whose earlier one had left is looked at before it is used as well, so that a late start of an earlier leader meets the fence.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -78,6 +78,10 @@
 
     private fun report(event: Event.WorkerReported, now: MonotonicTime) {
         val life = event.profile.life
+        if (state.hasEnded(life)) {
+            note("late_report_ignored", "worker" to life)
+            return actions.plusAssign(Action.Answer(event.call, Reply.Accepted))
+        }
         val contact = contacts.of(life, now)
         val isLate = event.sequence <= contact.sequence
         if (!isLate) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -46,7 +46,7 @@
     public data class WorkerSeen(@SerialName("p") val profile: WorkerProfile, @SerialName("l") val leaving: Boolean) :
         Record
 
-    /** The life has ended for certain, with everything that ran there. */
+    /** The life has ended for certain, with everything that ran there; its late reports change nothing. */
     @Serializable
     @SerialName("g")
     public data class WorkerGone(@SerialName("l") val life: WorkerLife) : Record
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -27,6 +27,9 @@
     private val homeTable = LinkedHashMap<VmId, ServiceId>()
     private val orderTable = LinkedHashMap<VmId, Long>()
 
+    /** Latest life of each worker that has ended for certain, as far as its reports may be late. */
+    private val endedTable = LinkedHashMap<WorkerId, EndedLife>()
+
     /** Latest time of day of any batch, in Unix milliseconds. */
     private var latestMs = 0L
     private val activeJobs = LinkedHashMap<JobId, Job>()
@@ -64,6 +67,9 @@
     /** Runs that may be in progress at [life], with the description of their step. */
     public fun claimsAt(life: WorkerLife): Map<RunId, StepDescription> = claimTable[life].orEmpty()
 
+    /** Whether [life] has ended for certain; that is known for a minute. */
+    public fun hasEnded(life: WorkerLife): Boolean = endedTable[life.worker]?.let { it.bornMs >= life.bornMs } ?: false
+
     /** Returns the worker whose current life is [life], or null. */
     public fun worker(life: WorkerLife): Worker? = workerTable[life.worker]?.takeIf { it.profile.life == life }
 
@@ -109,12 +115,13 @@
         moves = HashMap(moveTable),
         homes = HashMap(homeTable),
         orders = HashMap(orderTable),
+        ended = LinkedHashMap(endedTable),
         latestMs = latestMs,
     )
 
     /** Replaces the state by [image]. */
     public fun restore(image: StateImage) {
-        listOf(jobTable, workerTable, waveTable, moveTable, homeTable, orderTable, activeJobs, claimTable)
+        listOf(jobTable, workerTable, waveTable, moveTable, homeTable, orderTable, endedTable, activeJobs, claimTable)
             .forEach { it.clear() }
         overJobs.clear()
         catalog = image.catalog
@@ -124,6 +131,7 @@
         moveTable.putAll(image.moves)
         homeTable.putAll(image.homes)
         orderTable.putAll(image.orders)
+        endedTable.putAll(image.ended)
         latestMs = image.latestMs
         for (job in image.jobs) {
             jobTable[job.id] = job
@@ -149,8 +157,8 @@
             is Record.CatalogAccepted -> accept(record)
             is Record.JobAccepted -> accept(record, atMs)
             is Record.JobCancelled -> activeJobs[record.id]?.let { end(it, JobPhase.CANCELLED, atMs) }
-            is Record.WorkerSeen -> see(record)
-            is Record.WorkerGone -> if (worker(record.life) != null) remove(record.life)
+            is Record.WorkerSeen -> see(record, atMs)
+            is Record.WorkerGone -> if (worker(record.life) != null) remove(record.life, atMs)
             is Record.RunClaimed -> claim(record)
             is Record.RunReleased -> {
                 release(record.run, record.life)
@@ -197,7 +205,7 @@
         activeJobs[job.id] = job
     }
 
-    private fun see(record: Record.WorkerSeen) {
+    private fun see(record: Record.WorkerSeen, atMs: Long) {
         val life = record.profile.life
         val known = workerTable[life.worker]
         if (known?.profile?.life == life) {
@@ -210,9 +218,10 @@
         val others = workerTable.values.filter {
             it.profile.life.worker == life.worker || (vm != null && it.profile.vm == vm)
         }
-        if (others.any { it.profile.life.bornMs > life.bornMs }) return
-        others.filter { it !== known }.forEach { remove(it.profile.life) }
-        val earlier = known?.profile?.life
+        if (hasEnded(life) || others.any { it.profile.life.bornMs > life.bornMs }) return
+        others.filter { it !== known }.forEach { remove(it.profile.life, atMs) }
+        val ended = endedTable[life.worker]?.let { WorkerLife(life.worker, it.bornMs) }
+        val earlier = known?.profile?.life ?: ended
         workerTable[life.worker] = Worker(record.profile, record.leaving, earlier = earlier)
         if (earlier != null) moveClaims(earlier, life)
     }
@@ -228,8 +237,10 @@
         }
     }
 
-    private fun remove(life: WorkerLife) {
+    private fun remove(life: WorkerLife, atMs: Long) {
         workerTable.remove(life.worker)
+        endedTable.remove(life.worker)
+        endedTable[life.worker] = EndedLife(life.bornMs, atMs)
         claimTable[life]?.keys?.toList()?.forEach { release(it, life) }
     }
 
@@ -312,19 +323,33 @@
         while (overJobs.isNotEmpty() && overJobs.first().endedMs + retentionMs < atMs) {
             jobTable.remove(overJobs.removeFirst().id)
         }
+        endedTable.values.removeAll { it.atMs + ENDED_LIFE_KEPT_MS < atMs }
     }
 
     private fun claimsOf(life: WorkerLife): LinkedHashMap<RunId, StepDescription> =
         claimTable.getOrPut(life) { LinkedHashMap() }
+
+    private companion object {
+        /** Time for which a report may be held up, with a margin. */
+        const val ENDED_LIFE_KEPT_MS = 60_000L
+    }
 }
 
+/**
+ * Life of a worker that has ended for certain.
+ *
+ * @property atMs time of day of the batch that tells of the end, in Unix milliseconds.
+ */
+@Serializable
+public data class EndedLife(val bornMs: Long, val atMs: Long)
+
 /**
  * State of one worker life.
  *
  * @property profile what the worker says of itself.
  * @property isLeaving whether the worker has said that it ends soon.
  * @property endsNoted number of the last end that is recorded.
- * @property earlier life of the same worker that this one replaced, or null if none is known.
+ * @property earlier latest earlier life of the same worker, or null if none is known.
  */
 @Serializable
 public class Worker internal constructor(
@@ -370,6 +395,7 @@
     public val homes: Map<VmId, ServiceId> = emptyMap(),
     public val orders: Map<VmId, Long> = emptyMap(),
     public val latestMs: Long = 0,
+    public val ended: Map<WorkerId, EndedLife> = emptyMap(),
 )
 
 /**
--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/EndedLifeTest.kt
@@ -0,0 +1,117 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import org.auburnstream.model.VmId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A report that was held up may arrive after its life has ended for certain. */
+class EndedLifeTest {
+    private val step = StepDescription(count = 1, demand = Resources(1_000, 100), estimateMs = 500)
+    private val task = TaskId(StepId(JobId("job"), occurrence = 0, step = 0), index = 0)
+
+    @Test
+    fun tasksAreGivenToALifeThatHasSaidFarewellWhenItsReportIsLate() {
+        val fleet = VirtualFleet.withWorkers(1)
+        val worker = fleet.workers.values.single()
+        worker.reportLate(1.seconds)
+        worker.leave(isAnswerLost = false)
+        fleet.run(1_100.milliseconds)
+
+        assertNull(fleet.state.worker(worker.profile.life))
+        assertJobWaitsForAnotherWorker(fleet)
+    }
+
+    @Test
+    fun tasksAreGivenToALifeWhoseVmWasMovedWhenItsReportIsLate() {
+        val fleet = VirtualFleet.withWorkers(1)
+        val worker = fleet.workers.values.single()
+        worker.reportLate(1.seconds)
+        val vm = checkNotNull(worker.profile.vm)
+        fleet.call { Event.WaveOffered(it, wave = 1, listOf(vm), 60.seconds, cap = 1) }
+        fleet.run(900.milliseconds)
+        assertEquals(false, worker.isUp, "the maintenance has not begun")
+        fleet.run(200.milliseconds)
+
+        assertNull(fleet.state.worker(worker.profile.life))
+        assertJobWaitsForAnotherWorker(fleet)
+    }
+
+    @Test
+    fun tasksAreGivenToALifeThatAnotherOnItsVmReplacedWhenThatOneHasLeft() {
+        val fleet = VirtualFleet.withWorkers(1)
+        val worker = fleet.workers.values.single()
+        worker.reportLate(1.seconds)
+        worker.crash()
+        fleet.addWorker("other", vm = checkNotNull(worker.profile.vm))
+        fleet.run(100.milliseconds)
+        fleet.workers.values.last().leave(isAnswerLost = false)
+        fleet.run(1_100.milliseconds)
+
+        assertNull(fleet.state.worker(worker.profile.life))
+        assertJobWaitsForAnotherWorker(fleet)
+    }
+
+    @Test
+    fun anEndedLifeIsForgottenByASnapshot() {
+        val fleet = VirtualFleet.withWorkers(1)
+        val profile = fleet.workers.values.single().profile
+        fleet.workers.values.single().leave(isAnswerLost = false)
+        fleet.run(100.milliseconds)
+        val restored = SchedulerState(retentionMs = 150_000)
+        restored.restore(fleet.state.image())
+        restored.apply(RecordBatch(fleet.nowMs, listOf(Record.WorkerSeen(profile, leaving = false))))
+
+        assertNull(restored.worker(profile.life))
+    }
+
+    @Test
+    fun anEndedLifeIsRememberedForEver() {
+        val fleet = VirtualFleet.withWorkers(1)
+        val life = fleet.workers.values.single().profile.life
+        fleet.workers.values.single().leave(isAnswerLost = false)
+        fleet.run(100.milliseconds)
+        assertEquals(true, fleet.state.hasEnded(life))
+        fleet.state.apply(RecordBatch(fleet.nowMs + 61_000, emptyList()))
+
+        assertEquals(false, fleet.state.hasEnded(life))
+    }
+
+    @Test
+    fun aLateStartOfAnEarlierLeaderRunsAtALaterLifeThoughTheEarlierOneHadSaidFarewell() {
+        repeat(40) { seed ->
+            val fleet = VirtualFleet.withWorkers(2, seed)
+            fleet.lateShare = 1.0
+            fleet.offer("job", step.copy(estimateMs = 20_000))
+            // The job and its claim are committed one after the other.
+            fleet.run(fleet.commitTime * 2)
+            fleet.lateShare = 0.0
+            val claim = checkNotNull(fleet.state.task(task)).claims.single()
+            val worker = fleet.workers.getValue(claim.life.worker)
+            fleet.changeLeader()
+            val call = worker.leave(isAnswerLost = false)
+            while (call !in fleet.replies) fleet.run(10.milliseconds)
+            fleet.restart(worker, after = 100.milliseconds)
+            fleet.run(60.seconds)
+            fleet.checkEnd()
+
+            assertEquals(emptyList(), fleet.broken, "seed $seed")
+        }
+    }
+
+    private fun assertJobWaitsForAnotherWorker(fleet: VirtualFleet) {
+        fleet.offer("job", step)
+        fleet.run(200.milliseconds)
+        val life = fleet.state.task(task)?.claims?.singleOrNull()?.life
+        assertNull(life, "the task is given to a life that has ended")
+        fleet.addWorker("fresh", vm = VmId("vm-fresh"))
+        fleet.run(1_500.milliseconds)
+
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+        assertEquals(emptyList(), fleet.broken)
+    }
+}
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -59,6 +59,14 @@
         crash()
     }
 
+    /** Makes a report that arrives [delay] later, whatever becomes of the worker. */
+    fun reportLate(delay: Duration) {
+        sequence += 1
+        val number = sequence
+        val sentMs = clockMs
+        fleet.at(delay) { fleet.call { Event.WorkerReported(it, profile, number, isLeaving = false, sentMs) } }
+    }
+
     /**
      * Says that the worker ends, which it does once it has the answer, or [patience] later without one.
      *
