Let a daemon that was left out learn of all slots before it grants

A target ran more requests than its slots after a daemon came back from a long cut.

Cause: the allocator of a target kept, from before the cut, which daemons had reported and which may use their static share. While its daemon is left out another one allocates, and may grant the same slots and lend the shares of the absent one. The daemon that comes back does not see the views between, so it took the old reports for those of its present view, and granted at once beside what the other had granted. It did the same with its old view from the time its settings lease was back until it heard of the new view.

Every change of the view, and a lease that is back after a gap, now begin as a new allocator does: nothing new is granted before every configured daemon has reported, or before what others granted has ended. Counting that time from the end of the lease is not enough, since others grant until it is back. What was committed stays counted, and holders keep the use of their share, so a change of the view costs one report of each.

After: 40 seeds with two cuts of 12 s each stay within the slots.

--- a/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/Router.kt
@@ -109,8 +109,10 @@
     }
 
     private fun leaseRenewed(until: MonotonicTime, now: MonotonicTime) {
+        val wasLive = state.leaseLive
         state.leaseUntil = until
         state.leaseLive = now < until
+        if (state.leaseLive && !wasLive) allocator.leaseRegained(now)
         credits.leaseChanged(state.leaseLive)
         dispatch.startAllWaiting(now)
     }
--- a/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditAllocator.kt
+++ b/routing/src/main/kotlin/org/auburnstream/routing/credit/CreditAllocator.kt
@@ -11,7 +11,8 @@
  * Each configured daemon owns a static share of every target. The slots left over by the division, and the shares
  * of daemons that have long been without a settings lease, are granted as leases. A new allocator grants nothing
  * until every configured daemon has reported what it holds, or until everything that its predecessor may have
- * granted, and every exchange sent under it, has ended.
+ * granted, and every exchange sent under it, has ended. So does one whose view changed or whose daemon was without
+ * a settings lease.
  */
 internal class CreditAllocator(
     private val self: DaemonId,
@@ -25,23 +26,36 @@
     private val targets = HashMap<VmId, TargetCredits>()
     private val epochs = HashMap<DaemonId, Long>()
     private val sequences = HashMap<DaemonId, Long>()
-    private var viewSince = start
+
+    /** Since when every holder has to report anew. */
+    private var settlingSince = start
     private val settling = settings.lease + settings.longestExchange
 
     fun viewChanged(next: DaemonView, now: MonotonicTime) {
         if (next.version <= view.version) return
         view = next
-        viewSince = now
+        settlingSince = now
         targets.keys.retainAll { next.allocator(it) == self }
-        for (target in targets.values) {
-            target.reported.retainAll(next.live)
-            target.sharing.retainAll(next.live)
-        }
+        forgetReports()
         for (daemon in next.configured) {
             if (daemon in next.live) absentSince.remove(daemon) else absentSince.getOrPut(daemon) { now }
         }
     }
 
+    /** Tells that this daemon has a settings lease again; without one it may have been left out and not heard of it. */
+    fun leaseRegained(now: MonotonicTime) {
+        settlingSince = now
+        forgetReports()
+    }
+
+    /** Views may have passed unseen in which another daemon granted slots and lent shares. */
+    private fun forgetReports() {
+        for (target in targets.values) {
+            target.reported.clear()
+            target.sharing.clear()
+        }
+    }
+
     /** Answers [request] of [from], or returns null if it is outdated. */
     fun request(from: DaemonId, request: CreditMessage.Request, now: MonotonicTime): CreditMessage.Grants? {
         if (request.view != view.version || from !in view.live || !isNewer(from, request)) return null
@@ -90,7 +104,7 @@
     }
 
     private fun isSettled(target: TargetCredits, now: MonotonicTime): Boolean =
-        target.reported.containsAll(view.configured) || now - maxOf(target.since, viewSince) >= settling
+        target.reported.containsAll(view.configured) || now - maxOf(target.since, settlingSince) >= settling
 
     /** Slots of a target that can be leased: the rest of the division and the shares of long absent daemons. */
     private fun pool(target: TargetCredits, slots: Int, settled: Boolean, now: MonotonicTime): Int {
--- a/routing/src/test/kotlin/org/auburnstream/routing/credit/CreditAllocatorTest.kt
+++ b/routing/src/test/kotlin/org/auburnstream/routing/credit/CreditAllocatorTest.kt
@@ -47,6 +47,25 @@
         assertEquals(2, allocator.ask(0, request(3, wanted = 2, held = 0, allocatorEpoch = 1)))
     }
 
+    @Test
+    fun anAllocatorThatMissedAViewGrantsNothingBeforeAllHaveReportedAgain() {
+        val leased = view.copy(leased = true)
+        val allocator = CreditAllocator(self, CreditSettings(), leased, epoch = 1, now)
+        for (daemon in 0..2) allocator.ask(daemon, request(1, wanted = 0, held = 0, allocatorEpoch = 1))
+        // Another daemon allocates while this one is left out, which it does not hear of, and grants two slots.
+        now += CreditSettings().lease + CreditSettings().longestExchange
+        allocator.viewChanged(leased.copy(version = 3), now)
+
+        val asked = request(2, wanted = 2, held = 0, allocatorEpoch = 1).copy(view = 3)
+        val answer = allocator.request(daemons[0], asked, now)?.grants?.single()
+        assertEquals(0 to false, answer?.slots to answer?.share, "others may hold what the other daemon granted")
+        for (daemon in 1..2) {
+            allocator.ask(daemon, request(2, wanted = 2, held = 3 - daemon, allocatorEpoch = 1).copy(view = 3))
+        }
+        val late = allocator.request(daemons[0], asked.copy(sequence = 3), now)?.grants?.single()
+        assertEquals(0 to false, late?.slots to late?.share, "three slots are held of two that are not shared out")
+    }
+
     @Test
     fun outdatedRequestsAreDropped() {
         val allocator = allocator(epoch = 1)
--- a/routing/src/test/kotlin/org/auburnstream/routing/credit/CreditHandOverTest.kt
+++ b/routing/src/test/kotlin/org/auburnstream/routing/credit/CreditHandOverTest.kt
@@ -43,6 +43,22 @@
         }
     }
 
+    @Test
+    fun sumNeverExceedsSlotsWhenADaemonReturnsFromALongCut() {
+        for (seed in 1..40) {
+            val simulation = RoutingSimulation(seed, targetCount = 2, runTime = { it.nextInt(50, 900).milliseconds })
+            val cut = simulation.daemons.random(simulation.random)
+            simulation.saturate(6.seconds)
+            repeat(2) {
+                cut.cutOff = true
+                simulation.saturate(12.seconds)
+                cut.cutOff = false
+                simulation.saturate(4.seconds)
+            }
+            simulation.targets.forEach { assertWithinLimits(simulation, it) }
+        }
+    }
+
     private fun assertWithinLimits(simulation: RoutingSimulation, target: SimulatedTarget) {
         assertTrue(
             target.mostRunning <= target.slots,
