Keep a job where its worker still reports it

A job was given to another worker while the first was at work on it.

Cause: 30 s after a VM counts as lost, in repair or given up, its jobs were ended as lost with the worker. The time bounds what a worker does that hears nothing. One whose announcements do not arrive may still be reached by the platform, and the leader had its reports, made after the loss, that list the job as running; they were passed over.

Evidence, before: JobTest, a lost worker that reports every 5 s: its job is ended 30 s after the loss.

The lease of a job is now over only if, besides, the worker's latest report was measured that long ago.

After: the job stays for 100 s of reports, and ends 30 s after the latest was measured.

Open: a new leader has no reports before its first reading of the platform and may end the job in that time.

--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
@@ -42,7 +42,7 @@
     ) {
         val id = job.spec.id
         val report = usage.reportOf(phase.vm)?.jobs?.firstOrNull { it.lease == phase.lease }
-        val end = report?.end ?: JobEnd.WORKER_LOST.takeIf { isLeaseOver(state, phase, at) }
+        val end = report?.end ?: JobEnd.WORKER_LOST.takeIf { isLeaseOver(state, phase, at, now) }
         if (end != null) {
             plan.commands += JobCommand.EndJob(id, phase.lease, end)
             return
@@ -58,8 +58,14 @@
         }
     }
 
-    /** A lost worker ends its jobs by itself once their lease has run out, so they may run elsewhere. */
-    private fun isLeaseOver(state: FleetState, phase: JobPhase.Running, at: Instant): Boolean {
+    /**
+     * A lost worker ends its jobs by itself once their lease has run out, so they may run elsewhere.
+     *
+     * One that the daemons do not hear may still be reached by the platform; its reports show that it is up.
+     */
+    private fun isLeaseOver(state: FleetState, phase: JobPhase.Running, at: Instant, now: MonotonicTime): Boolean {
+        val hasReported = usage.measuredAt(phase.vm)?.let { now - it < JOB_LEASE } ?: false
+        if (hasReported) return false
         val since =
             when (val vm = state.vms.getValue(phase.vm).phase) {
                 is VmPhase.Lost -> vm.since
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/UsageBook.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/UsageBook.kt
@@ -52,6 +52,9 @@
     /** Latest report of [vm], or null. */
     public fun reportOf(vm: VmId): WorkerReport? = reports[vm]?.report
 
+    /** When the latest report of [vm] was measured, or null. */
+    internal fun measuredAt(vm: VmId): MonotonicTime? = reports[vm]?.measuredAt
+
     /** Returns what [job] will probably use. */
     public fun estimateOf(job: Job): Resources {
         val declared = job.spec.declared
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/JobTest.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/JobTest.kt
@@ -177,6 +177,25 @@
         assertEquals(listOf(JobCommand.EndJob(JobId("a"), first.lease, JobEnd.WORKER_LOST)), plan.commands)
     }
 
+    @Test
+    fun `a job runs once though its worker is lost to the daemons while it still reports`() {
+        build(2)
+        submit(spec("a"))
+        step()
+        val first = running("a")!!
+        fleet.apply(FleetCommand.ReportLost(first.vm, 1))
+        repeat(20) {
+            fleet.now += 5.seconds
+            report(first.vm)
+            val plan = planner.plan(fleet.state, FleetReports(now), fleet.now, now)
+            assertTrue(plan.commands.none { it is JobCommand.EndJob }, "ended ${5 * (it + 1)} s after the loss")
+        }
+        // The last report was measured 2 s before it came.
+        fleet.now += JOB_LEASE - 2.seconds
+        val plan = planner.plan(fleet.state, FleetReports(now), fleet.now, now)
+        assertTrue(JobCommand.EndJob(JobId("a"), first.lease, JobEnd.WORKER_LOST) in plan.commands)
+    }
+
     @Test
     fun `a drained VM is permitted to stop only after its jobs have left`() {
         build(2)
