Keep each logged value inside its pair

Seen: a value with a line break, such as a caller's path, came out as pairs of its own: path="/a level=error" and, without a blank or equals sign in it, path=/a b. An empty value was followed by the next pair at once.

Cause: LineLog.line quoted only blank, quote and equals sign. The layout takes such a line as it is and puts a blank for each control character, so no value broke a line in two, but each could end its pair. A quote was replaced by an apostrophe, a backslash stayed bare.

Mend: LineLog renders values as KeyValueLayout does for EventLog, through KeyValueLayout.appendValue: quoted and escaped where needed, cut after 1024 characters. Plain values and quoted ones without a quote or backslash look as before.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/observability/KeyValueLayout.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/observability/KeyValueLayout.kt
@@ -50,9 +50,19 @@
             ?.let { pair("cause_at", it) }
     }
 
-    internal companion object {
-        const val DAEMON_PROPERTY = "daemon"
-        const val DATA_CENTRE_PROPERTY = "data_centre"
+    public companion object {
+        internal const val DAEMON_PROPERTY = "daemon"
+        internal const val DATA_CENTRE_PROPERTY = "data_centre"
+
+        /**
+         * Appends [text] to [line] as the value of a pair.
+         *
+         * It is quoted and escaped where needed, so that it ends neither its pair nor its line, and cut after
+         * 1024 characters.
+         */
+        public fun appendValue(line: StringBuilder, text: String) {
+            line.appendValue(text)
+        }
     }
 }
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
@@ -105,7 +105,12 @@
 public class LineLog(name: String) {
     private val logger = LoggerFactory.getLogger(name)
 
-    /** Writes [event] with [fields]. */
+    /**
+     * Writes [event] with [fields].
+     *
+     * A value that holds a blank, quote, `=`, backslash or control character, or nothing, is quoted and escaped; a
+     * longer one than 1024 characters is cut.
+     */
     public fun note(event: String, fields: List<Pair<String, Any?>>) {
         logger.info(line(event, fields))
     }
@@ -117,15 +122,7 @@
         append("event=").append(event)
         for ((key, value) in fields) {
             append(' ').append(key).append('=')
-            val text = value.toString()
-            if (text.any {
-                    it == ' ' || it == '"' || it == '='
-                }
-            ) {
-                append('"').append(text.replace('"', '\'')).append('"')
-            } else {
-                append(text)
-            }
+            KeyValueLayout.appendValue(this, value.toString())
         }
     }
 
