Lose no queued line at the end of a process

Seen: of four trials of a program that logged 120,000 lines to a slowly read pipe and ended, two lost 4,096 lines uncounted and had a line out of order; the other two lost none. No line was torn.

Cause: the writer takes a line out of the queue and holds it while it gathers others for 50 ms; the flush before the end writes what is queued behind it, at most 2,048 lines, and the process halts. Lines that come after the flush may be torn by the halt, since the writer goes on.

Mend: the writer waits for a permit and leaves the lines in the queue. LineLog.close takes the place of flush: it writes all that is queued, takes no further line and counts later ones as dropped, and the writer writes nothing after it. Drops are counted when they happen, not at the next write. The appender's output is injectable.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
@@ -11,7 +11,9 @@
 import org.slf4j.LoggerFactory
 import java.io.FileDescriptor
 import java.io.FileOutputStream
+import java.io.OutputStream
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.Semaphore
 import java.util.concurrent.atomic.AtomicLong
 
 /**
@@ -34,15 +36,25 @@
 }
 
 /**
- * Writes lines to standard output on a thread of its own, several at a time.
+ * Writes lines to [out] on a thread of its own, several at a time.
  *
- * A line that finds the queue full is dropped and counted, so that no decision ever waits for the log.
+ * A line that finds the queue full or comes after [close] is dropped and counted, so that no decision ever waits for
+ * the log.
  */
-internal class LineAppender : AppenderBase<ILoggingEvent>() {
+internal class LineAppender(private val out: OutputStream = FileOutputStream(FileDescriptor.out)) :
+    AppenderBase<ILoggingEvent>() {
     private val queue = ArrayBlockingQueue<String>(CAPACITY)
+    private val queued = Semaphore(0)
     private val dropped = AtomicLong()
     private val layout = KeyValueLayout()
-    private val out = FileOutputStream(FileDescriptor.out)
+    private var reported = 0L
+
+    @Volatile
+    private var isClosed = false
+
+    /** Lines that were dropped since the start. */
+    val droppedLines: Long
+        get() = dropped.get()
 
     override fun start() {
         layout.context = context
@@ -55,22 +67,33 @@
     }
 
     override fun append(event: ILoggingEvent) {
-        if (!queue.offer(layout.doLayout(event))) dropped.incrementAndGet()
+        if (!isClosed && queue.offer(layout.doLayout(event))) {
+            queued.release()
+        } else {
+            dropped.incrementAndGet()
+        }
     }
 
-    /** Writes what is queued, at most [MAX_LINES] lines. */
+    /** Writes what is queued, and how many lines were dropped since the last report; nothing after [close]. */
     @Synchronized
-    fun flush(first: String = "") {
-        val text = StringBuilder(first)
-        var lines = 0
-        while (lines < MAX_LINES) {
-            text.append(queue.poll() ?: break)
-            lines += 1
-        }
-        val lost = dropped.getAndSet(0)
-        if (lost > 0) {
-            totalDropped.addAndGet(lost)
-            text.append("level=warn event=log_lines_dropped count=").append(lost).append('\n')
+    fun flush() {
+        if (!isClosed) writeQueued()
+    }
+
+    /** Writes what is queued and takes no further line, so that a halt after it tears none. */
+    @Synchronized
+    fun close() {
+        isClosed = true
+        writeQueued()
+    }
+
+    private fun writeQueued() {
+        val text = StringBuilder()
+        generateSequence { queue.poll() }.take(CAPACITY).forEach { text.append(it) }
+        val lost = dropped.get()
+        if (lost > reported) {
+            text.append("level=warn event=log_lines_dropped count=").append(lost - reported).append('\n')
+            reported = lost
         }
         if (text.isNotEmpty()) out.write(text.toString().toByteArray())
     }
@@ -78,23 +101,22 @@
     private fun write() {
         while (true) {
             try {
-                val first = queue.take()
+                queued.acquire()
                 Thread.sleep(GATHER_MS)
-                flush(first)
             } catch (_: InterruptedException) {
                 return
             }
+            queued.drainPermits()
+            flush()
         }
     }
 
     companion object {
         /** Lines that may wait; a process under the worst load writes about this many in four seconds. */
         private const val CAPACITY = 8_192
-        private const val MAX_LINES = 2_048
 
         /** Time over which lines are gathered, since each write costs a system call. */
         private const val GATHER_MS = 50L
-        val totalDropped = AtomicLong()
 
         @Volatile
         var current: LineAppender? = null
@@ -129,7 +151,7 @@
     public companion object {
         /** Lines that were dropped since the start. */
         public val droppedLines: Long
-            get() = LineAppender.totalDropped.get()
+            get() = LineAppender.current?.droppedLines ?: 0
 
         /** Names this process in every line. */
         public fun identify(process: String, dataCentre: String) {
@@ -138,9 +160,13 @@
             context.putProperty("data_centre", dataCentre)
         }
 
-        /** Writes what is queued, before the process ends. */
-        public fun flush() {
-            LineAppender.current?.flush()
+        /**
+         * Writes what is queued, before the process ends.
+         *
+         * Later lines are dropped and counted, so that the end tears none. It waits for a reader of standard output.
+         */
+        public fun close() {
+            LineAppender.current?.close()
         }
     }
 }
--- /dev/null
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
@@ -0,0 +1,127 @@
+package org.auburnstream.dispatch.log
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.spi.LoggingEvent
+import org.junit.jupiter.api.Timeout
+import java.io.ByteArrayOutputStream
+import java.io.InputStream
+import java.io.OutputStream
+import java.nio.channels.Channels
+import java.nio.channels.Pipe
+import java.util.Collections
+import kotlin.concurrent.thread
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+@Timeout(60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class LineAppenderTest {
+    private val context = LoggerContext()
+    private val logger = context.getLogger("test")
+
+    @Test
+    fun noLineIsTornOrLostUncountedWhenThePipeIsReadSlowly() {
+        val pipe = Pipe.open()
+        val appender = started(Channels.newOutputStream(pipe.sink()))
+        var text = ""
+        val reader = thread { text = readInPieces(Channels.newInputStream(pipe.source())) }
+
+        val threads = (0 until THREADS).map { name -> thread { appendNumbered(appender, name) } }
+        threads.forEach { it.join() }
+        appender.close()
+        pipe.sink().close()
+        reader.join()
+
+        val lines = linesOf(text)
+        val numbered = lines.mapNotNull { NUMBERED.matchEntire(it) }
+        val reports = lines.mapNotNull { REPORT.matchEntire(it) }
+        assertEquals(lines.size, numbered.size + reports.size, "a line arrived that was never written so")
+        for ((name, own) in numbered.groupBy { it.groupValues[1] }) {
+            val numbers = own.map { it.groupValues[2].toInt() }
+            assertEquals(numbers.sorted().distinct(), numbers, "thread $name")
+        }
+        assertEquals(THREADS * LINES_OF_A_THREAD, numbered.size + appender.droppedLines.toInt())
+        assertEquals(appender.droppedLines, reports.sumOf { it.groupValues[1].toLong() })
+    }
+
+    @Test
+    fun noLineIsLostAtTheEndOfTheProcess() {
+        repeat(20) {
+            val out = Recorder()
+            val appender = started(out)
+            repeat(it * 200 + 1) { n -> append(appender, "event=e n=$n") }
+
+            appender.close()
+
+            val numbers = linesOf(out.text()).map { line -> line.substringAfter(" n=").toInt() }
+            assertEquals((0..it * 200).toList(), numbers)
+        }
+    }
+
+    @Test
+    fun noLineIsWrittenAfterTheEnd() {
+        val out = Recorder()
+        val appender = started(out)
+        appender.close()
+
+        append(appender, "event=late")
+        appender.flush()
+
+        assertEquals("", out.text())
+        assertEquals(1, appender.droppedLines)
+    }
+
+    private fun started(out: OutputStream): LineAppender = LineAppender(out).also {
+        it.context = context
+        it.start()
+    }
+
+    private fun append(appender: LineAppender, text: String) {
+        appender.doAppend(LoggingEvent("test", logger, Level.INFO, text, null, null))
+    }
+
+    private fun appendNumbered(appender: LineAppender, name: Int) {
+        repeat(LINES_OF_A_THREAD) {
+            append(appender, "event=e thread=$name n=$it text=${"x".repeat(it % 97)}")
+        }
+    }
+
+    private fun readInPieces(from: InputStream): String {
+        val read = ByteArrayOutputStream()
+        val pieces = Random(seed = 17)
+        while (true) {
+            val piece = from.readNBytes(pieces.nextInt(1, 1_500))
+            if (piece.isEmpty()) return read.toString(Charsets.UTF_8)
+            read.write(piece)
+        }
+    }
+
+    private fun linesOf(text: String): List<String> {
+        if (text.isEmpty()) return emptyList()
+        assertTrue(text.endsWith('\n'), "the last line is torn")
+        return text.dropLast(1).split('\n')
+    }
+
+    private class Recorder : OutputStream() {
+        val writes: MutableList<ByteArray> = Collections.synchronizedList(mutableListOf<ByteArray>())
+
+        override fun write(b: Int) = write(byteArrayOf(b.toByte()), 0, 1)
+
+        override fun write(b: ByteArray, off: Int, len: Int) {
+            writes += b.copyOfRange(off, off + len)
+        }
+
+        fun text(): String = synchronized(writes) {
+            writes.fold(ByteArray(0)) { all, next -> all + next }
+        }.decodeToString()
+    }
+
+    private companion object {
+        const val THREADS = 4
+        const val LINES_OF_A_THREAD = 6_000
+        val NUMBERED = Regex("""time=\S+ level=info event=e thread=(\d) n=(\d+) text=x*""")
+        val REPORT = Regex("""(?:time=\S+ )?level=warn event=log_lines_dropped count=(\d+)""")
+    }
+}
