Let no decision wait for the reader of the log

Seen: with an output that is not read, the next event that was logged did not return; the test was ended after 60 s.

Cause: AppenderBase.doAppend holds the appender's own lock, and flush was @Synchronized on the same one while it wrote. A reader that stood still would have stopped the event loop with its next decision.

Mend: the output has a lock of its own, so a caller waits for other callers only. A full queue drops and counts, as was meant.

Measured: noDecisionWaitsForAnOutputThatIsNotRead failed by its timeout before and passes after; LineAppenderTest 4 of 4.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
@@ -15,6 +15,8 @@
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.Semaphore
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 
 /**
  * Logback's configuration of the dispatching programs, found as a service.
@@ -47,6 +49,9 @@
     private val queued = Semaphore(0)
     private val dropped = AtomicLong()
     private val layout = KeyValueLayout()
+
+    /** Guards the output; the appender's own lock is taken by each caller. */
+    private val output = ReentrantLock()
     private var reported = 0L
 
     @Volatile
@@ -75,16 +80,14 @@
     }
 
     /** Writes what is queued, and how many lines were dropped since the last report; nothing after [close]. */
-    @Synchronized
-    fun flush() {
+    fun flush(): Unit = output.withLock {
         if (!isClosed) writeQueued()
     }
 
     /** Writes what is queued and takes no further line, so that a halt after it tears none. */
-    @Synchronized
     fun close() {
-        isClosed = true
-        writeQueued()
+        synchronized(this) { isClosed = true }
+        output.withLock { writeQueued() }
     }
 
     private fun writeQueued() {
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
@@ -10,6 +10,7 @@
 import java.nio.channels.Channels
 import java.nio.channels.Pipe
 import java.util.Collections
+import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.test.Test
@@ -46,6 +47,23 @@
         assertEquals(appender.droppedLines, reports.sumOf { it.groupValues[1].toLong() })
     }
 
+    @Test
+    fun noDecisionWaitsForAnOutputThatIsNotRead() {
+        val out = Blocked()
+        val appender = started(out)
+        append(appender, "event=first")
+        out.isBlocked.await()
+
+        repeat(QUEUED_LINES + 5) { append(appender, "event=e n=$it") }
+
+        assertEquals(5, appender.droppedLines)
+        out.release.countDown()
+        appender.close()
+        val lines = linesOf(out.text())
+        assertEquals(QUEUED_LINES, lines.count { "event=e n=" in it })
+        assertEquals(listOf("level=warn event=log_lines_dropped count=5"), lines.filter { "dropped" in it })
+    }
+
     @Test
     fun noLineIsLostAtTheEndOfTheProcess() {
         repeat(20) {
@@ -104,7 +122,7 @@
         return text.dropLast(1).split('\n')
     }
 
-    private class Recorder : OutputStream() {
+    private open class Recorder : OutputStream() {
         val writes: MutableList<ByteArray> = Collections.synchronizedList(mutableListOf<ByteArray>())
 
         override fun write(b: Int) = write(byteArrayOf(b.toByte()), 0, 1)
@@ -118,9 +136,21 @@
         }.decodeToString()
     }
 
+    private class Blocked : Recorder() {
+        val isBlocked = CountDownLatch(1)
+        val release = CountDownLatch(1)
+
+        override fun write(b: ByteArray, off: Int, len: Int) {
+            isBlocked.countDown()
+            release.await()
+            super.write(b, off, len)
+        }
+    }
+
     private companion object {
         const val THREADS = 4
         const val LINES_OF_A_THREAD = 6_000
+        const val QUEUED_LINES = 8_192
         val NUMBERED = Regex("""time=\S+ level=info event=e thread=(\d) n=(\d+) text=x*""")
         val REPORT = Regex("""(?:time=\S+ )?level=warn event=log_lines_dropped count=(\d+)""")
     }
