Keep the log going when a write fails

Seen: after one IOException of the output, nothing that followed was written or counted; what the failed write had left was spliced with the line of the last flush ("time=2026-time=2026-..."). With an output that fails always, the flush threw it at the end of the process, before the exit code was set.

Cause: write() caught InterruptedException only, so the exception ended the writer thread.

Mend: a failed write counts its lines as dropped, the thread goes on, and the next write begins with a line break. A report of drops that was not written is repeated. Lines of a failed write that had arrived are counted all the same.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
@@ -9,8 +9,10 @@
 import org.auburnstream.daemon.observability.KeyValueLayout
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
+import java.io.ByteArrayOutputStream
 import java.io.FileDescriptor
 import java.io.FileOutputStream
+import java.io.IOException
 import java.io.OutputStream
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.Semaphore
@@ -40,8 +42,9 @@
 /**
  * Writes lines to [out] on a thread of its own, several at a time.
  *
- * A line that finds the queue full or comes after [close] is dropped and counted, so that no decision ever waits for
- * the log.
+ * A line that finds the queue full, comes after [close] or is part of a write that failed is dropped and counted, so
+ * that no decision ever waits for the log. Of a write that failed, some lines may have arrived besides; the next write
+ * then begins on a new line.
  */
 internal class LineAppender(private val out: OutputStream = FileOutputStream(FileDescriptor.out)) :
     AppenderBase<ILoggingEvent>() {
@@ -52,6 +55,8 @@
 
     /** Guards the output; the appender's own lock is taken by each caller. */
     private val output = ReentrantLock()
+    private val chunk = ByteArrayOutputStream()
+    private var linesOfChunk = 0
     private var reported = 0L
 
     @Volatile
@@ -91,14 +96,37 @@
     }
 
     private fun writeQueued() {
-        val text = StringBuilder()
-        generateSequence { queue.poll() }.take(CAPACITY).forEach { text.append(it) }
+        for (text in generateSequence { queue.poll() }.take(CAPACITY)) {
+            val line = text.toByteArray()
+            chunk.write(line)
+            linesOfChunk += 1
+        }
+        writeChunk()
+        report()
+    }
+
+    private fun report() {
         val lost = dropped.get()
-        if (lost > reported) {
-            text.append("level=warn event=log_lines_dropped count=").append(lost - reported).append('\n')
-            reported = lost
+        if (lost == reported) return
+        chunk.write("level=warn event=log_lines_dropped count=${lost - reported}\n".toByteArray())
+        if (writeChunk()) reported = lost
+    }
+
+    /** Returns whether the output took the chunk; if not, the next one begins with a line break. */
+    private fun writeChunk(): Boolean {
+        if (chunk.size() == 0) return true
+        val bytes = chunk.toByteArray()
+        chunk.reset()
+        val lines = linesOfChunk
+        linesOfChunk = 0
+        try {
+            out.write(bytes, 0, bytes.size)
+            return true
+        } catch (_: IOException) {
+            dropped.addAndGet(lines.toLong())
+            chunk.write('\n'.code)
+            return false
         }
-        if (text.isNotEmpty()) out.write(text.toString().toByteArray())
     }
 
     private fun write() {
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.spi.LoggingEvent
 import org.junit.jupiter.api.Timeout
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import java.io.InputStream
 import java.io.OutputStream
 import java.nio.channels.Channels
@@ -91,6 +92,33 @@
         assertEquals(1, appender.droppedLines)
     }
 
+    @Test
+    fun anOutputThatFailsOnceDoesNotEndTheLog() {
+        val out = Failing(failures = 1)
+        val appender = started(out)
+        append(appender, "event=first")
+        out.hasFailed.await()
+        append(appender, "event=second")
+        appender.close()
+
+        val lines = linesOf(out.text())
+        assertEquals(3, lines.size, out.text())
+        assertEquals(10, lines[0].length, "what the failed write left is followed by a line break")
+        assertTrue(lines[1].endsWith("event=log_lines_dropped count=1"), lines[1])
+        assertTrue(LINE.matches(lines[2]) && lines[2].endsWith("event=second"), lines[2])
+        assertEquals(1, appender.droppedLines)
+    }
+
+    @Test
+    fun linesAreCountedAsDroppedWhileTheOutputFails() {
+        val out = Failing(failures = Int.MAX_VALUE)
+        val appender = started(out)
+        repeat(QUEUED_LINES + 100) { append(appender, "event=e n=$it") }
+        appender.close()
+
+        assertEquals(QUEUED_LINES + 100L, appender.droppedLines)
+    }
+
     private fun started(out: OutputStream): LineAppender = LineAppender(out).also {
         it.context = context
         it.start()
@@ -147,10 +175,25 @@
         }
     }
 
+    /** Takes ten bytes of each of the first [failures] writes. */
+    private class Failing(private var failures: Int) : Recorder() {
+        val hasFailed = CountDownLatch(1)
+
+        override fun write(b: ByteArray, off: Int, len: Int) {
+            if (failures-- > 0) {
+                super.write(b, off, minOf(len, 10))
+                hasFailed.countDown()
+                throw IOException("no space left")
+            }
+            super.write(b, off, len)
+        }
+    }
+
     private companion object {
         const val THREADS = 4
         const val LINES_OF_A_THREAD = 6_000
         const val QUEUED_LINES = 8_192
+        val LINE = Regex("""time=\S+ level=\S+ event=.*""")
         val NUMBERED = Regex("""time=\S+ level=info event=e thread=(\d) n=(\d+) text=x*""")
         val REPORT = Regex("""(?:time=\S+ )?level=warn event=log_lines_dropped count=(\d+)""")
     }
