Write the log in whole lines of at most 8 KiB

From cut to cut there are 8,192 bytes 267 times out of 352, and a multiple of 8,192 in two more; after each cut follows the beginning of a line. So 8 KiB of one write arrive and its rest is missing.

Ruled out: that the process tears its lines.

Cause: a flush wrote up to 2,048 lines in one call (86,939 and 163,407 bytes in the test), and that reader takes 8 KiB of a call.

Mend: a write holds whole lines and at most 8 KiB, which a reader with such a buffer takes whole. A longer line is cut to that length with a mark, so that none needs a larger write.

Measured: noWriteIsLongerThanAReaderTakesOrEndsInsideALine failed before; LineAppenderTest 7, LineCutTest 4, LineLogTest 6 and KeyValueLayoutTest 7 pass.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
@@ -42,9 +42,10 @@
 /**
  * Writes lines to [out] on a thread of its own, several at a time.
  *
- * A line that finds the queue full, comes after [close] or is part of a write that failed is dropped and counted, so
- * that no decision ever waits for the log. Of a write that failed, some lines may have arrived besides; the next write
- * then begins on a new line.
+ * Each write holds whole lines and at most [MAX_WRITE_BYTES]; a longer line is cut ([cutLine]). A line that finds the
+ * queue full, comes after [close] or is part of a write that failed is dropped and counted, so that no decision ever
+ * waits for the log. Of a write that failed, some lines may have arrived besides; the next write then begins on a new
+ * line.
  */
 internal class LineAppender(private val out: OutputStream = FileOutputStream(FileDescriptor.out)) :
     AppenderBase<ILoggingEvent>() {
@@ -55,7 +56,7 @@
 
     /** Guards the output; the appender's own lock is taken by each caller. */
     private val output = ReentrantLock()
-    private val chunk = ByteArrayOutputStream()
+    private val chunk = ByteArrayOutputStream(MAX_WRITE_BYTES)
     private var linesOfChunk = 0
     private var reported = 0L
 
@@ -77,7 +78,7 @@
     }
 
     override fun append(event: ILoggingEvent) {
-        if (!isClosed && queue.offer(layout.doLayout(event))) {
+        if (!isClosed && queue.offer(cutLine(layout.doLayout(event), MAX_LINE_BYTES))) {
             queued.release()
         } else {
             dropped.incrementAndGet()
@@ -98,6 +99,7 @@
     private fun writeQueued() {
         for (text in generateSequence { queue.poll() }.take(CAPACITY)) {
             val line = text.toByteArray()
+            if (chunk.size() + line.size > MAX_WRITE_BYTES) writeChunk()
             chunk.write(line)
             linesOfChunk += 1
         }
@@ -146,6 +148,12 @@
         /** Lines that may wait; a process under the worst load writes about this many in four seconds. */
         private const val CAPACITY = 8_192
 
+        /** Readers of a pipe commonly take this much at once. */
+        private const val MAX_WRITE_BYTES = 8_192
+
+        /** Leaves room for the line break that follows a failed write. */
+        private const val MAX_LINE_BYTES = MAX_WRITE_BYTES - 1
+
         /** Time over which lines are gathered, since each write costs a system call. */
         private const val GATHER_MS = 50L
 
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
@@ -48,6 +48,22 @@
         assertEquals(appender.droppedLines, reports.sumOf { it.groupValues[1].toLong() })
     }
 
+    @Test
+    fun noWriteIsLongerThanAReaderTakesOrEndsInsideALine() {
+        val out = Recorder()
+        val appender = started(out)
+        repeat(1_000) { append(appender, "event=e n=$it text=${"x".repeat(it % 300)}") }
+        append(appender, "event=e text=${"y".repeat(20_000)}")
+        append(appender, "event=e text=${"\u20ac".repeat(8_000)}")
+        append(appender, "event=last")
+        appender.close()
+
+        assertEquals(emptyList(), out.writes.map { it.size }.filter { it > MAX_WRITE_BYTES })
+        assertTrue(out.writes.all { it.last() == '\n'.code.toByte() })
+        assertEquals(1_003, linesOf(out.text()).size)
+        assertEquals(0, appender.droppedLines)
+    }
+
     @Test
     fun noDecisionWaitsForAnOutputThatIsNotRead() {
         val out = Blocked()
@@ -193,6 +209,7 @@
         const val THREADS = 4
         const val LINES_OF_A_THREAD = 6_000
         const val QUEUED_LINES = 8_192
+        const val MAX_WRITE_BYTES = 8_192
         val LINE = Regex("""time=\S+ level=\S+ event=.*""")
         val NUMBERED = Regex("""time=\S+ level=info event=e thread=(\d) n=(\d+) text=x*""")
         val REPORT = Regex("""(?:time=\S+ )?level=warn event=log_lines_dropped count=(\d+)""")
