Commit a leader's batches in its own term only

What callers would see: a batch of the scheduler that is proposed just when its replica has lost the lead takes effect under the next leader. A stale RunReleased frees a run that this one keeps at work, so that its task starts a second time; a stale UpkeepBegun takes a VM down beyond the cap.

Cause: ControlNode.commit proposed through ReplicatedGroup.propose, which lets a call wait for a leader and passes it on to whichever daemon leads by then. Nothing tied a batch to the term whose state it was decided from.

Mend: proposeInTerm names the term. The call is carried out by this replica while it leads in that term, or rejected as NOT_LEADING, which is certain. The term is kept beside the body that travels to other daemons, so that such a call has no way out: - it does not enter the queue of calls that wait for a leader, nor the table of forwarded calls, so that nothing can resend it; - the check of role and term and the append happen on the group's coroutine without a break; the replica may step down in between, since it checks its quorum first, and refuses then, but begins no other term; - a later term of the same replica is another term; - what was appended may still be committed after the term, but ahead of the first entry of the next leader, which has applied it before it decides. Settings, reads and changes of the members go through propose as before. A batch of unknown fate now ends only the leadership that decided it, and the process only if it leads in that term.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/operator/OperatorErrors.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/operator/OperatorErrors.kt
@@ -44,6 +44,7 @@
                 RejectReason.OVERLOADED -> "Too many proposals are in progress; nothing was done."
                 RejectReason.TOO_LARGE -> "The change exceeds the largest entry of the log; nothing was done."
                 RejectReason.STOPPED -> "The replica is stopping or failed; nothing was done."
+                RejectReason.NOT_LEADING -> "The leader that decided this has lost its term; nothing was done."
             }
         val remedy =
             when (reason) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/CallForwarder.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/CallForwarder.kt
@@ -11,7 +11,8 @@
  * Brings the calls of this daemon to the leader, here or elsewhere.
  *
  * A call waits while no leader is known. A request is sent again to the same leader in the same term only, which
- * recognizes the copy, so that it is executed once at most; one that changes nothing may go to the next leader.
+ * recognizes the copy, so that it is executed once at most; one that changes nothing may go to the next leader. A call
+ * that belongs to a term is carried out here or rejected; it neither waits nor leaves this daemon.
  */
 internal class CallForwarder(
     private val configuration: GroupConfiguration,
@@ -32,6 +33,7 @@
         get() = nextTick.takeIf { forwarded.isNotEmpty() }
 
     fun accept(call: PendingCall, now: MonotonicTime) {
+        if (call.term != null) return executeInTerm(call, call.term)
         if (waiting.size >= configuration.maxWaitingCalls) {
             waiting.removeAll { it.isOver }
             if (waiting.size >= configuration.maxWaitingCalls) {
@@ -97,6 +99,15 @@
         forwarded.values.forEach { it.call.complete(if (it.call.body.isOnce) ReplyBody.Unknown else stopped) }
     }
 
+    private fun executeInTerm(call: PendingCall, term: Long) {
+        val refusal = ReplyBody.Rejected(RejectReason.NOT_LEADING)
+        val leads = replica.role == RaftRole.LEADER && replica.term == term
+        if (!leads) return call.complete(refusal)
+        if (call.isOver || !call.state.markSent()) return
+        // The replica may still step down before it appends, but cannot begin another term on the way.
+        requests.execute(call.body) { call.complete(if (it == ReplyBody.NotLeader) refusal else it) }
+    }
+
     private fun dispatch(call: PendingCall, leader: MemberId, now: MonotonicTime) {
         if (replica.role == RaftRole.LEADER) return requests.execute(call.body) { finishLocal(call, it) }
         if (forwarded.isEmpty()) nextTick = now + configuration.resendInterval
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/PendingCall.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/PendingCall.kt
@@ -5,8 +5,12 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 
-/** Call of this daemon that waits for the leader's answer. */
-internal class PendingCall(val body: RequestBody) {
+/**
+ * Call of this daemon that waits for the leader's answer.
+ *
+ * @property term the only term, led by this replica, in which the call may be carried out; null if any leader may.
+ */
+internal class PendingCall(val body: RequestBody, val term: Long? = null) {
     val state = CallState()
     private val answer = CompletableDeferred<ReplyBody>()
 
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroup.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroup.kt
@@ -18,7 +18,7 @@
      * Proposes [command] through the leader, wherever it is, and waits until it is committed and applied there.
      *
      * The command is proposed at most once by this call; a caller that gets [ProposeResult.Unknown] resends it with
-     * the same operation id.
+     * the same operation id. It may wait for a leader, and be committed under a later term than that of the call.
      */
     public suspend fun propose(command: ByteArray, timeout: Duration): ProposeResult
 
@@ -77,6 +77,9 @@
 
     /** The replica is stopping or its storage failed. */
     STOPPED,
+
+    /** This replica does not lead in the term that the command belongs to. */
+    NOT_LEADING,
 }
 
 /** Result of a read barrier. */
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -140,14 +140,21 @@
     }
 
     override suspend fun propose(command: ByteArray, timeout: Duration): ProposeResult =
-        when (val reply = call(RequestBody.Propose(command), timeout)) {
-            is ReplyBody.Committed -> ProposeResult.Committed(reply.index, reply.response)
-            is ReplyBody.Rejected -> ProposeResult.Rejected(reply.reason)
-            else -> ProposeResult.Unknown
-        }
+        resultOf(call(PendingCall(RequestBody.Propose(command)), timeout))
+
+    /**
+     * Proposes [command] as the leader of [term], and waits until it is committed and applied here.
+     *
+     * For commands that follow from what the leader of one term decided. Such a command is appended by this replica
+     * only, and only while it leads in [term]; it never waits for a leader and is never forwarded. A replica that does
+     * not lead, or leads in another term, rejects it at once with [RejectReason.NOT_LEADING]. A command that was
+     * appended may still be committed after [term] has ended, but ahead of every command of a later term.
+     */
+    public suspend fun proposeInTerm(term: Long, command: ByteArray, timeout: Duration): ProposeResult =
+        resultOf(call(PendingCall(RequestBody.Propose(command), term), timeout))
 
     override suspend fun readBarrier(timeout: Duration): ReadResult =
-        when (val reply = call(RequestBody.Read, timeout)) {
+        when (val reply = call(PendingCall(RequestBody.Read), timeout)) {
             is ReplyBody.ReadAt -> ReadResult.Ready(reply.index)
             is ReplyBody.Rejected -> ReadResult.Refused(reply.reason)
             else -> ReadResult.Refused(RejectReason.NO_LEADER)
@@ -155,7 +162,7 @@
 
     /** Asks the leader for [change] and waits until it is committed. */
     public suspend fun changeMembership(change: MembershipChange, timeout: Duration): MembershipChangeResult =
-        when (val reply = call(RequestBody.Change(change), timeout)) {
+        when (val reply = call(PendingCall(RequestBody.Change(change)), timeout)) {
             is ReplyBody.MembershipEnded -> MembershipChangeResult.Ended(reply.result)
             is ReplyBody.Rejected -> MembershipChangeResult.Rejected(reply.reason)
             else -> MembershipChangeResult.Ended(MembershipResult.Unknown)
@@ -163,12 +170,17 @@
 
     /** Asks the leader for the members and for how many losses the group survives; null without an answer. */
     public suspend fun membershipStatus(timeout: Duration): MembershipStatus? =
-        (call(RequestBody.Status, timeout) as? ReplyBody.Status)?.let {
+        (call(PendingCall(RequestBody.Status), timeout) as? ReplyBody.Status)?.let {
             MembershipStatus(it.configuration, it.tolerance)
         }
 
-    private suspend fun call(body: RequestBody, timeout: Duration): ReplyBody {
-        val call = PendingCall(body)
+    private fun resultOf(reply: ReplyBody): ProposeResult = when (reply) {
+        is ReplyBody.Committed -> ProposeResult.Committed(reply.index, reply.response)
+        is ReplyBody.Rejected -> ProposeResult.Rejected(reply.reason)
+        else -> ProposeResult.Unknown
+    }
+
+    private suspend fun call(call: PendingCall, timeout: Duration): ReplyBody {
         val accepted = !isStopped && inbox.trySend(GroupEvent.Called(call)).isSuccess
         if (!accepted) {
             val reason = if (isStopped) RejectReason.STOPPED else RejectReason.OVERLOADED
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
@@ -74,6 +74,15 @@
         get(name).group.stop()
     }
 
+    /** Loses every message to and from [name], which goes on running. */
+    fun cutOff(name: DaemonId) {
+        down.add(name)
+    }
+
+    fun rejoin(name: DaemonId) {
+        down.remove(name)
+    }
+
     suspend fun restart(name: DaemonId) {
         down.remove(name)
         daemons[name] = DaemonUnderTest(name).also { it.start() }
@@ -87,6 +96,9 @@
         private val handlers = HashMap<PeerChannel, suspend (DaemonId, ByteArray) -> Unit>()
         val machine = RecordingMachine()
         val failures = ArrayList<GroupFailure>()
+
+        /** Time by which the clock has run on while the process was frozen. */
+        var frozenFor = Duration.ZERO
         private val store = StoreWithFault(openStore())
         val group = ReplicatedGroupRunner(
             scope = test.backgroundScope,
@@ -99,7 +111,7 @@
                 settings = ReplicaSettings.Default.copy(replacementDelay = 3.seconds, snapshotChunkBytes = 512),
                 snapshotEntries = snapshotEntries,
             ),
-            clock = { MonotonicTime(test.currentTime * 1_000_000) },
+            clock = { MonotonicTime(test.currentTime * 1_000_000) + frozenFor },
             random = Random(runnerSeed ?: random.nextInt()),
             storeDispatcher = StandardTestDispatcher(test.testScheduler),
             onFailure = { failures.add(it) },
@@ -109,6 +121,8 @@
             store.isFailing = true
         }
 
+        val isCutOff get() = name in down
+
         override val self get() = name
         override val peers get() = names.toSet() - name
 
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.daemon.replication
 
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
@@ -176,4 +177,114 @@
         repeat(20) { group[group.names[it % 5]].group.proposeUntilCommitted("c$it") }
         group.awaitApplied(20)
     }
+
+    @Test
+    fun aProposalOfATermThatHasEndedIsNotCommittedByTheNextLeader() = group { group ->
+        val deposed = group.awaitLeader()
+        val term = deposed.group.status.value.term
+        group.cutOff(deposed.self)
+        group.awaitLeader()
+        while (deposed.group.quorumContactTime != null) delay(50.milliseconds)
+        // Nothing is known of a next leader here, so that a call of any term would wait.
+        val stale = async { deposed.group.proposeInTerm(term, "stale".encodeToByteArray(), 25.seconds) }
+        delay(100.milliseconds)
+        group.rejoin(deposed.self)
+        group.awaitLeader().group.proposeUntilCommitted("next")
+        delay(5.seconds)
+
+        group.running().forEach { assertEquals(listOf("next"), it.machine.commands) }
+        assertEquals(ProposeResult.Rejected(RejectReason.NOT_LEADING), stale.await())
+    }
+
+    @Test
+    fun aProposalOfATermIsNotForwardedToTheLeaderOfThisTerm() = group { group ->
+        val leader = group.awaitLeader()
+        val term = leader.group.status.value.term
+        val results = group.names.filter { it != leader.self }
+            .map { group[it].group.proposeInTerm(term, "forwarded".encodeToByteArray(), 5.seconds) }
+        assertIs<ProposeResult.Committed>(leader.group.proposeInTerm(term, "own".encodeToByteArray(), 5.seconds))
+        delay(2.seconds)
+
+        assertEquals(setOf(ProposeResult.Rejected(RejectReason.NOT_LEADING)), results.toSet())
+        group.running().forEach { assertEquals(listOf("own"), it.machine.commands) }
+    }
+
+    @Test
+    fun aProposalOfAnEarlierTermIsNotCommittedThoughItsReplicaLeadsAgain() = group { group ->
+        val replica = group.awaitLeader()
+        val first = replica.group.status.value.term
+        var leader = replica
+        while (leader != replica || leader.group.status.value.term == first) {
+            group.cutOff(leader.self)
+            // The leader steps down meanwhile, and another is elected.
+            delay(4.seconds)
+            val next = group.awaitLeader()
+            group.rejoin(leader.self)
+            delay(1.seconds)
+            leader = next
+        }
+        val term = replica.group.status.value.term
+        val stale = replica.group.proposeInTerm(first, "stale".encodeToByteArray(), 5.seconds)
+        assertIs<ProposeResult.Committed>(replica.group.proposeInTerm(term, "own".encodeToByteArray(), 5.seconds))
+
+        assertEquals(ProposeResult.Rejected(RejectReason.NOT_LEADING), stale)
+        assertEquals(listOf("own"), replica.machine.commands)
+    }
+
+    @Test
+    fun aProposalOfALeaderThatFindsItWasFrozenIsNotCommittedByTheNextLeader() = group { group ->
+        val frozen = group.awaitLeader()
+        val term = frozen.group.status.value.term
+        // The replica still counts as the leader when the call arrives, and steps down on the way to its log.
+        frozen.frozenFor = 10.seconds
+        val stale = frozen.group.proposeInTerm(term, "stale".encodeToByteArray(), 25.seconds)
+        group.awaitLeader().group.proposeUntilCommitted("next")
+        delay(5.seconds)
+
+        assertEquals(ProposeResult.Rejected(RejectReason.NOT_LEADING), stale)
+        group.running().forEach { assertEquals(listOf("next"), it.machine.commands) }
+    }
+
+    @Test
+    fun proposalsOfTermsAreCommittedInTheOrderOfTheirTermsWhileLeadersAreCutOff() {
+        repeat(4) { seed -> playTerms(seed) }
+    }
+
+    /** Each daemon proposes under the term that it led last, while one leader after the other is cut off. */
+    private fun playTerms(seed: Int) = runTest {
+        val group = GroupFixture(this, folder.resolve("$seed"), seed)
+        group.start()
+        group.awaitLeader()
+        group.loss = 0.05
+        val termsLed = HashMap<DaemonId, Long>()
+        val results = LinkedHashMap<String, Deferred<ProposeResult>>()
+        repeat(200) { number ->
+            val cut = group.names.filter { group[it].isCutOff }
+            if (number % 20 == 0) group.cutOff(group.awaitLeader().self)
+            if (number % 20 == 13) cut.forEach(group::rejoin)
+            group.names.forEach { name ->
+                val status = group[name].group.status.value
+                if (status.role == ReplicaRole.LEADER) termsLed[name] = status.term
+                val term = termsLed[name] ?: return@forEach
+                val command = "$term-$name-$number"
+                results[command] =
+                    async { group[name].group.proposeInTerm(term, command.encodeToByteArray(), 25.seconds) }
+            }
+            delay(100.milliseconds)
+        }
+        group.names.forEach(group::rejoin)
+        group.loss = 0.0
+        delay(30.seconds)
+        group.awaitLeader().group.proposeUntilCommitted("last")
+        val commands = group.awaitLeader().machine.commands - "last"
+        val terms = commands.map { it.substringBefore('-').toLong() }
+
+        assertNull(terms.zipWithNext().firstOrNull { (term, next) -> term > next }, "seed $seed")
+        assertTrue(terms.distinct().size > 2, "seed $seed: commands of terms ${terms.distinct()}")
+        for ((command, result) in results) {
+            val fate = result.await()
+            if (fate is ProposeResult.Committed) assertTrue(command in commands, "seed $seed: $command")
+            if (fate is ProposeResult.Rejected) assertTrue(command !in commands, "seed $seed: $command")
+        }
+    }
 }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -187,7 +187,7 @@
             gateway = gateway,
             metrics = metrics,
             isConfirmed = ::isConfirmed,
-            commit = ::commit,
+            commit = { batch, done -> commit(term, batch, done) },
         )
         publish(group.status.value)
     }
@@ -199,15 +199,17 @@
         ended.end()
     }
 
-    private fun commit(batch: RecordBatch, done: (Boolean?) -> Unit) {
+    /** Proposes a batch that was decided in [term]; under another leader it could undo what that one decided. */
+    private fun commit(term: Long, batch: RecordBatch, done: (Boolean?) -> Unit) {
         scope.launch {
-            when (group.propose(replica.encode(batch), COMMIT_TIMEOUT)) {
+            when (group.proposeInTerm(term, replica.encode(batch), COMMIT_TIMEOUT)) {
                 is ProposeResult.Committed -> done(true)
                 is ProposeResult.Rejected -> done(false)
                 ProposeResult.Unknown -> {
                     done(null)
-                    val isStillLeading = group.status.value.role == ReplicaRole.LEADER
-                    endLeadership("batch of unknown fate")
+                    val status = group.status.value
+                    val isStillLeading = status.role == ReplicaRole.LEADER && status.term == term
+                    if (leadership?.term == term) endLeadership("batch of unknown fate")
                     // Its orders carry this term, so only another term may decide again.
                     if (isStillLeading) onFatal("a batch was not committed within $COMMIT_TIMEOUT")
                 }
