Keep what happened when a batch is rejected

What callers would see: once a batch is rejected while its leader goes on, as too large or because the group is overloaded, the runs that it told of hang: ends and releases are never recorded, the worker is not looked at any more, its leases run out, and a task that was done starts once more (TWICE). A wave whose confirmation was in the batch keeps its place under the cap until the next leader.

Cause: Intake.rejected dropped the records, while RunControl.recorded, WorkerContact.endsTaken and WaveControl's isAnswered still said that they were under way.

Mend: records of what has happened (ends, releases, answers of the platform) are committed again, ahead of any decision and without calls, so that those notes stay true. What was only decided (claims, begun moves and maintenance) is decided anew on the state; what callers and workers sent, farewells among it, was answered as not accepted and is sent again. As the batch may have been too large, the repeat holds half as many records, down to one. The next batch after a rejection waits for a tick, 100 ms at most.

Tried first and dropped: forgetting the notes, so that the next look shows the ends again.

Waves and pools otherwise: UpkeepBegun, UpkeepEnded, MoveBegun and MoveEnded follow from the state at each tick, and no order goes out before their commit. What is lost is time: the patience to empty a VM begins anew, and a spare VM of a rejected move is offered again with the next list, after 10 s at most while a shortage lasts. WorkerGone follows from the next look or the VM's next life.

Evidence: without the mend all six tests of RejectedBatchTest fail; without the halving, endsThatTogetherExceedABatchAreNeverRecorded fails.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -41,6 +41,9 @@
     private var committing: RecordBatch? = null
     private var planDirty = true
     private var vmsDue = false
+
+    /** Whether a batch was rejected since the last tick; the next one waits, since the log may be overloaded. */
+    private var isHeldBack = false
     private var nextTick = now
 
     /** When [Event.Tick] is due. */
@@ -71,7 +74,7 @@
             }
             is Event.Tick -> tick(now)
         }
-        if (committing == null) decide(now, nowMs)
+        if (committing == null && !isHeldBack) decide(now, nowMs)
         return actions.toList().also { actions.clear() }
     }
 
@@ -105,6 +108,7 @@
     }
 
     private fun tick(now: MonotonicTime) {
+        isHeldBack = false
         runs.tick(now)
         if (waves.needsList(now) || pools.needsList(now)) {
             waves.listRequested(now)
@@ -232,10 +236,14 @@
         committing = null
         runs.settled()
         intake.rejected()
+        isHeldBack = true
         planDirty = true
     }
 
     private fun decide(now: MonotonicTime, nowMs: Long) {
+        // Nothing is decided on a state that lacks what is known.
+        val again = intake.takeAgain()
+        if (again.isNotEmpty()) return commit(again, nowMs)
         // Between two batches the state shows every claim, and no plan can take a VM that is about to go.
         if (vmsDue) {
             vmsDue = false
@@ -245,7 +253,10 @@
         }
         if (planDirty) plan(now, nowMs)
         val records = intake.take()
-        if (records.isEmpty()) return
+        if (records.isNotEmpty()) commit(records, nowMs)
+    }
+
+    private fun commit(records: List<Record>, nowMs: Long) {
         val batch = RecordBatch(nowMs, records)
         committing = batch
         runs.committing(batch)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
@@ -19,6 +19,8 @@
     private val pendingWaves = HashSet<Long>()
     private var committingCalls: List<CallId> = emptyList()
     private var committingRecords: List<Record> = emptyList()
+    private var again: List<Record> = emptyList()
+    private var againSize = 0
 
     /** Whether claims wait to be recorded, so that the state does not show all room that is taken. */
     val hasClaims: Boolean
@@ -116,17 +118,44 @@
         return taken
     }
 
+    /** Takes what rejected batches told of what has happened; it goes into batches of its own, without calls. */
+    fun takeAgain(): List<Record> {
+        committingRecords = again.take(againSize)
+        again = again.drop(againSize)
+        return committingRecords
+    }
+
     fun committed() {
         committingCalls.forEach(::accept)
         clear()
     }
 
+    /**
+     * Answers the calls of the batch, which was rejected, as not accepted, and keeps its records of what has happened.
+     *
+     * What was observed cannot always be observed again; what was only decided is decided anew on the state.
+     */
     fun rejected() {
         val reply = Reply.NotAccepted(RefusalReason.NO_LEADER, LEADER_PAUSE)
         committingCalls.forEach { act(Action.Answer(it, reply)) }
+        val kept = committingRecords.filter(::isObserved)
+        again = kept + again
+        // The batch may have been too large.
+        againSize = maxOf(1, kept.size / 2)
         clear()
     }
 
+    private fun isObserved(record: Record): Boolean = when (record) {
+        is Record.RunEnded, is Record.RunReleased, is Record.EndsNoted -> true
+        is Record.UpkeepConfirmed, is Record.UpkeepRefused, is Record.MoveConfirmed, is Record.MoveRefused -> true
+        // Callers and workers send these again, since they were told that nothing was accepted.
+        is Record.CatalogAccepted, is Record.JobAccepted, is Record.JobCancelled, is Record.WaveAccepted -> false
+        is Record.WorkerSeen, is Record.WorkerGone -> false
+        // These follow from the state.
+        is Record.RunClaimed, is Record.UpkeepBegun, is Record.UpkeepEnded -> false
+        is Record.MoveBegun, is Record.MoveEnded -> false
+    }
+
     private fun clear() {
         for (record in committingRecords) {
             when (record) {
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -68,6 +68,9 @@
     /** VMs that are switched off. */
     val spares = LinkedHashSet<VmId>()
 
+    /** Whether the log rejects a batch while the leadership goes on. */
+    var rejects: (RecordBatch) -> Boolean = { false }
+
     /** Runs between the application of a batch and the event that tells of it. */
     var betweenApplyAndEvent: () -> Unit = {}
 
@@ -254,6 +257,7 @@
     private fun commit(batch: RecordBatch, from: Int) {
         // A batch of a leader that has gone may still be committed before the next one leads; here it is lost.
         if (from != generation) return
+        if (rejects(batch)) return feed(Event.BatchRejected, from)
         state.apply(batch)
         betweenApplyAndEvent()
         feed(Event.BatchApplied, from)
