--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -42,6 +42,9 @@
     private var committing: RecordBatch? = null
     private var planDirty = true
     private var vmsDue = false
+
+    /** Whether a batch was rejected since the last tick; the next one waits, since the log may be overloaded. */
+    private var isHeldBack = false
     private var nextTick = now
 
     /** When [Event.Tick] is due. */
@@ -72,7 +75,7 @@
             }
             is Event.Tick -> tick(now)
         }
-        if (committing == null) decide(now, nowMs)
+        if (committing == null && !isHeldBack) decide(now, nowMs)
         return actions.toList().also { actions.clear() }
     }
 
@@ -110,6 +113,7 @@
     }
 
     private fun tick(now: MonotonicTime) {
+        isHeldBack = false
         runs.tick(now)
         if (waves.needsList(now) || pools.needsList(now)) {
             waves.listRequested(now)
@@ -238,6 +242,7 @@
         committing?.let(::settled)
         committing = null
         intake.rejected()
+        isHeldBack = true
         planDirty = true
     }
 
@@ -250,6 +255,9 @@
     }
 
     private fun decide(now: MonotonicTime, nowMs: Long) {
+        // Nothing is decided on a state that lacks what is known.
+        val again = intake.takeAgain()
+        if (again.isNotEmpty()) return commit(again, nowMs)
         // Between two batches the state shows every claim, and no plan can take a VM that is about to go.
         if (vmsDue) {
             vmsDue = false
@@ -260,7 +268,10 @@
         farewells.decide(now)
         if (planDirty) plan(now, nowMs)
         val records = intake.take()
-        if (records.isEmpty()) return
+        if (records.isNotEmpty()) commit(records, nowMs)
+    }
+
+    private fun commit(records: List<Record>, nowMs: Long) {
         val batch = RecordBatch(nowMs, records)
         committing = batch
         runs.committing(batch)
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -68,6 +68,9 @@
     /** VMs that are switched off. */
     val spares = LinkedHashSet<VmId>()
 
+    /** Whether the log rejects a batch while the leadership goes on. */
+    var rejects: (RecordBatch) -> Boolean = { false }
+
     /** Runs between the application of a batch and the event that tells of it. */
     var betweenApplyAndEvent: () -> Unit = {}
 
@@ -279,6 +282,7 @@
     private fun commit(batch: RecordBatch, from: Int) {
         // A batch of a leader that has gone may still be committed before the next one leads; here it is lost.
         if (from != generation) return
+        if (rejects(batch)) return feed(Event.BatchRejected, from)
         state.apply(batch)
         // What is recorded counts as noted, also before the worker is told.
         batch.records.filterIsInstance<Record.RunEnded>().filter { it.end == RunEnd.DONE }.forEach { noted(it.run) }
