Renew no job lease that is being waited out

A job of a lost worker was given to another worker while the first could still be at work on it.

Cause: the leader waits for 30 s from the loss of the VM, since a worker that hears nothing has ended its jobs by then, and all this time renews the leases of all running jobs every two seconds, those of the lost VM as well. Where the platform reaches the worker, its job ran on for up to 30 s beyond.

Evidence, before: JobTest, the job is ended 30 s before the lease that the leader renewed last runs out.

The leases of a VM that is lost, in repair or given up are not renewed any more; one rule now tells both which leases run out and from when. A VM that is heard again has its jobs renewed again.

After: the job is ended at the end of its lease.

Open: a renewal that is on its way when the loss is recorded may arrive later by the time limit of a call to the platform, 5 s, and a leader that was deposed renews until it learns of it.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/fleet/FleetLeader.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/fleet/FleetLeader.kt
@@ -53,7 +53,7 @@
     suspend fun readUsage() {
         val platform = platform ?: return
         val leases = host.read { state ->
-            state.jobs.values.mapNotNull { job ->
+            state.jobsToRenew().mapNotNull { job ->
                 (job.phase as? JobPhase.Running)?.let { JobLease(it.vm, job.spec.id, it.lease) }
             }
         }
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/FleetState.kt
@@ -152,6 +152,16 @@
     /** Jobs that run on [vm]. */
     public fun jobsOn(vm: VmId): List<Job> = tables.jobs.jobsOn(vm).map(tables.jobs.jobs::getValue)
 
+    /**
+     * Running jobs whose leases the leader renews.
+     *
+     * Those of a VM that is lost, in repair or given up are left to run out, so that the jobs can run elsewhere.
+     */
+    public fun jobsToRenew(): List<Job> = jobs.values.filter { job ->
+        val vm = (job.phase as? JobPhase.Running)?.vm
+        vm != null && vms.getValue(vm).phase.waitedOutSince == null
+    }
+
     /** Returns whether the team of [job] has enough of its quota left for it. */
     public fun isQuotaFree(job: Job): Boolean = tables.jobs.isQuotaFree(job)
 
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/JobPlanner.kt
@@ -66,13 +66,7 @@
     private fun isLeaseOver(state: FleetState, phase: JobPhase.Running, at: Instant, now: MonotonicTime): Boolean {
         val hasReported = usage.measuredAt(phase.vm)?.let { now - it < JOB_LEASE } ?: false
         if (hasReported) return false
-        val since =
-            when (val vm = state.vms.getValue(phase.vm).phase) {
-                is VmPhase.Lost -> vm.since
-                is VmPhase.InRepair -> vm.since
-                is VmPhase.GivenUp -> vm.since
-                else -> return false
-            }
+        val since = state.vms.getValue(phase.vm).phase.waitedOutSince ?: return false
         return at >= since + JOB_LEASE
     }
 
--- a/fleet/src/main/kotlin/org/auburnstream/fleet/Vm.kt
+++ b/fleet/src/main/kotlin/org/auburnstream/fleet/Vm.kt
@@ -148,6 +148,16 @@
 internal val VmPhase.isOverdue: Boolean
     get() = (this is VmPhase.Stopped && overdue) || (this is VmPhase.Moving && overdue)
 
+/** Since when the leases of the VM's jobs are left to run out, or null if they are renewed. */
+internal val VmPhase.waitedOutSince: Instant?
+    get() =
+        when (this) {
+            is VmPhase.Lost -> since
+            is VmPhase.InRepair -> since
+            is VmPhase.GivenUp -> since
+            else -> null
+        }
+
 /** Whether the VM is in any step of a planned act. */
 internal val VmPhase.isPlannedAct: Boolean
     get() = this is VmPhase.Draining || this is VmPhase.Stopped || this is VmPhase.Moving
--- a/fleet/src/test/kotlin/org/auburnstream/fleet/JobTest.kt
+++ b/fleet/src/test/kotlin/org/auburnstream/fleet/JobTest.kt
@@ -196,6 +196,28 @@
         assertTrue(JobCommand.EndJob(JobId("a"), first.lease, JobEnd.WORKER_LOST) in plan.commands)
     }
 
+    @Test
+    fun `a job is not renewed on a lost worker until it is given to another`() {
+        build(2)
+        submit(spec("a"))
+        step()
+        val first = running("a")!!
+        var leaseEnd = fleet.now
+        val renew = {
+            val isRenewed = fleet.state.jobsToRenew().any { it.leaseOrNull == first.lease }
+            if (isRenewed) leaseEnd = fleet.now + JOB_LEASE
+        }
+        renew()
+        fleet.apply(FleetCommand.ReportLost(first.vm, 1))
+        var plan: FleetPlan
+        do {
+            fleet.now += 2.seconds
+            renew()
+            plan = planner.plan(fleet.state, FleetReports(now), fleet.now, now)
+        } while (plan.commands.none { it is JobCommand.EndJob })
+        assertTrue(fleet.now >= leaseEnd, "ended ${leaseEnd - fleet.now} before its lease")
+    }
+
     @Test
     fun `a drained VM is permitted to stop only after its jobs have left`() {
         build(2)
