Release no run on an answer that does not list all ends

A worker lists at most 500 ends in one answer. A run whose end is beyond them is neither running nor listed, and its order was answered before the look, so it was released as not there, though it had ended as done.

Why it works: an answer tells whether it holds every end, and one that does not settles nothing; once its ends are noted, the next look brings the rest.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Contacts.kt
@@ -44,13 +44,16 @@
         val heardAt = contact.heardAt ?: return false
         if (!contact.clock.isKnown || now - heardAt > settings.reportInterval * MISSED_REPORTS) return false
         if (contact.failedLooks > 0 || contact.isUnreachable || contact.health.isAside(now)) return false
-        val isBarred = contact.isRetired || isUnfenced(worker) || lateStarts.openAt(contact.life).isNotEmpty()
-        if (isBarred) return false
+        if (isBarred(worker, contact)) return false
         if (contact.fullUntil?.let { now < it } == true) return false
         // Until the worker has said under this leadership what it runs, its room is known from the log only.
         return state.claimsAt(worker.profile.life).isEmpty() || contact.lookedAt != null || contact.orders.isNotEmpty()
     }
 
+    /** Whether the worker has left, or may still carry out what was ordered for an earlier life. */
+    private fun isBarred(worker: Worker, contact: WorkerContact): Boolean =
+        contact.isRetired || isUnfenced(worker) || lateStarts.openAt(contact.life).isNotEmpty()
+
     private companion object {
         // A report may be late, and one may go to a daemon that is down.
         const val MISSED_REPORTS = 2.2
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -91,7 +91,10 @@
             contact.sequence = event.sequence
             contact.heard(now, event.clockMs)
             // A report proves as much as a look where nothing runs.
-            if (state.claimsAt(life).isEmpty()) contact.failedLooks = 0
+            if (state.claimsAt(life).isEmpty()) {
+                contact.failedLooks = 0
+                contact.nextLook = minOf(contact.nextLook, now)
+            }
         }
         intake.offer(event)
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
@@ -126,6 +126,7 @@
  * What a worker says in answer to a look.
  *
  * @property bornMs start of the life that answered, or null if it did not say.
+ * @property isWhole whether [ended] holds every end that is not noted.
  * @property otherLife whether another life answered, which knows nothing of this one.
  */
 public data class LookAnswer(
@@ -133,6 +134,7 @@
     val bornMs: Long? = null,
     val running: List<RunningRow> = emptyList(),
     val ended: List<EndedRow> = emptyList(),
+    val isWhole: Boolean = true,
     val otherLife: Boolean = false,
     val isFenced: Boolean = false,
 )
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Intake.kt
@@ -150,6 +150,8 @@
         // Callers and workers send these again, since they were told that nothing was accepted.
         is Record.CatalogAccepted, is Record.JobAccepted, is Record.JobCancelled, is Record.WaveAccepted -> false
         is Record.WorkerSeen, is Record.WorkerGone -> false
+        // The next look tells it again.
+        is Record.JobBegun -> false
         // These follow from the state.
         is Record.RunClaimed, is Record.UpkeepBegun, is Record.UpkeepEnded -> false
         is Record.MoveBegun, is Record.MoveEnded -> false
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -54,12 +54,18 @@
         val worker = state.worker(claim.life)
         val job = state.active[claim.run.task.step.job]
         val isClaimed = claim.run in state.claimsAt(claim.life)
-        if (!isClaimed) return note("run_not_claimed", "run" to claim.run, "worker" to claim.life)
+        if (!isClaimed) {
+            note("run_not_claimed", "run" to claim.run, "worker" to claim.life)
+            // Without one member the others of a gang would wait in vain.
+            return stopRest(claim.run, now)
+        }
         val contact = contacts.of(claim.life, now)
         val isGone = worker == null || worker.isLeaving || contact.isRetired || !contact.clock.isKnown
         if (job == null || worker == null || isGone) {
             return release(claim.run, claim.life, "worker or job gone")
         }
+        // The stop of a gang that is not whole has gone ahead of its order.
+        if (isStopping(claim.run, claim.life)) return release(claim.run, claim.life, "gang not whole")
         val order = Order(now)
         contact.orders[claim.run] = order
         contacts.lateStarts.sent(claim.run, claim.life, now)
@@ -146,8 +152,7 @@
         contact.lookingSince = null
         val answer = event.answer
         if (answer == null) {
-            contact.failedLooks += 1
-            contact.nextLook = now + settings.retryInterval
+            contact.lookFailed(now, settings, isIdle = state.claimsAt(event.life).isEmpty())
             if (contact.failedLooks == 1) note("worker_silent", "worker" to event.life, *contact.leaseFields(now))
             return
         }
@@ -265,7 +270,7 @@
             if (isHere) noteStarted(contact, run, sentAt, now)
             val isOpen = isHere || run in listed || (run to life) in recorded
             val order = contact.orders[run]
-            if (!isOpen && order.isSettledBy(sentAt)) release(run, life, "not listed", order.ageFields(sentAt))
+            if (!isOpen && order.isSettledBy(sentAt, answer)) release(run, life, "not listed", order.ageFields(sentAt))
             val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task)
             if (isHere && isOver) stop(run, life, now)
         }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -57,6 +57,13 @@
         if (clockMs != null) clock.observe(clockMs, now)
     }
 
+    /** Notes that a look got no answer; a worker that [isIdle] is asked ever more seldom. */
+    fun lookFailed(now: MonotonicTime, settings: SchedulingSettings, isIdle: Boolean) {
+        val factor = if (isIdle) 1 shl minOf(failedLooks, MAX_DOUBLINGS) else 1
+        failedLooks += 1
+        nextLook = now + settings.retryInterval * factor
+    }
+
     /** Whether everything that may run there has certainly lost its lease, whichever leader granted it. */
     fun hasLapsed(now: MonotonicTime, settings: SchedulingSettings): Boolean =
         haveEarlierGrantsLapsed(now, settings) && hasOwnGrantLapsed(now)
@@ -84,6 +91,9 @@
     private companion object {
         // The rounding of clock readings, and the worker's own timer.
         const val LAPSE_MARGIN_MS = 250
+
+        // Half a minute at the usual interval; a report brings the next look at once.
+        const val MAX_DOUBLINGS = 7
     }
 }
 
@@ -100,8 +110,9 @@
     var wantsStop = false
 }
 
-/** Whether the run, if a look sent at [lookAt] did not list it, can never be there any more. */
-internal fun Order?.isSettledBy(lookAt: MonotonicTime): Boolean {
+/** Whether the run, if [answer] to a look sent at [lookAt] did not list it, can never be there any more. */
+internal fun Order?.isSettledBy(lookAt: MonotonicTime, answer: LookAnswer): Boolean {
+    if (!answer.isWhole) return false
     // The fence that came with the look keeps out what an earlier leader sent.
     if (this == null) return true
     val since = stoppedAt ?: startedAt
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
@@ -129,6 +129,52 @@
         assertEquals(emptyList(), fleet.broken)
     }
 
+    @Test
+    fun aWorkerThatIsGoneIsLookedAtAsOftenAsOneThatReports() {
+        val fleet = fleet(workers = 4)
+        fleet.run(12.seconds)
+        val dead = fleet.workers.values.first()
+        var looks = 0
+        fleet.mutate = {
+            if (it is Action.Look && it.worker.life == dead.profile.life) looks += 1
+            listOf(it)
+        }
+        dead.crash()
+        fleet.offer("job", small.copy(maxPerWorker = 1))
+        fleet.run(10.seconds)
+        looks = 0
+        fleet.run(60.seconds)
+
+        assertTrue(looks <= 5, "$looks looks in a minute")
+    }
+
+    @Test
+    fun aWorkerThatCouldNotBeReachedIsLeftOutForGood() {
+        val fleet = fleet(workers = 1)
+        fleet.run(2.seconds)
+        var refusals = 0
+        var isRefusing = true
+        fleet.mutate = { action ->
+            val refusal = when {
+                !isRefusing -> null
+                action is Action.Start ->
+                    Event.StartAnswered(action.worker.life, action.run, OrderAnswer(OrderResult.UNSENT))
+                action is Action.Look -> Event.LookAnswered(action.worker.life, null)
+                else -> null
+            }
+            if (refusal is Event.StartAnswered) refusals += 1
+            if (refusal != null) fleet.at(2.milliseconds) { fleet.feed(refusal) }
+            if (refusal == null) listOf(action) else emptyList()
+        }
+        fleet.offer("job", small.copy(count = 1))
+        fleet.run(3.seconds)
+        isRefusing = false
+        fleet.run(5.seconds)
+
+        assertEquals(1, refusals, "no task is placed there before a look is answered")
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+    }
+
     @Test
     fun aGangWhoseMemberDidNotStartIsStoppedAsAWhole() {
         val fleet = fleet(workers = 2)
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/EarlyReleaseTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/EarlyReleaseTest.kt
@@ -67,6 +67,24 @@
         }
     }
 
+    @Test
+    fun aRunIsReleasedThoughItsEndIsBeyondTheRowsOfAnAnswer() {
+        val fleet = VirtualFleet(seed = 1)
+        fleet.start()
+        fleet.addWorker("big", cpu = 2_000_000)
+        fleet.run(300.milliseconds)
+        fleet.offer("job", StepDescription(count = 800, demand = Resources(1_000, 10), estimateMs = 2_000))
+        fleet.run(1_500.milliseconds)
+        val big = fleet.workers.values.single()
+        big.isHeard = false
+        fleet.run(3.seconds)
+        big.isHeard = true
+        fleet.run(30.seconds)
+
+        assertEquals(emptyList(), fleet.broken)
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+    }
+
     private fun cut(fleet: VirtualFleet, forMs: Long) {
         val worker = fleet.workers.values.random(fleet.random)
         val loseOrders = fleet.random.nextBoolean()
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -150,7 +150,8 @@
         ended.removeAll(noted)
         val answer = {
             waiting = null
-            answered(LookAnswer(clockMs, profile.life.bornMs, rows(), ended.toList()))
+            val listed = ended.take(MAX_ROWS)
+            answered(LookAnswer(clockMs, profile.life.bornMs, rows(), listed, isWhole = listed.size < MAX_ROWS))
         }
         if (ended.isNotEmpty() || action.wait == Duration.ZERO) return answer()
         waiting = answer
@@ -200,5 +201,8 @@
     private companion object {
         val GANG_TIME: Duration = 3.seconds
         const val WHOLE = 100
+
+        /** Most ends in one answer. */
+        const val MAX_ROWS = 500
     }
 }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/WorkerClockTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/WorkerClockTest.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.model.MonotonicTime
 import kotlin.random.Random
 import kotlin.test.Test
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
@@ -45,6 +46,19 @@
         }
     }
 
+    @Test
+    fun aLeaseCountsAsOverBeforeTheWorkersTimerHasRunOut() {
+        val contact = WorkerContact(LIFE, MonotonicTime.Zero, SLOWNESS)
+        contact.heard(MonotonicTime.Zero, clockMs = 1_000)
+        contact.lookedAt = MonotonicTime.Zero
+        val until = contact.clock.grant(MonotonicTime.Zero, lease)
+        // The worker's clock is at least this far, and its timer may be 250 ms late.
+        val lapse = MonotonicTime.Zero + ((until - 1_000 + 250) / (1 - SLOWNESS)).milliseconds
+
+        assertFalse(contact.hasLapsed(lapse - 5.milliseconds, SchedulingSettings()))
+        assertTrue(contact.hasLapsed(lapse + 5.milliseconds, SchedulingSettings()))
+    }
+
     private class Clock(private val rate: Double) {
         var now = MonotonicTime.Zero
             private set
@@ -60,5 +74,6 @@
 
     private companion object {
         const val SLOWNESS = 0.02
+        val LIFE = WorkerLife(WorkerId("w"), bornMs = 1)
     }
 }
