Keep a call that cannot be made from ending those behind it

What would be seen: an address that names no host, or a process without a free descriptor, threw at the caller of HttpClient.call. The actions behind it in the same list were never carried out, and their runs hung.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
@@ -3,6 +3,7 @@
 import org.auburnstream.dispatch.loop.Connection
 import org.auburnstream.dispatch.loop.EventLoop
 import org.auburnstream.model.MonotonicTime
+import java.io.IOException
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
 import kotlin.time.Duration
@@ -81,7 +82,7 @@
         fun socketAddress(): InetSocketAddress? {
             val host = address.substringBeforeLast(':')
             val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in 1..MAX_PORT } ?: return null
-            return InetSocketAddress(host, port)
+            return InetSocketAddress(host, port).takeIf { !it.isUnresolved }
         }
 
         fun request(request: HttpRequest): ByteArray = buildString {
@@ -119,13 +120,19 @@
             if (current != null) return send(current, next)
             val address = pool.socketAddress() ?: return loop.post { end() }
             connectionsOpened += 1
-            connection = Connection.connect(
-                loop,
-                address,
-                onConnected = { opened -> call?.let { send(opened, it) } ?: opened.close() },
-                onBytes = { _, bytes -> take(bytes) },
-                onClosed = { end() },
-            )
+            connection = try {
+                Connection.connect(
+                    loop,
+                    address,
+                    onConnected = { opened -> call?.let { send(opened, it) } ?: opened.close() },
+                    onBytes = { _, bytes -> take(bytes) },
+                    onClosed = { end() },
+                )
+            } catch (_: IOException) {
+                // No descriptor is left; other calls go on.
+                loop.post { end() }
+                null
+            }
         }
 
         fun close() {
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpClientTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpClientTest.kt
@@ -26,11 +26,11 @@
         loopThread.join()
     }
 
-    private fun call(port: Int): CallResult {
+    private fun call(port: Int, host: String = "127.0.0.1"): CallResult {
         val result = CompletableFuture<CallResult>()
         loop.post {
             val request = HttpRequest("POST", "/", emptyMap(), ByteArray(0))
-            HttpClient(loop).call("127.0.0.1:$port", request, 10.seconds) { result.complete(it) }
+            HttpClient(loop).call("$host:$port", request, 10.seconds) { result.complete(it) }
         }
         return result.get(20, TimeUnit.SECONDS)
     }
@@ -42,6 +42,11 @@
         assertEquals(CallResult.Unsent, call(port))
     }
 
+    @Test
+    fun aCallToAnUnknownHostThrowsAtItsCaller() {
+        assertEquals(CallResult.Unsent, call(port = 80, host = "no-such-host.invalid"))
+    }
+
     @Test
     fun aCallThatWasReadAndCutIsTakenForOneThatWasNotSent() {
         ServerSocket(0, 1, loopback).use { server ->
