Notice unanswered orders after a few round trips, and let none hold up others

The pool of two connections for each worker was held for 900 ms by every order without an answer, so the orders behind it timed out in the queue and the worker counted as unreachable. Of jobs with ten tasks nearly all had one such order.

Ruled out: the cuts themselves (1 to 4 workers at a time), and the capacity.

Change: - A connection whose call is in progress for 50 ms does not count towards the limit of the pool; at most 16 are open. - The answer to an order is awaited for the time that RFC 6298 derives from the answers before, 250 ms at least; it doubles from the second failure on. - After the stop of a run that was never seen, a new status query replaces the one in progress. Queries have numbers; the answers of replaced ones are ignored, because they were sent before the stop. - While a worker loses answers, its status queries wait for 250 ms only, and the first one that fails is repeated at once. - After a pause of the process, answers that have arrived are read before their calls time out.

aStatusAnswerBetweenApplicationAndEventReleasesNothing now sends the number of the latest query, since an answer without it would be ignored; what it checks is the same.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -15,6 +16,9 @@
  * The client never retries. If the connection closes or the call times out before the response is complete, the result
  * is [CallResult.Unsent] if no byte of the request was written, and [CallResult.Unknown] otherwise.
  *
+ * A server that leaves some calls unanswered must not delay the others until those time out. Connections whose call has
+ * been in progress for [STALL_TIME] therefore do not count towards [maxConnections].
+ *
  * @property maxConnections maximum number of connections to one address in one lane; further calls are queued.
  */
 public class HttpClient(private val loop: EventLoop, private val maxConnections: Int = DEFAULT_CONNECTIONS) {
@@ -49,27 +53,44 @@
     private inner class Pool(private val address: String) {
         private val connections = ArrayList<PooledConnection>()
         private val waiting = ArrayDeque<Call>()
+        private var isAwaitingStall = false
 
         val isUnused: Boolean
             get() = connections.isEmpty() && waiting.isEmpty()
 
         fun submit(call: Call) {
-            call.timer = loop.after(call.timeout) { expire(call) }
+            // After a pause of this process, answers that have arrived meanwhile are read first.
+            call.timer = loop.after(call.timeout) { loop.post { expire(call) } }
             waiting.addLast(call)
             startWaiting()
+            if (waiting.isNotEmpty()) awaitStall()
+        }
+
+        /** Starts waiting calls when the connections in use have become stalled. */
+        private fun awaitStall() {
+            if (isAwaitingStall) return
+            isAwaitingStall = true
+            loop.after(STALL_TIME) {
+                isAwaitingStall = false
+                startWaiting()
+                if (waiting.isNotEmpty()) awaitStall()
+            }
         }
 
         fun startWaiting() {
             while (waiting.isNotEmpty()) {
                 // The server is least likely to have closed the most recently used connection.
                 val idle = connections.filter { it.isIdle }.maxByOrNull { it.usedAt.nanoseconds }
-                if (idle == null && connections.size >= maxConnections) return
+                if (idle == null && !mayConnect()) return
                 val call = waiting.removeFirst()
                 if (call.isOver) continue
                 (idle ?: PooledConnection(this).also(connections::add)).start(call)
             }
         }
 
+        private fun mayConnect(): Boolean =
+            connections.size < MAX_OPEN_CONNECTIONS && connections.count { !it.isStalled } < maxConnections
+
         fun closeIdle() {
             val now = loop.now
             connections.filter { it.isIdle && now - it.usedAt > IDLE_TIMEOUT }.forEach { it.close() }
@@ -114,6 +135,9 @@
         val isIdle: Boolean
             get() = call == null && connection?.isOpen == true
 
+        val isStalled: Boolean
+            get() = call != null && loop.now - usedAt >= STALL_TIME
+
         fun start(next: Call) {
             call = next
             next.connection = this
@@ -193,6 +217,12 @@
         const val DEFAULT_CONNECTIONS = 2
         const val MAX_PORT = 65_535
 
+        /** Limits the descriptors that one silent server can use. */
+        const val MAX_OPEN_CONNECTIONS = 16
+
+        /** Many times the round trip within a region. */
+        val STALL_TIME: Duration = 50.milliseconds
+
         /** Limits for responses, large enough for a worker's list of everything it runs. */
         val RESPONSE_LIMITS = HttpLimits(maxHeadBytes = 16 * 1024, maxBodyBytes = 8 * 1024 * 1024)
 
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpClientTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpClientTest.kt
@@ -5,11 +5,15 @@
 import org.junit.jupiter.api.BeforeEach
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -51,6 +55,39 @@
         assertEquals(CallResult.Unsent, call(port = 80, host = "no-such-host.invalid"))
     }
 
+    @Test
+    fun unansweredCallsKeepLaterCallsFromBeingSent() {
+        ServerSocket(0, 16, loopback).use { server ->
+            thread { answerAllButFirst(server, silent = 2) }
+            val results = List(3) { CompletableFuture<CallResult>() }
+            loop.post {
+                val client = HttpClient(loop, maxConnections = 2)
+                val request = HttpRequest("POST", "/", emptyMap(), ByteArray(0))
+                results.forEach { result ->
+                    client.call("127.0.0.1:${server.localPort}", request, 60.seconds) { result.complete(it) }
+                }
+            }
+
+            assertIs<CallResult.Answered>(results.last().get(20, TimeUnit.SECONDS))
+            assertFalse(results[0].isDone || results[1].isDone)
+        }
+    }
+
+    /** Accepts connections until [server] closes, and answers the first request of each but the first [silent]. */
+    private fun answerAllButFirst(server: ServerSocket, silent: Int) {
+        val open = ArrayList<Socket>()
+        try {
+            while (true) {
+                val socket = server.accept().also(open::add)
+                if (open.size <= silent) continue
+                socket.getInputStream().read()
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".toByteArray())
+            }
+        } catch (_: SocketException) {
+            open.forEach { it.close() }
+        }
+    }
+
     @Test
     fun connectionClosedAfterTheServerReadIsReportedAsUnsent() {
         ServerSocket(0, 1, loopback).use { server ->
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -22,6 +22,7 @@
      * @property untilMs end of the lease on the worker's clock.
      * @property saved saved state to resume from; empty if there is none.
      * @property ticket permission from the advice service, or null if the queue needs none.
+     * @property answerTimeout time after which the order counts as unanswered.
      */
     public data class Start(
         val worker: WorkerProfile,
@@ -30,23 +31,28 @@
         val untilMs: Long,
         val saved: String,
         val ticket: String?,
+        val answerTimeout: Duration,
     ) : Action
 
-    /** Orders [worker] to stop [run]. */
-    public data class Stop(val worker: WorkerProfile, val run: RunId) : Action
+    /** Orders [worker] to stop [run]; the order counts as unanswered after [answerTimeout]. */
+    public data class Stop(val worker: WorkerProfile, val run: RunId, val answerTimeout: Duration) : Action
 
     /**
      * Queries the status of [worker] and renews its lease.
      *
+     * @property number increases with each query to one worker; the answers of earlier queries are ignored.
      * @property untilMs end of the renewed lease on the worker's clock, or null to leave the lease unchanged.
      * @property lastRecordedEnd number of the last end that is recorded, which the worker can drop.
      * @property wait longest time for which the worker may delay its answer while nothing changes.
+     * @property answerTimeout time after [wait] after which the query counts as unanswered.
      */
     public data class Look(
         val worker: WorkerProfile,
+        val number: Long,
         val untilMs: Long?,
         val lastRecordedEnd: Long,
         val wait: Duration,
+        val answerTimeout: Duration,
     ) : Action
 
     /** Limits [run] to [percent] of its full speed. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
@@ -61,8 +61,13 @@
     /** The worker answered the order to stop [run]; null if there was no answer. */
     public data class StopAnswered(val incarnation: WorkerIncarnation, val run: RunId, val answer: OrderAnswer?) : Event
 
-    /** The worker answered a status query; null if there was no answer. */
-    public data class StatusAnswered(val incarnation: WorkerIncarnation, val answer: StatusAnswer?) : Event
+    /**
+     * The worker answered a status query; null if there was no answer.
+     *
+     * @property query [Action.Look.number] of the query.
+     */
+    public data class StatusAnswered(val incarnation: WorkerIncarnation, val query: Long, val answer: StatusAnswer?) :
+        Event
 
     /** The worker answered an order to pace [run]; null if there was no answer. */
     public data class PaceAnswered(val incarnation: WorkerIncarnation, val run: RunId, val answer: OrderAnswer?) : Event
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
@@ -65,7 +65,8 @@
         val claims = state.claimsAt(worker.incarnation).keys
         for (start in contacts.unansweredStarts.notRefusedBy(worker.incarnation)) {
             // Claimed runs are stopped through their own orders.
-            val isRecent = start.stopSentAt?.let { now - it < settings.orderTimeout } ?: false
+            val timeout = contacts.answerTimeout.after(0)
+            val isRecent = start.stopSentAt?.let { now - it < timeout } ?: false
             if (start.run in claims || isRecent) continue
             start.stopSentAt = now
             log(
@@ -74,7 +75,7 @@
                 "worker" to worker.incarnation,
                 "sent_for" to start.incarnation,
             )
-            emit(Action.Stop(worker, start.run))
+            emit(Action.Stop(worker, start.run, timeout))
         }
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -4,6 +4,7 @@
 import org.auburnstream.model.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Manages claimed runs: sends start and stop orders, queries workers, renews their leases, and records ended runs.
@@ -81,7 +82,17 @@
             "lease_end_ms" to until,
             "clock_age_ms" to contact.clock.readingAge(now)?.inWholeMilliseconds,
         )
-        emit(Action.Start(worker.profile, claim.run, job.description.payload, until, saved, ticket))
+        emit(
+            Action.Start(
+                worker.profile,
+                claim.run,
+                job.description.payload,
+                until,
+                saved,
+                ticket,
+                contacts.answerTimeout.after(0),
+            ),
+        )
     }
 
     /** Whether a stop of [run] was requested at [incarnation]. */
@@ -109,7 +120,11 @@
         val contact = contacts.find(event.incarnation) ?: return
         val order = contact.orders[event.run] ?: return
         val answer = event.answer
-        if (answer != null && answer.result != OrderResult.UNSENT) contact.recordContact(now, answer.clockMs)
+        if (answer != null && answer.result != OrderResult.UNSENT) {
+            contact.recordContact(now, answer.clockMs)
+            contacts.answerTimeout.observe(now - order.sentAt)
+        }
+        if (answer == null) contact.lostAnswerAt = now
         if (answer?.result != OrderResult.DONE) {
             log("start_failed", "run" to event.run, "worker" to event.incarnation, "answer" to answer?.result)
         }
@@ -150,6 +165,8 @@
         if (answer.result == OrderResult.DONE) contacts.unansweredStarts.markRefused(event.run, event.incarnation)
         val order = contact.orders[event.run] ?: return
         if (answer.result == OrderResult.DONE && order.stoppedAt == null) order.stoppedAt = now
+        // The worker does not answer a query in progress because of a stop of a run that it does not have.
+        if (order.startedAt == null) contact.pendingQueryAt = null
         queryNow(contact, now)
     }
 
@@ -157,9 +174,11 @@
     fun statusAnswered(event: Event.StatusAnswered, now: MonotonicTime) {
         val contact = contacts.find(event.incarnation) ?: return
         val sentAt = contact.pendingQueryAt ?: return
+        if (event.query != contact.queryNumber) return
         contact.pendingQueryAt = null
         val answer = event.answer
         if (answer == null) {
+            contact.lostAnswerAt = now
             contact.queryFailed(now, settings, isIdle = state.claimsAt(event.incarnation).isEmpty())
             if (contact.failedQueries == 1) {
                 log("worker_silent", "worker" to event.incarnation, *contact.leaseFields(now))
@@ -292,7 +311,7 @@
         running.keys.filter { it !in claims && (it to incarnation) !in pendingEnds }.forEach { run ->
             val claimants = state.task(run.task).claimants
             log("unknown_run", "run" to run, "worker" to incarnation, "claimed_at" to claimants)
-            state.worker(incarnation)?.let { emit(Action.Stop(it.profile, run)) }
+            state.worker(incarnation)?.let { emit(Action.Stop(it.profile, run, contacts.answerTimeout.after(0))) }
         }
     }
 
@@ -325,10 +344,12 @@
 
     private fun sendStop(run: RunId, incarnation: WorkerIncarnation, order: Order, now: MonotonicTime) {
         val worker = state.worker(incarnation) ?: return
-        val isRecent = order.stopSentAt?.let { now - it < settings.orderTimeout } ?: false
+        val timeout = contacts.answerTimeout.after(maxOf(0, order.stopsSent - 1))
+        val isRecent = order.stopSentAt?.let { now - it < timeout } ?: false
         if (isRecent) return
         order.stopSentAt = now
-        emit(Action.Stop(worker.profile, run))
+        order.stopsSent += 1
+        emit(Action.Stop(worker.profile, run, contacts.answerTimeout.after(order.stopsSent - 1)))
     }
 
     private fun resendStops(contact: WorkerContact, now: MonotonicTime) {
@@ -360,15 +381,20 @@
         val until = if (mayRenew) contact.clock.grant(now, settings.maxLease) else null
         // A later incarnation numbers its ends from the start, so the earlier one's number would drop unread ends.
         val lastRecordedEnd = if (contact.isSuperseded) 0 else worker.lastRecordedEnd
-        emit(Action.Look(worker.profile, until, lastRecordedEnd, queryWait(contact)))
+        val timeout = contacts.answerTimeout.after(contact.failedQueries)
+        contact.queryNumber += 1
+        val wait = queryWait(contact, now)
+        emit(Action.Look(worker.profile, contact.queryNumber, until, lastRecordedEnd, wait, timeout))
     }
 
     /** Returns how long the worker may delay its answer while nothing changes. */
-    private fun queryWait(contact: WorkerContact): Duration {
+    private fun queryWait(contact: WorkerContact, now: MonotonicTime): Duration {
         val claims = state.claimsAt(contact.incarnation)
         val isUncertain = contact.answeredQueryAt == null || contact.failedQueries > 0 || contact.isSuperseded ||
             claims.keys.any { contact.orders[it]?.stoppedAt != null }
         if (isUncertain) return Duration.ZERO
+        // While answers get lost, a long wait delays the detection of the next loss, and of the ends it would show.
+        if (contact.lostAnswerAt?.let { now - it < LOSS_MEMORY } == true) return WAIT_AFTER_LOSS
         val isShared = claims.values.any { it.fillsUnused } && claims.values.any { it.tailTargetMs > 0 }
         val isOverTarget = paces.isOverTarget(contact.incarnation)
         return when {
@@ -408,5 +434,9 @@
     private companion object {
         /** Allows for one lost answer; a disconnected worker then keeps the lease granted so far. */
         const val MAX_UNANSWERED_RENEWALS = 2
+
+        /** Time for which a worker that left an order or a query unanswered is queried more often. */
+        val LOSS_MEMORY: Duration = 5.seconds
+        val WAIT_AFTER_LOSS: Duration = 250.milliseconds
     }
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -21,7 +21,9 @@
  * @property lookWait time for which a worker delays the answer to a status query while no run ends.
  * @property servingLookWait the same as [lookWait] for a worker whose tasks' progress or tail latencies are needed more
  *   often.
- * @property orderTimeout time after which the outcome of an unanswered order counts as unknown.
+ * @property orderTimeout longest time after which the outcome of an unanswered order counts as unknown.
+ * @property shortestOrderTimeout shortest such time, for workers that answer fast; the default is longer than the
+ *   retransmission of one lost packet.
  * @property orderDelay time after which an unanswered order is certainly not executed any more.
  * @property retryInterval time between two attempts of an unanswered order or status query.
  * @property unavailabilityGrace time for which a lasting task may be down before it counts as unavailable.
@@ -42,6 +44,7 @@
     val lookWait: Duration = 2.seconds,
     val servingLookWait: Duration = 1.seconds,
     val orderTimeout: Duration = 1.seconds,
+    val shortestOrderTimeout: Duration = 250.milliseconds,
     val orderDelay: Duration = 12.seconds,
     val retryInterval: Duration = 300.milliseconds,
     val unavailabilityGrace: Duration = 4500.milliseconds,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -21,8 +21,14 @@
     /** Time at which the status query in progress was sent, or null. */
     var pendingQueryAt: MonotonicTime? = null
     var nextQueryAt: MonotonicTime = since
+
+    /** Number of the latest status query. */
+    var queryNumber = 0L
     var failedQueries = 0
 
+    /** Time at which the latest unanswered order or status query timed out, or null. */
+    var lostAnswerAt: MonotonicTime? = null
+
     /**
      * Whether an order could not be sent and no status query was answered since.
      *
@@ -64,9 +70,13 @@
 
     /** Records an unanswered status query; idle workers are queried with exponential backoff. */
     fun queryFailed(now: MonotonicTime, settings: SchedulingSettings, isIdle: Boolean) {
-        val factor = if (isIdle) 1 shl minOf(failedQueries, MAX_DOUBLINGS) else 1
         failedQueries += 1
-        nextQueryAt = now + settings.retryInterval * factor
+        nextQueryAt = when {
+            isIdle -> now + settings.retryInterval * (1 shl minOf(failedQueries - 1, MAX_DOUBLINGS))
+            // A single answer may be lost without any trouble at the worker.
+            failedQueries == 1 -> now
+            else -> now + settings.retryInterval
+        }
     }
 
     /** Whether all leases of the worker have certainly expired, whichever leader granted them. */
@@ -110,6 +120,9 @@
     /** Time at which the last stop was sent, or null. */
     var stopSentAt: MonotonicTime? = null
 
+    /** Number of stops sent. */
+    var stopsSent = 0
+
     /** Time at which the first stop was answered, or null. */
     var stoppedAt: MonotonicTime? = null
     var isStopRequested = false
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
@@ -8,6 +8,7 @@
 internal class WorkerContacts(private val state: SchedulerState, private val settings: SchedulingSettings) {
     private val byIncarnation = HashMap<WorkerIncarnation, WorkerContact>()
     val unansweredStarts = UnansweredStarts(settings.orderDelay)
+    val answerTimeout = AnswerTimeout(settings.shortestOrderTimeout, settings.orderTimeout)
 
     val all: Collection<WorkerContact>
         get() = byIncarnation.values
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CoordinatorTest.kt
@@ -70,6 +70,11 @@
     fun aStatusAnswerBetweenApplicationAndEventReleasesNothing() {
         repeat(20) { seed ->
             val fleet = fleet(seed)
+            val queries = HashMap<WorkerIncarnation, Long>()
+            fleet.mutate = { action ->
+                if (action is Action.Look) queries[action.worker.incarnation] = action.number
+                listOf(action)
+            }
             fleet.submit("first", small.copy(estimateMs = 2_000))
             fleet.run(400.milliseconds)
             // Every worker answers its status query just after the state contains the claims of the second job.
@@ -77,9 +82,10 @@
                 val second = (0..2).mapNotNull { fleet.state.task(task("second", it)) }
                 if (second.any { it.claims.isNotEmpty() }) {
                     fleet.workers.values.forEach { worker ->
-                        fleet.feed(
-                            Event.StatusAnswered(worker.profile.incarnation, StatusAnswer(1, running = worker.rows())),
-                        )
+                        val incarnation = worker.profile.incarnation
+                        val answer = StatusAnswer(1, running = worker.rows())
+                        // An idle worker is queried only once, when the leadership begins.
+                        fleet.feed(Event.StatusAnswered(incarnation, queries[incarnation] ?: 1, answer))
                     }
                     fleet.betweenApplyAndEvent = {}
                 }
@@ -165,7 +171,7 @@
                 !isRefusing -> null
                 action is Action.Start ->
                     Event.StartAnswered(action.worker.incarnation, action.run, OrderAnswer(OrderResult.UNSENT))
-                action is Action.Look -> Event.StatusAnswered(action.worker.incarnation, null)
+                action is Action.Look -> Event.StatusAnswered(action.worker.incarnation, action.number, null)
                 else -> null
             }
             if (refusal is Event.StartAnswered) refusals += 1
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantCheckerTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantCheckerTest.kt
@@ -136,7 +136,7 @@
     }) { action ->
         if (action !is Action.OrderUpkeep) return@check listOf(action)
         val stops = workers.values.filter { it.isUp }.flatMap { worker ->
-            worker.rows().map { Action.Stop(worker.profile, it.run) }
+            worker.rows().map { Action.Stop(worker.profile, it.run, answerTimeout = 1.seconds) }
         }
         stops + action
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -51,6 +51,9 @@
     /** Fraction of the orders that get no answer and are executed seconds later. */
     var lateOrderShare = 0.0
 
+    /** Fraction of the status queries that get no answer. */
+    var lostQueryShare = 0.0
+
     /** Returns the actual work of a task in ms, which may differ from its estimate. */
     var workOf: (TaskId, StepDescription) -> Long = { _, step -> step.estimateMs }
 
@@ -207,10 +210,10 @@
                 replies[action.call] = action.reply
                 invariants.replyReceived(action.call, action.reply)
             }
-            is Action.Start -> order(action.worker, { it.start(action, fenceOf(from)) }) {
+            is Action.Start -> order(action.worker, action.answerTimeout, { it.start(action, fenceOf(from)) }) {
                 feed(Event.StartAnswered(action.worker.incarnation, action.run, it), from)
             }
-            is Action.Stop -> order(action.worker, { it.stop(action.run, fenceOf(from)) }) {
+            is Action.Stop -> order(action.worker, action.answerTimeout, { it.stop(action.run, fenceOf(from)) }) {
                 feed(Event.StopAnswered(action.worker.incarnation, action.run, it), from)
             }
             is Action.Look -> look(action, from)
@@ -301,7 +304,12 @@
 
     private fun fenceOf(from: Int): Long = fence - (generation - from)
 
-    private fun order(to: WorkerProfile, execute: (VirtualWorker) -> OrderAnswer, answered: (OrderAnswer?) -> Unit) {
+    private fun order(
+        to: WorkerProfile,
+        timeout: Duration,
+        execute: (VirtualWorker) -> OrderAnswer,
+        answered: (OrderAnswer?) -> Unit,
+    ) {
         var isAnswered = false
         val isLate = random.nextDouble() < lateOrderShare
         at(if (isLate) random.nextLong(2_000, 9_000).milliseconds else networkDelay()) {
@@ -322,7 +330,7 @@
                 }
             }
         }
-        at(900.milliseconds) {
+        at(timeout) {
             if (!isAnswered) answered(null)
             isAnswered = true
         }
@@ -331,13 +339,15 @@
     private fun look(action: Action.Look, from: Int) {
         var isAnswered = false
         val incarnation = action.worker.incarnation
+        val isLost = lostQueryShare > 0 && random.nextDouble() < lostQueryShare
         at(networkDelay()) {
+            if (isLost) return@at
             val worker = recipientOf(action.worker)
             val isOther = worker != null && worker.profile.incarnation.worker != incarnation.worker
             val answered = { answer: StatusAnswer ->
                 at(networkDelay()) {
                     val arrives = worker?.canSend == true
-                    if (!isAnswered && arrives) feed(Event.StatusAnswered(incarnation, answer), from)
+                    if (!isAnswered && arrives) feed(Event.StatusAnswered(incarnation, action.number, answer), from)
                     if (arrives) isAnswered = true
                 }
             }
@@ -349,8 +359,8 @@
                 worker?.look(action, fenceOf(from), answered)
             }
         }
-        at(action.wait + 900.milliseconds) {
-            if (!isAnswered) feed(Event.StatusAnswered(incarnation, null), from)
+        at(action.wait + action.answerTimeout) {
+            if (!isAnswered) feed(Event.StatusAnswered(incarnation, action.number, null), from)
             isAnswered = true
         }
     }
