Hand the leadership over when a control process stops

Cause: a leader that got SIGTERM just ended, and the group waited for an election timeout. A planned removal of a control VM cost callers as much as its loss.

A leader that stops now steps down, and asks the voter with the longest log to campaign at once (Ongaro 2014, section 3.10). It steps down before it asks, so that the two never decide at the same time. Voters grant the vote though they have just heard from the old leader; the request says that it was handed over, and a request to take over counts only from the leader of the current term. A hand-over that gets lost leaves the usual election. Groups that grant leases relative to their contact with a quorum keep it off, which is the default.

A late or a lost request disturbs no later leader.

--- a/consensus/src/main/kotlin/org/auburnstream/consensus/ConsensusMessage.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/ConsensusMessage.kt
@@ -23,7 +23,11 @@
 /** Message of the replication protocol. */
 @Serializable
 public sealed interface ConsensusMessage {
-    /** Requests a vote in [term]; with [preVote], only asks whether the vote would be granted. */
+    /**
+     * Requests a vote in [term]; with [preVote], only asks whether the vote would be granted.
+     *
+     * @property handedOver whether the leader of the previous term has asked the sender to take over.
+     */
     @Serializable
     @SerialName("v")
     public data class VoteRequest(
@@ -31,8 +35,14 @@
         @SerialName("li") val lastIndex: LogIndex,
         @SerialName("lt") val lastTerm: Long,
         @SerialName("p") val preVote: Boolean = false,
+        @SerialName("h") val handedOver: Boolean = false,
     ) : ConsensusMessage
 
+    /** Asks a voter to campaign at once, because the leader of [term] has stepped down in its favour. */
+    @Serializable
+    @SerialName("o")
+    public data class HandOver(@SerialName("t") val term: Long) : ConsensusMessage
+
     /** Answers a [VoteRequest]; [term] is the requested term if granted, else the term of the voter. */
     @Serializable
     @SerialName("w")
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Election.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Election.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.consensus
 
+import org.auburnstream.consensus.ConsensusMessage.HandOver
 import org.auburnstream.consensus.ConsensusMessage.VoteRequest
 import org.auburnstream.consensus.ConsensusMessage.VoteResponse
 
@@ -29,7 +30,8 @@
     }
 
     fun onVoteRequest(from: MemberId, request: VoteRequest) {
-        val leaderAlive = core.role == RaftRole.LEADER || core.isLeaderAlive
+        val isHandedOver = request.handedOver && core.settings.allowsHandOver
+        val leaderAlive = core.role == RaftRole.LEADER || (core.isLeaderAlive && !isHandedOver)
         if (leaderAlive || request.term < core.term) {
             core.outbox.send(from, VoteResponse(core.term, granted = false, preVote = request.preVote))
             return
@@ -47,7 +49,16 @@
         if (core.role == expectedRole && response.term == expectedTerm) recordVote(from)
     }
 
-    private fun campaign(preVote: Boolean) {
+    /** Campaigns without a pre-vote if the leader of the current term has stepped down in favour of this replica. */
+    fun onHandOver(from: MemberId, message: HandOver) {
+        val isFromLeader = message.term == core.term && from == core.leader
+        if (!core.settings.allowsHandOver || !isFromLeader || !core.isVoter) return
+        undecidedCampaigns = 0
+        core.clearLeader()
+        campaign(preVote = false, handedOver = true)
+    }
+
+    private fun campaign(preVote: Boolean, handedOver: Boolean = false) {
         grantedVotes.clear()
         // If the store needs longer than the campaign timeout to persist a vote, short campaigns never succeed.
         if (undecidedCampaigns < MAX_SHORT_CAMPAIGNS) core.resetCampaignDeadline() else core.resetElectionDeadline()
@@ -57,7 +68,7 @@
         val role = core.role
         core.outbox.afterPersist {
             val current = core.role == role && (preVote || core.term == term)
-            if (current) requestVotes(VoteRequest(term, core.log.lastIndex, core.log.lastTerm, preVote))
+            if (current) requestVotes(VoteRequest(term, core.log.lastIndex, core.log.lastTerm, preVote, handedOver))
         }
     }
 
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Leader.kt
@@ -2,6 +2,7 @@
 
 import org.auburnstream.consensus.ConsensusMessage.AppendRequest
 import org.auburnstream.consensus.ConsensusMessage.AppendResponse
+import org.auburnstream.consensus.ConsensusMessage.HandOver
 import org.auburnstream.consensus.ConsensusMessage.Heartbeat
 import org.auburnstream.consensus.ConsensusMessage.HeartbeatResponse
 import org.auburnstream.consensus.ConsensusMessage.SnapshotResponse
@@ -80,6 +81,23 @@
         if (noRoundPending) broadcast()
     }
 
+    /**
+     * Steps down and asks the voter with the longest log to campaign.
+     *
+     * The leader steps down first, so that it takes no decision while its successor is elected.
+     */
+    fun handOver() {
+        if (!core.settings.allowsHandOver) return
+        val successor = progress.entries
+            .filter { (id, peer) -> core.configuration.isVoter(id) && peer.hasAnswered && isInContact(peer) }
+            .maxWithOrNull(compareBy({ it.value.matchIndex.value }, { it.value.lastContact.nanoseconds }))
+            ?.key ?: return
+        val term = core.term
+        core.becomeFollower(term, newLeader = null)
+        core.resetElectionDeadline()
+        core.outbox.send(successor, HandOver(term))
+    }
+
     fun changeMembership(id: MembershipRequestId, change: MembershipChange) {
         if (!hasCommittedOwnEntry) {
             val result = MembershipResult.Refused(MembershipRefusal.CHANGE_IN_PROGRESS)
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
@@ -10,8 +10,8 @@
  * One replica of a Raft group, as a state machine without I/O: handles elections, replication and membership.
  *
  * Implements Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014), with pre-vote, a
- * quorum check by the leader, reads confirmed by a quorum and membership changes by joint configurations. The caller
- * passes inputs to [handle] one at a time and executes the returned effects in order. A replica is not thread-safe.
+ * quorum check by the leader, reads confirmed by a quorum, membership changes by joint configurations and the transfer
+ * of leadership (Ongaro, "Consensus: Bridging Theory and Practice", 2014, section 3.10). The caller passes inputs to [handle] one at a time and executes the returned effects in order. A replica is not thread-safe.
  *
  * @param self this replica; its role is ignored, since the group's configuration determines it.
  * @param restored state read from the store.
@@ -115,6 +115,7 @@
             is ReplicaInput.PersistCompleted -> core.outbox.onPersistCompleted(input.sequence)
             is ReplicaInput.ReadRequested -> read(input.id)
             is ReplicaInput.MembershipRequested -> changeMembership(input)
+            ReplicaInput.HandOverRequested -> activeLeader?.handOver()
             is ReplicaInput.SnapshotTaken -> compact(input)
         }
     }
@@ -142,6 +143,7 @@
             ) {
                 election.onVoteResponse(from, message)
             }
+            is ConsensusMessage.HandOver -> election.onHandOver(from, message)
             is ConsensusMessage.JoinRequest -> handleJoinRequest(from, message)
             is ConsensusMessage.JoinResponse -> bootstrap.onJoinResponse(message)
         }
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaInput.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaInput.kt
@@ -20,6 +20,9 @@
     /** An operator requests a membership change. */
     public data class MembershipRequested(val id: MembershipRequestId, val change: MembershipChange) : ReplicaInput
 
+    /** The process is about to stop; a leader hands its role over, see [ReplicaSettings.allowsHandOver]. */
+    public data object HandOverRequested : ReplicaInput
+
     /** A snapshot of the state machine is durable; the log entries that it covers are no longer needed. */
     public data class SnapshotTaken(val metadata: SnapshotMetadata, val bytes: Long) : ReplicaInput
 }
--- a/consensus/src/test/kotlin/org/auburnstream/consensus/FaultScheduleTest.kt
+++ b/consensus/src/test/kotlin/org/auburnstream/consensus/FaultScheduleTest.kt
@@ -35,9 +35,17 @@
     }
 }
 
-/** Runs clients and random faults against a group of three voters, two spares and a diskless learner. */
-internal class FaultSchedule(private val seed: Int) {
-    private val settings = ReplicaSettings.Default.copy(replacementDelay = 2.seconds, snapshotChunkBytes = 200)
+/**
+ * Runs clients and random faults against a group of three voters, two spares and a diskless learner.
+ *
+ * @property handsOver whether leaders also hand their role over.
+ */
+internal class FaultSchedule(private val seed: Int, private val handsOver: Boolean = false) {
+    private val settings = ReplicaSettings.Default.copy(
+        replacementDelay = 2.seconds,
+        snapshotChunkBytes = 200,
+        allowsHandOver = handsOver,
+    )
     val cluster = Cluster(seed, voters = 3, spares = 2, diskless = 1, settings = settings)
     private val random = cluster.random
     private var operations = 0
@@ -61,6 +69,7 @@
 
     private fun fault() {
         val node = cluster.nodes.random(random)
+        if (handsOver && random.nextInt(3) == 0) cluster.leader?.receive(ReplicaInput.HandOverRequested)
         when (random.nextInt(12)) {
             0, 1 -> if (node.replica != null) node.crash()
             2, 3 -> cluster.nodes.forEach { if (it.replica == null) it.start() }
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupActor.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/GroupActor.kt
@@ -49,6 +49,8 @@
         forwarder.tick(clock())
     }
 
+    fun onHandOver() = handleInput(ReplicaInput.HandOverRequested)
+
     fun onCall(call: PendingCall) = forwarder.accept(call, clock())
 
     fun onEnvelope(envelope: Envelope) {
--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -139,6 +139,11 @@
         store.close()
     }
 
+    /** Hands the leadership over if this replica leads; the successor is elected in the background. */
+    public fun handOver() {
+        inbox.trySend(GroupEvent.HandOverRequested)
+    }
+
     override suspend fun propose(command: ByteArray, timeout: Duration): ProposeResult =
         resultOf(call(PendingCall(RequestBody.Propose(command)), timeout))
 
@@ -245,6 +250,7 @@
             is GroupEvent.MessageReceived -> actor.onGroupMessage(event.from, event.message)
             is GroupEvent.CallSubmitted -> actor.onCall(event.call)
             is GroupEvent.StoreTaskFinished -> actor.onStoreTaskResult(event.result)
+            GroupEvent.HandOverRequested -> actor.onHandOver()
         }
         if (clock() >= actor.deadline) actor.tick()
     }
@@ -325,4 +331,6 @@
     class CallSubmitted(val call: PendingCall) : GroupEvent
 
     class StoreTaskFinished(val result: StoreTaskResult) : GroupEvent
+
+    data object HandOverRequested : GroupEvent
 }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -81,6 +81,7 @@
     private var publishedStatus: GroupStatus? = null
     private var lastSeenLeader: DaemonId? = null
     private var isChangingMembers = false
+    private var isStopping = false
     private val suspension = SuspensionDetector()
     private val access = Access()
 
@@ -100,10 +101,33 @@
         network.addKnownPeers(seeds)
     }
 
-    /** Ends the leadership, closes all connections and calls [done]. */
+    /**
+     * Ends the leadership, closes all connections and calls [done].
+     *
+     * A leader first hands its role over and waits for its successor for up to [HAND_OVER_TIME].
+     */
     public fun stop(done: () -> Unit) {
+        isStopping = true
         endLeadership("stop")
         server.close()
+        val leads = ::group.isInitialized && group.status.value.role == ReplicaRole.LEADER
+        if (!leads) return close(done)
+        group.handOver()
+        awaitSuccessor(loop.now + HAND_OVER_TIME, done)
+    }
+
+    private fun awaitSuccessor(deadline: MonotonicTime, done: () -> Unit) {
+        val leader = group.status.value.leader
+        val hasSuccessor = leader != null && leader != self
+        if (!hasSuccessor && loop.now < deadline) {
+            loop.after(SUCCESSOR_POLL_INTERVAL) { awaitSuccessor(deadline, done) }
+            return
+        }
+        log.note("leadership_handed_over", "successor" to leader.takeIf { hasSuccessor })
+        close(done)
+    }
+
+    private fun close(done: () -> Unit) {
         network.close()
         scope.cancel()
         done()
@@ -163,7 +187,7 @@
      */
     private fun prepareIfLeading() {
         val status = group.status.value
-        val leads = status.role == ReplicaRole.LEADER
+        val leads = status.role == ReplicaRole.LEADER && !isStopping
         if (leads && leadership == null && barrierTerm != status.term) awaitBarrier(status.term)
     }
 
@@ -173,7 +197,7 @@
         scope.launch {
             val barrier = group.readBarrier(BARRIER_TIMEOUT)
             val status = group.status.value
-            val isStillLeader = status.role == ReplicaRole.LEADER && status.term == term
+            val isStillLeader = status.role == ReplicaRole.LEADER && status.term == term && !isStopping
             if (barrier is ReadResult.Ready && isStillLeader) {
                 beginLeadership(term)
             } else if (isStillLeader) {
@@ -356,8 +380,13 @@
             maxCommandBytes = 1024 * 1024,
             replacementDelay = 6.seconds,
             joinInterval = 400.milliseconds,
+            allowsHandOver = true,
         )
 
+        /** Longer than an election with one vote that has to be repeated. */
+        val HAND_OVER_TIME = 1.seconds
+        val SUCCESSOR_POLL_INTERVAL = 10.milliseconds
+
         /** Entries between two snapshots; a snapshot of the whole state costs as much as several hundred entries. */
         const val SNAPSHOT_ENTRIES = 8_000L
         const val MAX_HEAD_BYTES = 16 * 1024
