--- a/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/Replica.kt
@@ -10,8 +10,9 @@
  * One replica of a Raft group, as a state machine without I/O: handles elections, replication and membership.
  *
  * Implements Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014), with pre-vote, a
- * quorum check by the leader, reads confirmed by a quorum, membership changes by joint configurations and the transfer
- * of leadership (Ongaro, "Consensus: Bridging Theory and Practice", 2014, section 3.10). The caller passes inputs to [handle] one at a time and executes the returned effects in order. A replica is not thread-safe.
+ * quorum check by the leader, reads confirmed by a quorum, membership changes by joint configurations and the
+ * transfer of leadership (Ongaro, "Consensus: Bridging Theory and Practice", 2014, section 3.10). The caller passes
+ * inputs to [handle] one at a time and executes the returned effects in order. A replica is not thread-safe.
  *
  * @param self this replica; its role is ignored, since the group's configuration determines it.
  * @param restored state read from the store.
--- a/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/org/auburnstream/consensus/ReplicaSettings.kt
@@ -30,9 +30,9 @@
  * @property replacementDelay time without an answer from a voter after which a learner replaces it.
  * @property maxPromotionLag maximum number of entries by which a learner may lag when it is promoted.
  * @property automaticReplacement whether a leader replaces lost voters without an operator's request.
- * @property allowsHandOver whether a leader that stops asks another voter to campaign at once. The next leader may then
- *   be elected within [electionTimeoutMin] of the last contact with a quorum, so this must be off in a group that grants
- *   leases relative to [Replica.quorumContactTime].
+ * @property allowsHandOver whether a leader that stops asks another voter to campaign at once. The next leader may
+ *   then be elected within [electionTimeoutMin] of the last contact with a quorum, so this must be off in a group that
+ *   grants leases relative to [Replica.quorumContactTime].
  */
 public data class ReplicaSettings(
     val heartbeatInterval: Duration = 100.milliseconds,
