Let a departed learner keep no other from getting a vote

Cause: a group with fewer voters than it needs promoted the first learner in the list. A replaced voter stays in the list as a learner, and a control VM that is gone for good is refused each time, so that the others behind it never got a vote.

The learner that was refused least often is tried next. PromotionOrderTest fails with the first one in the list.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -5,10 +5,11 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
-import org.auburnstream.consensus.MemberRole
 import org.auburnstream.consensus.MembershipChange
+import org.auburnstream.consensus.MembershipResult
 import org.auburnstream.consensus.ReplicaSettings
 import org.auburnstream.daemon.replication.GroupConfiguration
+import org.auburnstream.daemon.replication.MembershipChangeResult
 import org.auburnstream.daemon.replication.ProposeResult
 import org.auburnstream.daemon.replication.ReadResult
 import org.auburnstream.daemon.replication.ReplicaRole
@@ -80,6 +81,7 @@
     private var barrierTerm = 0L
     private var publishedStatus: GroupStatus? = null
     private var lastSeenLeader: DaemonId? = null
+    private val promotions = PromotionOrder()
     private var isChangingMembers = false
     private var isStopping = false
     private val suspension = SuspensionDetector()
@@ -343,11 +345,13 @@
         val configuration = group.members.value
         val wantedVoters = 2 * settings.losses + 1
         if (configuration.isJoint || configuration.voters.size >= wantedVoters) return
-        val candidate = configuration.members.firstOrNull { it.role == MemberRole.LEARNER && it.durable } ?: return
+        val candidate = promotions.next(configuration) ?: return
         isChangingMembers = true
         scope.launch {
             val result = group.changeMembership(MembershipChange.Promote(candidate.id.daemon), BARRIER_TIMEOUT)
             isChangingMembers = false
+            val isPromoted = result is MembershipChangeResult.Completed && result.result is MembershipResult.Committed
+            if (!isPromoted) promotions.refused(candidate.id)
             log.note("vote_given", "member" to candidate.id, "result" to result)
         }
     }
