--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -519,6 +519,9 @@
 
     async def main():
         system = System(record, **options)
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(system, record, trouble), limit_s)
         finally:
@@ -526,7 +529,7 @@
 
     try:
         breaks = asyncio.run(main())
-    except (Unable, asyncio.TimeoutError, OSError) as problem:
+    except (Unable, asyncio.TimeoutError, asyncio.CancelledError, OSError) as problem:
         record.note("could not run:", repr(problem))
         print(f"could not run: {problem!r}")
         sys.exit(2)
