--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,51 +1,73 @@
-"""One job that can never be done is handed in among forty small ones; the small ones are asked for at the end."""
+"""Leaders stand still in turn, each just after it has ordered the upkeep of a machine."""
 import asyncio
 import os
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
 import standins  # noqa: E402
 
-WORKERS, CPU, SMALL_JOBS, FINISH_S, STALL_S = 4, 16000, 40, 14.0, 3.0
-WORK_MS = (100, 200, 400, 800, 1600)
-HOPELESS = "bbbbbbbbbbbbbbbb"
+FREEZES, FROZEN_S, CATCH_UP_S, UPKEEP_S = 9, 4.0, 4.0, 2.0
 
 
 async def case(system, record, trouble):
-    await system.start(workers=WORKERS)
-    accepted = []
-    for number in range(1, SMALL_JOBS + 1):
-        if number == 5 and trouble:
-            # Its members need five whole workers at the same time, and the service has four.
-            steps = [{"count": WORKERS + 1, "cpu": CPU, "mem_mb": 1024, "est_ms": 60000, "gang": True,
-                      "work_ms": 60000}]
-            record.note("the hopeless job got", await system.submit(HOPELESS, steps))
-        job, work_ms = f"{number:016x}", WORK_MS[number % len(WORK_MS)]
-        steps = [{"count": 2, "cpu": 500, "mem_mb": 100, "est_ms": work_ms, "work_ms": work_ms}]
-        if await system.submit(job, steps) == 200:
-            accepted.append(job)
-        await asyncio.sleep(0.25)
-    record.note("traffic ends;", len(accepted), "small jobs accepted")
-    await asyncio.sleep(FINISH_S)
-    done = {key.split(".")[0] for key in system.done_runs}
-    idle = {job: record.now() for job in accepted if job not in done}
-    busy = 0.0
-    end = record.now() + STALL_S + 0.5
-    while record.now() < end:
-        for job in list(idle):
-            if any(live for key, live in system.live_runs.items() if key.startswith(job)):
-                del idle[job]
-        busy = max(busy, sum(run["cpu"] for worker in system.workers for run in worker.runs.values()))
-        await asyncio.sleep(0.02)
-    breaks = []
-    for job in [job for job in idle if record.now() - idle[job] >= STALL_S][:5]:
-        status, answer = await system.request("GET", job)
-        if busy * 2 < WORKERS * CPU and not (status == 200 and answer.get("state") == "complete"):
-            breaks.append(f"LOST: job {job}, accepted, has nothing running for {STALL_S} s, {FINISH_S} s after the "
-                          f"traffic; at most {busy} of {WORKERS * CPU} millicores were in use; it is answered "
-                          f"{status} {answer}")
-    record.note(len(idle), "accepted small jobs have nothing running")
+    orders, ordered_of, executed = [], {}, set()
+
+    async def come_back(worker):
+        await asyncio.sleep(UPKEEP_S)
+        successor = standins.Worker(system, worker.id + "-2", worker.host, worker.machine)
+        system.workers[system.workers.index(worker)] = successor
+        await successor.start()
+
+    async def upkeep(headers, fields):
+        wave, machine, fence, holder = fields["wave"], fields["machine"], int(headers["x-fence-token"]), headers["x-holder"]
+        orders.append((record.now(), machine, fence, holder))
+        record.note("upkeep of", machine, "ordered by", holder, "with token", fence)
+        ordered_of.setdefault(wave, asyncio.Event()).set()
+        await asyncio.sleep(0.05)
+        if (wave, machine) in executed:
+            return 200, {}
+        executed.add((wave, machine))
+        worker = next(worker for worker in system.workers if worker.machine == machine)
+        worker.crash()
+        asyncio.create_task(come_back(worker))
+        return 200, {}
+
+    system.cloud_hooks["/machine-upkeep"] = upkeep
+    await system.start(workers=FREEZES + 2)
+    for wave in range(1, FREEZES + 1):
+        await asyncio.sleep(CATCH_UP_S)
+        body = {"wave": wave, "machines": [f"m-{wave:05x}"], "duration_s": 20, "cap": 1}
+        await system.operate("POST", "/wave-start", body, seconds=2.0)
+        try:
+            await asyncio.wait_for(ordered_of.setdefault(wave, asyncio.Event()).wait(), 1.0)
+        except asyncio.TimeoutError:
+            record.note("wave", wave, "has had no order within a second")
+        leader = await system.leader()
+        if trouble:
+            system.send_signal(leader, signal.SIGSTOP)
+        await asyncio.sleep(FROZEN_S)
+        if trouble:
+            system.send_signal(leader, signal.SIGCONT)
+        if lower_after_higher(orders):
+            break
+    await asyncio.sleep(CATCH_UP_S)
+    breaks = lower_after_higher(orders)
+    record.note(len(breaks), "orders with a lower token after a higher one")
+    return breaks[:3]
+
+
+def lower_after_higher(orders):
+    """Returns the orders for a machine with a lower token than an earlier order for it."""
+    breaks, highest = [], {}
+    for at, machine, fence, holder in orders:
+        before = highest.get(machine)
+        if before is not None and fence < before[1]:
+            breaks.append(f"ONE: {holder} orders the upkeep of {machine} with token {fence} at {at:.2f} s, after "
+                          f"{before[2]} did with token {before[1]} at {before[0]:.2f} s")
+        if before is None or fence >= before[1]:
+            highest[machine] = (at, fence, holder)
     return breaks
 
 
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Hands in one gang that can never be placed among many small jobs; TROUBLE=0 leaves it out.
+# Leaders stand still in turn while an order for a machine gets no answer; TROUBLE=0 leaves the leaders running.
 cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""The worker of a task that lasts is lost for good while a long gang holds the other workers."""
+"""One job that can never be done is handed in among forty small ones; the small ones are asked for at the end."""
 import asyncio
 import os
 import sys
@@ -7,44 +7,46 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
 import standins  # noqa: E402
 
-WORKERS, SINCE_LAST_RUN_S, CALM_S, STALL_S = 8, 6.0, 4.0, 3.0
-LASTING, GANG, GANG_WORK_S = "aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb", 70.0
+WORKERS, CPU, SMALL_JOBS, FINISH_S, STALL_S = 4, 16000, 40, 14.0, 3.0
+WORK_MS = (100, 200, 400, 800, 1600)
+HOPELESS = "bbbbbbbbbbbbbbbb"
 
 
 async def case(system, record, trouble):
     await system.start(workers=WORKERS)
-    # The lasting task takes 6 of 16 cores of one worker; each member of the gang takes 12 of one of the others.
-    status = await system.submit(
-        LASTING, [{"count": 1, "cpu": 6000, "mem_mb": 100, "est_ms": 700, "persistent": True}])
-    await asyncio.sleep(2)
-    members = WORKERS - 1
-    other = await system.submit(GANG, [{"count": members, "cpu": 12000, "mem_mb": 100, "gang": True,
-                                        "est_ms": int(GANG_WORK_S * 1000), "work_ms": int(GANG_WORK_S * 1000)}])
-    await asyncio.sleep(2)
-    where = {key.split(".")[0]: worker for worker in system.workers for key in worker.runs}
-    running = sum(1 for worker in system.workers for key in worker.runs if key.startswith(GANG))
-    if status != 200 or other != 200 or LASTING not in where or running != members:
-        raise standins.Unable(f"the jobs got {status} and {other}, {running} of {members} members run")
-    if trouble:
-        record.note("crash", where[LASTING].id)
-        where[LASTING].crash()
-    lost_at = record.now()
-    longest, idle_since = 0.0, None
-    # Only what follows `contact_ms` of calm and 6 s after the last run counts; the gang runs all the time.
-    while record.now() < lost_at + 30:
-        runs = any(live for key, live in system.live_runs.items() if key.startswith(LASTING))
-        if runs or record.now() < lost_at + SINCE_LAST_RUN_S + CALM_S:
-            idle_since = None
-        elif idle_since is None:
-            idle_since = record.now()
-        else:
-            longest = max(longest, record.now() - idle_since)
-        await asyncio.sleep(0.05)
-    if longest < STALL_S:
-        return []
-    status, answer = await system.request("GET", LASTING)
-    return [f"LOST: the task of the lasting job {LASTING} doesn't run for {longest:.1f} s, from "
-            f"{SINCE_LAST_RUN_S + CALM_S:.0f} s after its last run on; it is answered {status} {answer}"]
+    accepted = []
+    for number in range(1, SMALL_JOBS + 1):
+        if number == 5 and trouble:
+            # Its members need five whole workers at the same time, and the service has four.
+            steps = [{"count": WORKERS + 1, "cpu": CPU, "mem_mb": 1024, "est_ms": 60000, "gang": True,
+                      "work_ms": 60000}]
+            record.note("the hopeless job got", await system.submit(HOPELESS, steps))
+        job, work_ms = f"{number:016x}", WORK_MS[number % len(WORK_MS)]
+        steps = [{"count": 2, "cpu": 500, "mem_mb": 100, "est_ms": work_ms, "work_ms": work_ms}]
+        if await system.submit(job, steps) == 200:
+            accepted.append(job)
+        await asyncio.sleep(0.25)
+    record.note("traffic ends;", len(accepted), "small jobs accepted")
+    await asyncio.sleep(FINISH_S)
+    done = {key.split(".")[0] for key in system.done_runs}
+    idle = {job: record.now() for job in accepted if job not in done}
+    busy = 0.0
+    end = record.now() + STALL_S + 0.5
+    while record.now() < end:
+        for job in list(idle):
+            if any(live for key, live in system.live_runs.items() if key.startswith(job)):
+                del idle[job]
+        busy = max(busy, sum(run["cpu"] for worker in system.workers for run in worker.runs.values()))
+        await asyncio.sleep(0.02)
+    breaks = []
+    for job in [job for job in idle if record.now() - idle[job] >= STALL_S][:5]:
+        status, answer = await system.request("GET", job)
+        if busy * 2 < WORKERS * CPU and not (status == 200 and answer.get("state") == "complete"):
+            breaks.append(f"LOST: job {job}, accepted, has nothing running for {STALL_S} s, {FINISH_S} s after the "
+                          f"traffic; at most {busy} of {WORKERS * CPU} millicores were in use; it is answered "
+                          f"{status} {answer}")
+    record.note(len(idle), "accepted small jobs have nothing running")
+    return breaks
 
 
 standins.run_case(HERE, case, controls=3, entries=1, losses=1)
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# One of eight workers crashes for good while a gang fills the others; TROUBLE=0 leaves it up.
+# Hands in one gang that can never be placed among many small jobs; TROUBLE=0 leaves it out.
 cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -82,10 +82,12 @@
         return None, None
 
 
-async def serve(host, port, handle):
+async def serve(host, port, handle, connections=None):
     """Serves HTTP; `handle` is a coroutine of (method, path, headers, body) that returns (status, body) or None."""
 
     async def connection(reader, writer):
+        if connections is not None:
+            connections.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -102,6 +104,8 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            if connections is not None:
+                connections.discard(writer)
             writer.close()
 
     return await asyncio.start_server(connection, host, port)
@@ -120,7 +124,7 @@
         self.changed = asyncio.Event()
         self.is_up, self.is_draining, self.control = True, False, None
         self.hooks = {}
-        self.tasks = []
+        self.tasks, self.connections = [], set()
 
     @property
     def address(self):
@@ -130,7 +134,7 @@
         return 1000 + int((time.monotonic() - self.started) * 1000)
 
     async def start(self):
-        self.server = await serve(self.host, self.system.worker_port, self.handle)
+        self.server = await serve(self.host, self.system.worker_port, self.handle, self.connections)
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.tick())]
         return self
 
@@ -138,6 +142,8 @@
         """Ends this life at once; what ran here is gone."""
         self.is_up = False
         self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
         for task in self.tasks:
             task.cancel()
         for key, run in self.runs.items():
@@ -193,6 +199,8 @@
             self.lease_ms = max(self.lease_ms, min(until_ms, self.clock_ms() + HOLD_MAX_MS))
 
     async def handle(self, method, path, headers, body):
+        if not self.is_up:
+            return None
         if path == "/healthz":
             return 200, {}
         expected = headers.get("x-expect-instance")
