--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""One hourly job without `first_ms` is handed in beside small ones; what was accepted is asked for at the end."""
+"""One hourly job that can never be done is handed in beside 25 small ones; what was accepted is asked for at the end."""
 import asyncio
 import os
 import sys
@@ -38,10 +38,10 @@
     restarts = asyncio.create_task(restart())
     await client(20)
     if trouble:
-        # Due at 0, one hour, two hours ... after 1970: some 490,000 times are due at once.
-        system.steps[(HOURLY, 0)] = {"cpu": 500, "work_ms": 300}
+        # Its task needs twice the cores of any worker. It has no `first_ms` and is due at 0, one hour, two hours ...
+        # after 1970: some 490,000 times are due at once.
         body = {"spec": f"spec of {HOURLY}", "repeats": 1_000_000, "interval_ms": HOUR_MS,
-                "steps": [{"count": 1, "cpu": 500, "mem_mb": 100, "est_ms": 300}]}
+                "steps": [{"count": 1, "cpu": 32000, "mem_mb": 100, "est_ms": 300}]}
         record.note("the hourly job got", (await system.request("POST", HOURLY, body))[0])
     await client(5)
     record.note("traffic ends;", len(accepted), "small jobs accepted")
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -301,6 +301,7 @@
         self.live_runs, self.done_runs = {}, {}
         self.roles = tomllib.load(open(os.path.join(ROOT, "deploy/system.toml"), "rb"))["roles"]
         self.cloud_hooks = {}
+        self.is_closing = False
         self.vm_orders = []
 
     @property
@@ -353,6 +354,8 @@
 
     async def spawn(self, role, index, bootstrap=True):
         """Starts one of the project's programs with the command of the deploy file."""
+        if self.is_closing:
+            raise Unable("the case has ended")
         name = f"{role}-{index}"
         path = os.path.join(self.folder, f"{name}.conf")
         with open(path, "w", encoding="utf-8") as file:
@@ -365,6 +368,8 @@
             *words, cwd=ROOT, env=environment, stdout=log, stderr=log, start_new_session=True)
         log.close()
         self.processes[name] = process
+        if self.is_closing:
+            process.kill()
         self.record.note("process", name, "started")
         return process
 
@@ -499,6 +504,7 @@
 
     async def close(self, keep_logs=None):
         """Ends every process that was started, by its id, and removes the temporary folder."""
+        self.is_closing = True
         for name, process in self.processes.items():
             if process.returncode is None:
                 try:
@@ -537,7 +543,7 @@
 
     try:
         breaks = asyncio.run(main())
-    except (Unable, asyncio.TimeoutError, asyncio.CancelledError, OSError) as problem:
+    except (Exception, asyncio.CancelledError) as problem:  # an error of the script itself must not count as a break
         record.note("could not run:", repr(problem))
         print(f"could not run: {problem!r}")
         sys.exit(2)
