Tell since when a leader makes no progress, and why a batch was rejected

A refused batch was counted among the committed ones, and its reason was dropped.

New: event=batch_rejected with the reason and the number of rejections since the last commit (written at powers of two), event=barrier_not_reached, auburnstream_batches_total by outcome, auburnstream_replica_leads beside auburnstream_leads, and auburnstream_leader_stalled_seconds, the time for which a leader has not begun, not ticked or not committed what it proposed. No decision changes. LeadershipTest and LeadershipLifecycleTest pass.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -48,6 +48,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /**
  * A process of the control group, which replicates the scheduling state and schedules jobs while it is the leader.
@@ -105,6 +106,12 @@
         metrics.gauge("auburnstream_jobs_active", "Accepted jobs that are not over.") { replica.state.active.size }
         metrics.gauge("auburnstream_workers", "Workers that are known.") { replica.state.workers.size }
         metrics.gauge("auburnstream_leads", "1 while this process leads.") { if (leads) 1 else 0 }
+        metrics.gauge("auburnstream_replica_leads", "1 while the replica leads, whether or not it schedules.") {
+            if (::group.isInitialized && group.status.value.role == ReplicaRole.LEADER) 1 else 0
+        }
+        metrics.gauge("auburnstream_leader_stalled_seconds", "Time for which a leader has made no progress, else 0.") {
+            leadership.stall?.let { (loop.now - it.since).toDouble(DurationUnit.SECONDS) } ?: 0
+        }
     }
 
     /** Adds [seeds] to the known processes after a change of the settings. */
@@ -218,13 +225,13 @@
     }
 
     /** Proposes a batch only in the [term] that decided it; later it could revert decisions of another leader. */
-    private fun commit(term: Long, batch: RecordBatch, done: (Boolean?) -> Unit) {
+    private fun commit(term: Long, batch: RecordBatch, done: (CommitOutcome) -> Unit) {
         scope.launch {
-            when (group.proposeInTerm(term, replica.encode(batch), COMMIT_TIMEOUT)) {
-                is ProposeResult.Committed -> done(true)
-                is ProposeResult.Rejected -> done(false)
+            when (val result = group.proposeInTerm(term, replica.encode(batch), COMMIT_TIMEOUT)) {
+                is ProposeResult.Committed -> done(CommitOutcome.Committed)
+                is ProposeResult.Rejected -> done(CommitOutcome.Rejected(result.reason.name.lowercase()))
                 ProposeResult.Unknown -> {
-                    done(null)
+                    done(CommitOutcome.Unknown)
                     leadership.end(term, "batch with unknown outcome")
                     // Orders already sent carry this term as fencing token, so only a new term may decide again.
                     if (leadership.leadsIn(term)) onFatal("a batch was not committed within $COMMIT_TIMEOUT")
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -14,12 +14,14 @@
 import org.auburnstream.scheduling.SchedulingSettings
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Runs the [Coordinator] during one term as leader: passes events to it and executes the actions that it returns.
  *
  * @property isConfirmed whether a quorum has confirmed the leadership of this [term] recently enough to act on it.
- * @property commit proposes a batch and reports whether it was committed, or null if that is unknown.
+ * @property commit proposes a batch and reports its outcome once.
  * @property onFailure called with the cause when the coordinator has failed and this leadership has ended.
  */
 internal class Leadership(
@@ -30,15 +32,28 @@
     private val gateway: Gateway,
     private val metrics: NodeMetrics,
     private val isConfirmed: () -> Boolean,
-    private val commit: (RecordBatch, (Boolean?) -> Unit) -> Unit,
+    private val commit: (RecordBatch, (CommitOutcome) -> Unit) -> Unit,
     private val onFailure: (String) -> Unit,
+    private val clock: () -> MonotonicTime = { loop.now },
 ) {
     private val log = LineLog("coordinator")
-    private val coordinator = Coordinator(state, settings, loop.now)
+    private val coordinator = Coordinator(state, settings, clock())
     private val pendingCalls = HashMap<CallId, (Reply) -> Unit>()
     private var lastCall = 0L
     private var timer: EventLoop.Timer? = null
     private var deferredActions = ArrayList<Action>()
+    private var batchSubmittedAt: MonotonicTime? = null
+    private var rejectedSince: MonotonicTime? = null
+    private var rejections = 0
+    private var tickedAt = clock()
+
+    /** The progress that is missing for longest, or null if the leader decides and commits. */
+    val stall: Stall?
+        get() = listOfNotNull(
+            batchSubmittedAt?.let { Stall("batch_unanswered", it) },
+            rejectedSince?.let { Stall("batches_rejected", it) },
+            Stall("no_tick", tickedAt).takeIf { clock() - tickedAt > MAX_TICK_INTERVAL },
+        ).minByOrNull { it.since.nanoseconds }
 
     /** Whether [end] was called or the coordinator has failed. */
     var hasEnded: Boolean = false
@@ -76,16 +91,17 @@
 
     private fun tick() {
         if (hasEnded) return
+        tickedAt = clock()
         releaseDeferred()
         handleEvent(Event.Tick)
-        timer = loop.after(maxOf(coordinator.nextDeadline - loop.now, MIN_TICK_INTERVAL), ::tick)
+        timer = loop.after(maxOf(coordinator.nextDeadline - clock(), MIN_TICK_INTERVAL), ::tick)
     }
 
     private fun handleEvent(event: Event) {
         if (hasEnded) return
         val nowMs = System.currentTimeMillis()
         try {
-            coordinator.handle(event, loop.now, nowMs).forEach(::carryOut)
+            coordinator.handle(event, clock(), nowMs).forEach(::carryOut)
         } catch (e: Exception) {
             // The coordinator may have handled half of the event, so it is no basis for further decisions.
             logger.error("event=coordinator_failed term={} cause=\"{}\"", term, e.toString(), e)
@@ -134,20 +150,71 @@
     }
 
     private fun commitBatch(batch: RecordBatch) {
-        val since = loop.now
-        commit(batch) { isCommitted ->
-            metrics.recordCommit(loop.now - since, batch.records.size)
-            when (isCommitted) {
-                true -> handleEvent(Event.BatchApplied)
-                false -> handleEvent(Event.BatchRejected)
+        val since = clock()
+        batchSubmittedAt = since
+        commit(batch) { outcome ->
+            batchSubmittedAt = null
+            metrics.recordCommit(outcome, clock() - since, batch.records.size)
+            when (outcome) {
+                CommitOutcome.Committed -> {
+                    rejectedSince = null
+                    rejections = 0
+                    handleEvent(Event.BatchApplied)
+                }
+                is CommitOutcome.Rejected -> {
+                    noteRejection(batch, outcome)
+                    handleEvent(Event.BatchRejected)
+                }
                 // The batch may still be applied later, so this state is no longer a basis for decisions.
-                null -> end()
+                CommitOutcome.Unknown -> end()
             }
         }
     }
 
+    /** Logs the rejection if the number since the last commit is a power of two, which bounds the volume. */
+    private fun noteRejection(batch: RecordBatch, outcome: CommitOutcome.Rejected) {
+        val since = rejectedSince ?: clock().also { rejectedSince = it }
+        rejections += 1
+        if (rejections.countOneBits() > 1) return
+        log.note(
+            "batch_rejected",
+            "term" to term,
+            "reason" to outcome.reason,
+            "records" to batch.records.size,
+            "rejections" to rejections,
+            "since_ms" to (clock() - since).inWholeMilliseconds,
+        )
+    }
+
     private companion object {
         val logger: Logger = LoggerFactory.getLogger(Leadership::class.java)
         val MIN_TICK_INTERVAL = MonotonicTime(1_000_000) - MonotonicTime.Zero
+
+        /** Several times the interval at which the coordinator asks for a tick. */
+        val MAX_TICK_INTERVAL: Duration = 500.milliseconds
+    }
+}
+
+/** Progress that a leader owes and has not made [since] a time; [cause] goes to logs. */
+internal data class Stall(val cause: String, val since: MonotonicTime)
+
+/** Outcome of the proposal of a batch. */
+public sealed interface CommitOutcome {
+    /** Name of the outcome in metrics. */
+    public val label: String
+
+    /** The batch was committed and applied. */
+    public data object Committed : CommitOutcome {
+        override val label: String = "committed"
+    }
+
+    /** The batch was certainly not appended to the log, because of [reason]. */
+    public data class Rejected(val reason: String) : CommitOutcome {
+        override val label: String = "rejected"
+    }
+
+    /** The batch may be committed later. */
+    public data object Unknown : CommitOutcome {
+        override val label: String = "unknown"
     }
 }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeadershipLifecycle.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeadershipLifecycle.kt
@@ -40,6 +40,14 @@
     val current: Leadership?
         get() = latest?.takeIf(::isInForce)
 
+    /**
+     * The progress that is missing for longest while the replica leads, or null.
+     *
+     * It covers a replica that leads without a leadership, and a leadership that does not decide or commit.
+     */
+    val stall: Stall?
+        get() = idleTerm?.let { Stall("not_begun", it.since) } ?: current?.stall
+
     /** Whether the replica leads in [term] according to its latest status. */
     fun leadsIn(term: Long): Boolean = status().let { it.role == ReplicaRole.LEADER && it.term == term }
 
@@ -77,7 +85,12 @@
 
     private fun prepare(term: Long) {
         preparedTerm = term
+        val since = clock()
         awaitBarrier { isReached ->
+            if (!isReached) {
+                val waited = clock() - since
+                log.note("barrier_not_reached", "term" to term, "waited_ms" to waited.inWholeMilliseconds)
+            }
             if (isStopped || !leadsIn(term) || latest != null) return@awaitBarrier
             if (isReached) begin(term) else preparedTerm = 0
         }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.auburnstream.dispatch.CommitOutcome
 import org.auburnstream.scheduling.Action
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
@@ -33,6 +34,10 @@
         Histogram.builder().name("auburnstream_commit_seconds").help("Time from proposal to commitment of a batch.")
             .classicOnly().classicUpperBounds(*BUCKET_BOUNDS_SECONDS).register(registry)
     }
+    private val batches by lazy {
+        Counter.builder().name("auburnstream_batches_total").help("Batches proposed, by outcome.")
+            .labelNames("outcome").register(registry)
+    }
     private val records by lazy {
         Counter.builder().name("auburnstream_records_total").help("Records committed.").register(registry)
     }
@@ -53,8 +58,9 @@
         events.labelValues(event).inc()
     }
 
-    /** Records a batch of [count] records whose proposal took [elapsed] to complete. */
-    public fun recordCommit(elapsed: Duration, count: Int) {
+    /** Records the [outcome] of a batch of [count] records whose proposal took [elapsed] to complete. */
+    public fun recordCommit(outcome: CommitOutcome, elapsed: Duration, count: Int) {
+        batches.labelValues(outcome.label).inc()
         commitTime.observe(elapsed.toDouble(DurationUnit.SECONDS))
         records.inc(count.toDouble())
     }
