--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -89,7 +89,8 @@
         actions.forEach(::carryOut)
     }
 
-    private fun tick() {
+    /** Lets the coordinator make the decisions that are due; called by a timer of its own. */
+    fun tick() {
         if (hasEnded) return
         tickedAt = clock()
         releaseDeferred()
