Let a leader that makes no progress hand its role over

What callers saw: POST and DELETE end as 504 and reads are answered, or everything ends as 503, for as long as one process leads; accepted jobs stay where they are and the configuration cannot be read back.

Cause: whoever leads was judged by its heartbeats, which its replica answers whether or not the rest of the process works. Only one of the ways in which a leader can fail to work was looked for, a leadership that does not begin, and the request to step down was made once. A barrier, a batch or a tick that got lost was waited for without end; an exception in the callback of a commit lost its outcome. A failure that every leader meets changed the leader within milliseconds, without end.

A suspension does not count as time without progress. After its end a leadership carries out nothing more, and an exception in the callback of a commit, in a tick or in a deferred action ends it like one in the coordinator.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -89,6 +89,7 @@
         create = ::beginLeadership,
         stepDown = { group.handOver() },
         onFatal = onFatal,
+        resumedAt = { suspension.resumedAt },
     )
     private var publishedStatus: GroupStatus? = null
     private var lastSeenLeader: DaemonId? = null
@@ -226,8 +227,9 @@
 
     /** Proposes a batch only in the [term] that decided it; later it could revert decisions of another leader. */
     private fun commit(term: Long, batch: RecordBatch, done: (CommitOutcome) -> Unit) {
+        val command = replica.encode(batch)
         scope.launch {
-            when (val result = group.proposeInTerm(term, replica.encode(batch), COMMIT_TIMEOUT)) {
+            when (val result = group.proposeInTerm(term, command, COMMIT_TIMEOUT)) {
                 is ProposeResult.Committed -> done(CommitOutcome.Committed)
                 is ProposeResult.Rejected -> done(CommitOutcome.Rejected(result.reason.name.lowercase()))
                 ProposeResult.Unknown -> {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -52,7 +52,7 @@
         get() = listOfNotNull(
             batchSubmittedAt?.let { Stall("batch_unanswered", it) },
             rejectedSince?.let { Stall("batches_rejected", it) },
-            Stall("no_tick", tickedAt).takeIf { clock() - tickedAt > MAX_TICK_INTERVAL },
+            Stall(NO_TICK, tickedAt).takeIf { clock() - tickedAt > MAX_TICK_INTERVAL },
         ).minByOrNull { it.since.nanoseconds }
 
     /** Whether [end] was called or the coordinator has failed. */
@@ -86,7 +86,7 @@
         if (deferredActions.isEmpty() || hasEnded || !isConfirmed()) return
         val actions = deferredActions
         deferredActions = ArrayList()
-        actions.forEach(::carryOut)
+        failing { actions.forEach(::carryOut) }
     }
 
     /** Lets the coordinator make the decisions that are due; called by a timer of its own. */
@@ -95,16 +95,22 @@
         tickedAt = clock()
         releaseDeferred()
         handleEvent(Event.Tick)
+        if (hasEnded) return
+        timer?.cancel()
         timer = loop.after(maxOf(coordinator.nextDeadline - clock(), MIN_TICK_INTERVAL), ::tick)
     }
 
     private fun handleEvent(event: Event) {
         if (hasEnded) return
         val nowMs = System.currentTimeMillis()
+        failing { coordinator.handle(event, clock(), nowMs).forEach(::carryOut) }
+    }
+
+    /** Runs [block]; an exception ends the leadership, because it may have interrupted a decision halfway. */
+    private fun failing(block: () -> Unit) {
         try {
-            coordinator.handle(event, clock(), nowMs).forEach(::carryOut)
+            block()
         } catch (e: Exception) {
-            // The coordinator may have handled half of the event, so it is no basis for further decisions.
             logger.error("event=coordinator_failed term={} cause=\"{}\"", term, e.toString(), e)
             end()
             onFailure("coordinator failed: $e")
@@ -112,6 +118,7 @@
     }
 
     private fun carryOut(action: Action) {
+        if (hasEnded && action !is Action.Note) return
         when (action) {
             is Action.Commit -> commitBatch(action.batch)
             is Action.Answer -> answer(action)
@@ -155,20 +162,24 @@
         batchSubmittedAt = since
         commit(batch) { outcome ->
             batchSubmittedAt = null
-            metrics.recordCommit(outcome, clock() - since, batch.records.size)
-            when (outcome) {
-                CommitOutcome.Committed -> {
-                    rejectedSince = null
-                    rejections = 0
-                    handleEvent(Event.BatchApplied)
-                }
-                is CommitOutcome.Rejected -> {
-                    noteRejection(batch, outcome)
-                    handleEvent(Event.BatchRejected)
-                }
-                // The batch may still be applied later, so this state is no longer a basis for decisions.
-                CommitOutcome.Unknown -> end()
+            failing { settle(batch, outcome, clock() - since) }
+        }
+    }
+
+    private fun settle(batch: RecordBatch, outcome: CommitOutcome, elapsed: Duration) {
+        metrics.recordCommit(outcome, elapsed, batch.records.size)
+        when (outcome) {
+            CommitOutcome.Committed -> {
+                rejectedSince = null
+                rejections = 0
+                handleEvent(Event.BatchApplied)
+            }
+            is CommitOutcome.Rejected -> {
+                noteRejection(batch, outcome)
+                handleEvent(Event.BatchRejected)
             }
+            // The batch may still be applied later, so this state is no longer a basis for decisions.
+            CommitOutcome.Unknown -> end()
         }
     }
 
@@ -199,6 +210,9 @@
 /** Progress that a leader owes and has not made [since] a time; [cause] goes to logs. */
 internal data class Stall(val cause: String, val since: MonotonicTime)
 
+/** Cause of a [Stall]: the coordinator is not called any more at the times it asks for. */
+internal const val NO_TICK = "no_tick"
+
 /** Outcome of the proposal of a batch. */
 public sealed interface CommitOutcome {
     /** Name of the outcome in metrics. */
