End a control process whose replicated state cannot be opened

Found by reading. Now it ends with event=fatal and the cause, so that it is started again and the failure is seen. No test brings it about; the state written by FileReplicaStore is readable by this build.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.dispatch
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -101,7 +102,7 @@
     /** Starts the process; reads the store and joins the group in the background. */
     public fun start() {
         network.addKnownPeers(settings.seeds)
-        scope.launch { openGroup() }
+        scope.launch { followGroup() }
         loop.onTurn = ::checkSuspension
         loop.after(HOUSEKEEPING_INTERVAL) { housekeeping() }
         metrics.gauge("auburnstream_jobs_active", "Accepted jobs that are not over.") { replica.state.active.size }
@@ -151,6 +152,18 @@
         done()
     }
 
+    /** Opens the group and follows its status; the process is of no use without it. */
+    private suspend fun followGroup() {
+        try {
+            openGroup()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            logger.error("event=group_not_opened cause=\"{}\"", e.toString(), e)
+            onFatal("the replicated state cannot be opened: $e")
+        }
+    }
+
     private suspend fun openGroup() {
         val random = SecureRandom().asKotlinRandom()
         val path = checkNotNull(settings.dataFolder) { "a control process needs a data folder" }
