Answer that a call has not run if its leadership has ended before it

A call that reached a process just after its leadership had ended was answered 504, whether it ran is not known, though no coordinator had seen it; its caller had to ask what became of it, and an entry process repeated it until the caller's timeout.

It is refused as not run, with a second to come back, like a call that meets no leader.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -390,7 +390,7 @@
             get() = replica.state
 
         override fun offer(event: (CallId) -> Event, reply: (Reply) -> Unit) {
-            leadership.current?.offer(event, reply) ?: reply(Reply.Unknown)
+            leadership.current?.offer(event, reply) ?: reply(NotLeading)
         }
 
         override fun read(use: (SchedulerState?) -> Unit) {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -9,6 +9,7 @@
 import org.auburnstream.scheduling.Coordinator
 import org.auburnstream.scheduling.Event
 import org.auburnstream.scheduling.RecordBatch
+import org.auburnstream.scheduling.RefusalReason
 import org.auburnstream.scheduling.Reply
 import org.auburnstream.scheduling.SchedulerState
 import org.auburnstream.scheduling.SchedulingSettings
@@ -16,6 +17,7 @@
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Runs the [Coordinator] during one term as leader: passes events to it and executes the actions that it returns.
@@ -63,9 +65,13 @@
         tick()
     }
 
-    /** Passes the event that [event] creates to the coordinator; calls [reply] with the reply to its call id. */
+    /**
+     * Passes the event that [event] creates to the coordinator; calls [reply] with the reply to its call id.
+     *
+     * A leadership that has ended takes no event, so the call has certainly not run.
+     */
     fun offer(event: (CallId) -> Event, reply: (Reply) -> Unit) {
-        if (hasEnded) return reply(Reply.Unknown)
+        if (hasEnded) return reply(NotLeading)
         lastCall += 1
         val call = CallId(lastCall)
         pendingCalls[call] = reply
@@ -207,6 +213,9 @@
     }
 }
 
+/** Reply to a call that was not passed to a coordinator. */
+internal val NotLeading: Reply = Reply.NotAccepted(RefusalReason.NO_LEADER, retryAfter = 1.seconds)
+
 /** Progress that a leader owes and has not made [since] a time; [cause] goes to logs. */
 internal data class Stall(val cause: String, val since: MonotonicTime)
 
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/LeadershipTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/LeadershipTest.kt
@@ -9,6 +9,7 @@
 import org.auburnstream.scheduling.Event
 import org.auburnstream.scheduling.Record
 import org.auburnstream.scheduling.RecordBatch
+import org.auburnstream.scheduling.RefusalReason
 import org.auburnstream.scheduling.Reply
 import org.auburnstream.scheduling.SchedulerState
 import org.auburnstream.scheduling.SchedulingSettings
@@ -64,4 +65,12 @@
         leadership.end()
         assertEquals(listOf<Reply>(Reply.Unknown), replies.toList())
     }
+
+    /** A call that no coordinator has seen has certainly not run. */
+    @Test
+    fun aCallAfterTheEndOfALeadershipMayHaveRun() {
+        leadership.end()
+        report()
+        assertEquals(RefusalReason.NO_LEADER, (replies.single() as Reply.NotAccepted).reason)
+    }
 }
