End the wait for a leader while the known one is idle

What callers saw: while a process led the log but did not schedule, each request was held until the caller's own timeout and answered 503 after 2.9 s, instead of after 1.5 s.

Cause: an attempt that found the leader connected set leaderlessSince to null, and its refusal set it again 50 ms later, so LEADER_WAIT never passed. An attempt that was not sent had the same effect.

Change: Forwarding is a class of its own with the clock, the timer and the call as parameters, so that it runs in virtual time. The wait begins at the end of the first attempt that found no serving leader and lasts LEADER_WAIT in total. Round trips to a process that answers that it does not lead count as waiting, since it is no leader; otherwise a slow link would extend the wait. An attempt in progress is never cut off, and time before the first refusal does not count. A request that may have run is treated as before, but is given up at once when no further attempt fits before the deadline.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
@@ -22,7 +22,7 @@
  * A process that terminates callers' connections and forwards their requests to the leader.
  *
  * It stores no state: every answer comes from the leader, so an answer never lacks an acknowledged change. A request
- * that arrives while no leader is known waits for [LEADER_WAIT] and is then refused as not run.
+ * that arrives while no leader serves waits for one for a limited time and is then refused as not run.
  */
 public class EntryNode(
     private val settings: NodeSettings,
@@ -141,65 +141,23 @@
             }
             respond(response)
         }
-        Forwarding(request, since, timeout, answer).attempt()
-    }
-
-    /**
-     * Forwards one request to the current leader, and follows changes of the leader.
-     *
-     * Sends a repeatable request again when a lost link or a change of the leader loses its answer, so that the caller
-     * does not notice the change.
-     */
-    private inner class Forwarding(
-        private val request: HttpRequest,
-        private val since: MonotonicTime,
-        private val timeout: Duration,
-        private val answer: (HttpResponse) -> Unit,
-    ) {
-        private val isRepeatable = handler.isRepeatable(ListenerKind.CALLERS, request)
-        private val message = Messages.encode(ForwardedRequest(ListenerKind.CALLERS.name, request))
-        private var mayHaveRun = false
-        private var leaderlessSince: MonotonicTime? = null
-
-        /** Sends the request to the leader, or waits for a leader if there is none. */
-        fun attempt() {
-            val left = timeout - (loop.now - since) - ANSWER_MARGIN
-            if (left <= Duration.ZERO || callers.isClosed) return giveUp()
-            val leader = connectedLeader() ?: return awaitLeader(left)
-            leaderlessSince = null
-            val isSent = network.call(leader, message, minOf(left, ATTEMPT_TIMEOUT)) { bytes -> onReply(bytes) }
-            if (!isSent) awaitLeader(left)
-        }
-
-        private fun onReply(bytes: ByteArray?) {
-            val reply = bytes?.let(Messages::reply)
-            val response = reply?.response
-            when {
-                response != null && response.status != HTTP_UNKNOWN -> answer(response)
-                reply != null && response == null -> awaitLeader(timeout)
-                else -> {
-                    mayHaveRun = true
-                    if (isRepeatable) awaitLeader(timeout) else giveUp()
-                }
-            }
-        }
-
-        /**
-         * Schedules the next attempt, or gives up near the timeout.
-         *
-         * A request that cannot have run yet is also given up after [LEADER_WAIT], in which most elections end.
-         */
-        private fun awaitLeader(left: Duration) {
-            val leaderlessAt = leaderlessSince ?: loop.now.also { leaderlessSince = it }
-            val isWaitOver = !mayHaveRun && loop.now - leaderlessAt >= LEADER_WAIT
-            if (isWaitOver || left <= LEADER_CHECK_INTERVAL) return giveUp()
-            loop.after(LEADER_CHECK_INTERVAL, ::attempt)
-        }
-
-        private fun giveUp() {
-            val kind = ListenerKind.CALLERS
-            answer(if (mayHaveRun) handler.unknown(kind, request) else handler.noLeader(kind, request))
-        }
+        val kind = ListenerKind.CALLERS
+        val message = Messages.encode(ForwardedRequest(kind.name, request))
+        Forwarding(
+            since = since,
+            timeout = timeout,
+            isRepeatable = handler.isRepeatable(kind, request),
+            clock = loop::now,
+            schedule = { delay, block -> loop.after(delay, block) },
+            isClosed = callers::isClosed,
+            connectedLeader = ::connectedLeader,
+            call = { leader, limit, done -> network.call(leader, message, limit, done) },
+            onAnswer = answer,
+            onGiveUp = { cause ->
+                val mayHaveRun = cause == GiveUpCause.NO_ANSWER
+                answer(if (mayHaveRun) handler.unknown(kind, request) else handler.noLeader(kind, request))
+            },
+        ).attempt()
     }
 
     private fun housekeeping() {
@@ -213,7 +171,6 @@
         const val HTTP_OK = 200
         const val MIN_HTTP_ERROR = 400
         const val HTTP_UNAVAILABLE = 503
-        const val HTTP_UNKNOWN = 504
         const val READINESS_BYTES = 4096
         const val READINESS_CONNECTIONS = 32
 
@@ -223,16 +180,6 @@
 
         /** Time without a leader after which the process reports that it is not ready; covers two elections. */
         val MAX_READY_TIME_WITHOUT_LEADER: Duration = 4.seconds
-
-        /** An election takes one to two seconds; a caller that is refused and retries would wait longer. */
-        val LEADER_WAIT: Duration = 1_500.milliseconds
-
-        /** Time after which an unanswered request is sent again; a few times the commit time on a slow disk. */
-        val ATTEMPT_TIMEOUT: Duration = 1_000.milliseconds
-        val LEADER_CHECK_INTERVAL: Duration = 50.milliseconds
-
-        /** Time reserved for the answer to reach the caller. */
-        val ANSWER_MARGIN: Duration = 100.milliseconds
         val STOP_MARGIN: Duration = 500.milliseconds
         val STOP_CHECK_INTERVAL: Duration = 50.milliseconds
 
