Tell in the log and the metrics why a request was not forwarded

What operators saw: request_failed had the same keys whether no leader was connected, the leader did not serve, the outcome was not known or the leader itself had refused; leader= names the leader of the last status in all of these cases.

Cause: the reason for giving up was not passed on to the code that logs the response.

Change: request_failed ends with cause=no_leader, leader_idle, no_answer or answered, after the keys it had. The counter auburnstream_requests_not_forwarded_total{cause} counts requests that are given up. A request whose deadline leaves no time for a first attempt is logged as no_leader too.

ForwardingTest covers the short deadline.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
@@ -126,7 +126,7 @@
     private fun serve(request: HttpRequest, respond: (HttpResponse) -> Unit) {
         val since = loop.now
         val timeout = handler.clientTimeoutMs(request)?.milliseconds ?: DEFAULT_REQUEST_TIME
-        val answer = { response: HttpResponse ->
+        val answer = { response: HttpResponse, cause: String ->
             metrics.recordResponse("callers", response.status, loop.now - since)
             if (response.status >= MIN_HTTP_ERROR) {
                 log.note(
@@ -137,6 +137,7 @@
                     "leader" to status.leader,
                     "term" to status.term,
                     "age_ms" to (loop.now - since).inWholeMilliseconds,
+                    "cause" to cause,
                 )
             }
             respond(response)
@@ -152,10 +153,12 @@
             isClosed = callers::isClosed,
             connectedLeader = ::connectedLeader,
             call = { leader, limit, done -> network.call(leader, message, limit, done) },
-            onAnswer = answer,
+            onAnswer = { response -> answer(response, "answered") },
             onGiveUp = { cause ->
+                metrics.countNotForwarded(cause.label)
                 val mayHaveRun = cause == GiveUpCause.NO_ANSWER
-                answer(if (mayHaveRun) handler.unknown(kind, request) else handler.noLeader(kind, request))
+                val response = if (mayHaveRun) handler.unknown(kind, request) else handler.noLeader(kind, request)
+                answer(response, cause.label)
             },
         ).attempt()
     }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Forwarding.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Forwarding.kt
@@ -8,7 +8,7 @@
 
 /** Reason why a request got no answer from the leader. */
 internal enum class GiveUpCause(val label: String) {
-    /** No leader was known or connected, or its link did not take the request; the request was not run. */
+    /** No leader was connected, its link took no request, or no time was left to send it; it was not run. */
     NO_LEADER("no_leader"),
 
     /** The process that leads answered that it does not serve; the request was not run. */
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
@@ -21,6 +21,11 @@
         Histogram.builder().name("auburnstream_request_seconds").help("Time from request to answer.")
             .labelNames("listener").classicOnly().classicUpperBounds(*BUCKET_BOUNDS_SECONDS).register(registry)
     }
+    private val notForwarded by lazy {
+        Counter.builder().name("auburnstream_requests_not_forwarded_total")
+            .help("Requests given up without an answer of the leader, by cause.")
+            .labelNames("cause").register(registry)
+    }
     private val orders by lazy {
         Counter.builder().name("auburnstream_orders_total").help("Orders sent to workers and the platform, by kind.")
             .labelNames("kind").register(registry)
@@ -43,6 +48,11 @@
         requestTime.labelValues(listener).observe(elapsed.toDouble(DurationUnit.SECONDS))
     }
 
+    /** Counts a request that was given up for [cause] without an answer of the leader. */
+    public fun countNotForwarded(cause: String) {
+        notForwarded.labelValues(cause).inc()
+    }
+
     /** Counts an order that is sent to a worker, the advice service or the platform. */
     public fun countOrder(action: Action) {
         orders.labelValues(action.javaClass.simpleName.lowercase()).inc()
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/ForwardingTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/ForwardingTest.kt
@@ -154,6 +154,15 @@
         assertTrue(outcomes.all { it.at <= 400.milliseconds }, "given up at ${outcomes.map { it.at }}")
     }
 
+    @Test
+    fun aRequestIsSentThoughItsDeadlineLeavesNoTimeForAnAnswer() {
+        var attempts = 0
+        val outcome = forward(timeout = 50.milliseconds) { served(roundTrip).also { attempts += 1 } }
+
+        assertEquals("no_leader", outcome.result)
+        assertEquals(0, attempts)
+    }
+
     private fun assertWaited(elapsed: Duration, tolerance: Duration = checkInterval + roundTrip) =
         assertTrue(elapsed >= leaderWait - tolerance && elapsed <= leaderWait + tolerance, "given up after $elapsed")
 
