Survive a worker that lists a run of a task that its job does not have

Callers would see that no leader lasts: a worker that lists a run of a step that its job lacks, as `<active job>.0.99.0#1`, ends the coordinator of each leader in turn with an IndexOutOfBoundsException, as long as it lists the run. Such a row can come from a worker that kept a run of a removed job whose id was used again for a smaller job. The fault was found by reading.

Cause: the answer to a status query was used as an index into the steps of the job, in SlowWorkerDetector before an end is recorded and in RunControl after its commit. Coordinator.remainingTime, DisruptionBudget and the release in SchedulerState have the same index on claimed runs; there it was not seen to fail.

Change: Job.stepOf and SchedulerState.stepOf return the description of the step of a task, or null if step, occurrence or index do not exist. A listed run of such a task is logged as unknown_run and stopped like other unknown runs; its end is logged as unknown_run once, recorded and acknowledged. Such an end still marks the job as started, as the end of an equally named run does; what replicas apply is unchanged.

UnknownTaskTest before the change, running and ended rows, all three tests: IndexOutOfBoundsException: Index: 99, Size: 1 at SlowWorkerDetector.estimate(SlowWorkerDetector.kt:85) at SlowWorkerDetector.recordProgress / recordCompletion at RunControl.statusAnswered(RunControl.kt:211, 212) After it they pass, with six unknown tasks and all ways in which a run ends.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -173,8 +173,9 @@
         val order = contacts.find(incarnation)?.orders?.get(run) ?: return Duration.ZERO
         val startedAt = order.startedAt
         val job = state.active[run.task.step.job]
-        if (job == null || startedAt == null || order.isStopRequested) return Duration.ZERO
-        val estimateMs = durations.estimate(job.queue.name, job.description.steps[run.task.step.step].estimateMs)
+        val step = job?.stepOf(run.task)
+        if (step == null || startedAt == null || order.isStopRequested) return Duration.ZERO
+        val estimateMs = durations.estimate(job.queue.name, step.estimateMs)
         return (estimateMs.milliseconds - (now - startedAt)).coerceAtLeast(Duration.ZERO)
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/DisruptionBudget.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/DisruptionBudget.kt
@@ -65,7 +65,7 @@
     /** Number of tasks of the step that are not working, are [planned] to end, or run on [incarnation]. */
     private fun countUnavailable(id: StepId, planned: PlannedDisruptions, incarnation: WorkerIncarnation? = null): Int {
         val job = state.active[id.job] ?: return 0
-        val count = job.description.steps[id.step].count
+        val count = job.stepOf(TaskId(id, index = 0))?.count ?: return 0
         val progress = job.occurrences[id.occurrence]?.steps?.get(id.step) ?: return count
         return progress.tasks.withIndex().count { (index, task) ->
             val claim = task.claims.firstOrNull()
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -44,6 +44,12 @@
     /** Whether all tasks of [occurrence] are done. */
     public fun isDone(occurrence: Int): Boolean = occurrence < nextOccurrence || occurrence in done
 
+    /** Returns the description of the step of [id], or null if the job has no such task. */
+    internal fun stepOf(id: TaskId): StepDescription? {
+        val step = description.steps.getOrNull(id.step.step) ?: return null
+        return step.takeIf { id.step.occurrence in 0 until description.occurrences && id.index in 0 until it.count }
+    }
+
     /** Returns the progress of the step [id], and creates its occurrence if that has not begun. */
     internal fun step(id: StepId): StepProgress =
         open.getOrPut(id.occurrence) { Occurrence(description) }.steps[id.step]
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -230,7 +230,7 @@
         val startedAt = contact?.orders?.remove(end.run)?.startedAt
         val job = end.run.task.step.job
         if (end.end == RunEnd.DONE && startedAt != null) recordDuration(end.run, now - startedAt)
-        val isLasting = state.jobs[job]?.description?.steps?.get(end.run.task.step.step)?.lasting == true
+        val isLasting = state.stepOf(end.run.task)?.lasting == true
         val workedFor = if (isLasting && startedAt != null) now - startedAt else Duration.ZERO
         when (end.end) {
             RunEnd.DONE -> contact?.health?.recordSuccess()
@@ -246,7 +246,7 @@
     /** Adds the duration of a first run to the estimates. */
     private fun recordDuration(run: RunId, elapsed: Duration) {
         val job = state.jobs[run.task.step.job] ?: return
-        val step = job.description.steps[run.task.step.step]
+        val step = job.stepOf(run.task) ?: return
         if (step.lasting || run.number > 1) return
         durations.recordDuration(job.queue.name, step.estimateMs, elapsed.inWholeMilliseconds)
     }
@@ -294,6 +294,7 @@
         val newEnds = answer.ended.filter { it.number > lastKnownEnd }
         if (newEnds.isEmpty()) return
         for (ended in newEnds) {
+            if (state.isUnknown(ended.run.task)) logUnknownRun(ended.run, incarnation)
             pendingEnds.add(ended.run to incarnation)
             record(Record.RunEnded(ended.run, incarnation, ended.end, ended.saved))
         }
@@ -316,16 +317,21 @@
             if (!isOpen && order.isAbsenceConclusive(sentAt, answer)) {
                 release(run, incarnation, "not listed", order.ageFields(sentAt))
             }
-            val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task)
+            val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task) ||
+                state.isUnknown(run.task)
             if (isRunning && isOver) stop(run, incarnation, now)
         }
         running.keys.filter { it !in claims && (it to incarnation) !in pendingEnds }.forEach { run ->
-            val claimants = state.task(run.task).claimants
-            log("unknown_run", "run" to run, "worker" to incarnation, "claimed_at" to claimants)
+            logUnknownRun(run, incarnation)
             state.worker(incarnation)?.let { emit(Action.Stop(it.profile, run, contacts.answerTimeout.after(0))) }
         }
     }
 
+    private fun logUnknownRun(run: RunId, incarnation: WorkerIncarnation) {
+        val claimants = state.task(run.task).claimants
+        log("unknown_run", "run" to run, "worker" to incarnation, "claimed_at" to claimants)
+    }
+
     /** Marks [run] as started by the time [sentAt] of the status query that listed it. */
     private fun confirmStart(contact: WorkerContact, run: RunId, sentAt: MonotonicTime, now: MonotonicTime) {
         val order = contact.orders.getOrPut(run) { Order(now) }
@@ -338,8 +344,8 @@
     private fun stopRelatedRuns(run: RunId, now: MonotonicTime) {
         val id = run.task.step
         val job = state.jobs[id.job] ?: return
+        val isGang = job.stepOf(run.task)?.gang ?: return
         val tasks = job.occurrences[id.occurrence]?.steps?.get(id.step)?.tasks ?: return
-        val isGang = job.description.steps[id.step].gang
         tasks.forEachIndexed { index, task ->
             val isObsolete = isGang || (index == run.task.index && task.isDone)
             if (isObsolete) task.claims.forEach { stop(RunId(TaskId(id, index), it.number), it.incarnation, now) }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -83,6 +83,12 @@
     public fun task(id: TaskId): Task? =
         jobTable[id.step.job]?.open?.get(id.step.occurrence)?.steps?.getOrNull(id.step.step)?.tasks?.getOrNull(id.index)
 
+    /** Returns the description of the step of [id], or null if its job was removed or has no such task. */
+    internal fun stepOf(id: TaskId): StepDescription? = jobTable[id.step.job]?.stepOf(id)
+
+    /** Whether the job of [id] is known and has no such task, as after its id was used again for a smaller job. */
+    internal fun isUnknown(id: TaskId): Boolean = jobTable[id.step.job]?.let { it.stepOf(id) == null } == true
+
     /** Whether [id] is done, or its job was removed. */
     public fun isTaskDone(id: TaskId): Boolean {
         val job = jobTable[id.step.job] ?: return true
@@ -334,8 +340,8 @@
     /** Ends the job as failed if no run of [id] is in progress and no attempt is left. */
     private fun failIfExhausted(id: TaskId, atMs: Long) {
         val job = activeJobs[id.step.job] ?: return
-        val description = job.description.steps[id.step.step]
         val task = task(id) ?: return
+        val description = job.description.steps[id.step.step]
         if (description.lasting || task.isDone || task.claims.isNotEmpty()) return
         val failures = if (description.gang) job.step(id.step).failedRuns.size else task.failures
         if (failures >= job.queue.attempts) end(job, JobPhase.FAILED, atMs)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SlowWorkerDetector.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SlowWorkerDetector.kt
@@ -82,7 +82,7 @@
 
     private fun estimate(run: RunId): Double? {
         val job = state.active[run.task.step.job] ?: return null
-        val step = job.description.steps[run.task.step.step]
+        val step = job.stepOf(run.task) ?: return null
         if (step.lasting || step.fillsUnused) return null
         return durations.estimate(job.queue.name, step.estimateMs).toDouble().takeIf { it > 0 }
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -51,6 +51,9 @@
 
     fun runs(task: TaskId): Boolean = isUp && task in running
 
+    /** Whether the end of [run] is listed because no leader has acknowledged it. */
+    fun listsEnd(run: RunId): Boolean = ended.any { it.run == run }
+
     /** Whether connections to the worker's address are refused, because its process is gone and its VM is up. */
     var refusesConnections = false
         private set
@@ -187,6 +190,18 @@
         fleet.at(action.wait) { if (pendingAnswer === answer) answer() }
     }
 
+    /** Makes the worker list [run] as in progress, whether or not it was ordered. */
+    fun listAsRunning(run: RunId) {
+        running[run.task] = Running(run.number, savedMs = 0, since = fleet.now, workMs = null, slowness = 1.0)
+    }
+
+    /** Makes the worker list [run] as ended, whether or not it was ordered. */
+    fun listAsEnded(run: RunId, end: RunEnd) {
+        endNumber += 1
+        ended.add(EndedRun(endNumber, run, end, saved = ""))
+        pendingAnswer?.invoke()
+    }
+
     /** Ends the run of [task] as failed, if the task runs on this worker. */
     fun fail(task: TaskId) {
         running[task]?.let { end(RunId(task, it.number), RunEnd.FAILED) }
