Keep periodic work running after an exception

The check of the links armed its timer first and was not affected.

The interval still runs from the end of a run to the start of the next (now for the check of the links, too), so a pause is followed by one run.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
@@ -45,7 +45,7 @@
     private val listener = address?.let { Connection.listen(loop, it) { IncomingLink().handlers } }
 
     init {
-        loop.after(CHECK_INTERVAL, ::checkLinks)
+        loop.every("check_links", CHECK_INTERVAL, ::checkLinks)
     }
 
     override val peers: Set<DaemonId>
@@ -118,7 +118,6 @@
     private fun link(to: DaemonId): OutgoingLink = outgoing.getOrPut(to) { OutgoingLink(to) }
 
     private fun checkLinks() {
-        loop.after(CHECK_INTERVAL, ::checkLinks)
         val now = loop.now
         // Closing a link answers its calls, and an answer may open another link.
         outgoing.values.toList().forEach { it.check(now) }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/EventLoop.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/EventLoop.kt
@@ -47,6 +47,9 @@
     /** Called at the start of each turn, after the wait for events and before any callback runs. */
     public var onTurn: () -> Unit = {}
 
+    /** Called with the name of a part after an exception from a block that [every] runs. */
+    public var onPartFailed: (part: String) -> Unit = {}
+
     /** Runs the loop on the current thread until [stop] is called. */
     public fun run() {
         thread = Thread.currentThread()
@@ -81,6 +84,23 @@
         return Timer(now + delay, sequence, block).also(timers::add)
     }
 
+    /**
+     * Runs [block] every [interval], measured from the end of a run to the start of the next, until the returned timer
+     * is cancelled.
+     *
+     * An exception from [block] is logged as `event=part_failed` and passed to [onPartFailed]; later runs still follow.
+     * After a pause of the process the missed runs are not made up for.
+     *
+     * @param part name of the periodic work in the log.
+     * @throws IllegalArgumentException if [interval] is not positive and finite.
+     */
+    public fun every(part: String, interval: Duration, block: () -> Unit): PeriodicTimer {
+        require(interval.isPositive() && interval.isFinite()) {
+            "the interval of $part must be positive and finite, but is $interval"
+        }
+        return PeriodicTimer(part, interval, block).also { it.arm() }
+    }
+
     /** Registers [channel] for [operations] and calls [handler] with its key whenever one of them is ready. */
     public fun register(channel: SelectableChannel, operations: Int, handler: (SelectionKey) -> Unit): SelectionKey =
         channel.register(selector, operations, handler)
@@ -179,6 +199,37 @@
             compareValuesBy(this, other, { it.dueAt.nanoseconds }, { it.sequence })
     }
 
+    /** Periodic work that [every] has started. */
+    public inner class PeriodicTimer internal constructor(
+        private val part: String,
+        private val interval: Duration,
+        private val block: () -> Unit,
+    ) {
+        private var next: Timer? = null
+        private var isCancelled = false
+
+        /** Cancels all later runs; may be called from the block itself. */
+        public fun cancel() {
+            isCancelled = true
+            next?.cancel()
+        }
+
+        internal fun arm() {
+            if (!isCancelled) next = after(interval, ::runOnce)
+        }
+
+        private fun runOnce() {
+            try {
+                block()
+            } catch (e: Exception) {
+                logger.error("event=part_failed part={} cause=\"{}\"", part, e.toString(), e)
+                onPartFailed(part)
+            } finally {
+                arm()
+            }
+        }
+    }
+
     private companion object {
         val logger = LoggerFactory.getLogger(EventLoop::class.java)
         const val NANOS_PER_MILLI = 1_000_000L
