Run the housekeeping of a control process again after an exception

The comparison of the leadership with the status, twice a second, is the safety net for a change that was missed. It armed its timer at the end of its block, after the check of connections and before the promotion of learners, so an exception in any of them ended all of them for good, and nothing told so. Found by reading. EventLoop.every runs it again and logs part_failed; EventLoopTest#anExceptionEndsPeriodicWork guards it.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -104,7 +104,7 @@
         network.addKnownPeers(settings.seeds)
         scope.launch { followGroup() }
         loop.onTurn = ::checkSuspension
-        loop.after(HOUSEKEEPING_INTERVAL) { housekeeping() }
+        loop.every("housekeeping", HOUSEKEEPING_INTERVAL, ::housekeeping)
         metrics.gauge("auburnstream_jobs_active", "Accepted jobs that are not over.") { replica.state.active.size }
         metrics.gauge("auburnstream_workers", "Workers that are known.") { replica.state.workers.size }
         metrics.gauge("auburnstream_leads", "1 while this process leads.") { if (leads) 1 else 0 }
@@ -359,7 +359,6 @@
             updateStatus()
             promoteLearner()
         }
-        loop.after(HOUSEKEEPING_INTERVAL) { housekeeping() }
     }
 
     /** Promotes one caught-up learner to voter until the group tolerates the configured number of lost processes. */
