Let a process that is gone not hide the leader from the callers

What callers would see: 503 at an entry process, which also reports that it is not ready, although a leader works. Cause: an entry process keeps the latest status of each control process for good, and the highest term wins. A candidate publishes its term before it has asked for votes; if it is lost then, no other process has heard of that term, and the leader elected after it has a lower one.

Now a status counts only while the link to its process is open. LeaderViewTest covers it; with the filter taken out, theTermOfACandidateThatIsGoneHidesTheLeader is the one that has to fail. The housekeeping of an entry process goes on after an exception, like that of a control process.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
@@ -39,8 +39,8 @@
         scope = scope,
         onStatus = ::onPeerStatus,
     )
-    private var status = GroupStatus(term = 0, leader = null, members = emptyList())
-    private val statuses = HashMap<DaemonId, GroupStatus>()
+    private val view = LeaderView(network::isConnected)
+    private var loggedLeader: Pair<DaemonId?, Long> = null to 0L
     private var limits = RequestLimits()
     private var seeds = settings.seeds
     private var lastLeaderAt: MonotonicTime? = null
@@ -68,6 +68,7 @@
         network.addKnownPeers(settings.seeds)
         network.keptOpen = settings.seeds
         housekeeping()
+        loop.every("housekeeping", HOUSEKEEPING_INTERVAL, ::housekeeping)
         metrics.gauge("auburnstream_connections", "Connections of callers.") { callers.connections }
         metrics.gauge("auburnstream_requests_in_progress", "Requests without an answer.") { callers.inProgress }
     }
@@ -103,24 +104,31 @@
         return !isStopping && status.hasCatalog && loop.now - seen < MAX_READY_TIME_WITHOUT_LEADER
     }
 
+    private val status: GroupStatus
+        get() = view.newest
+
     private fun connectedLeader(): DaemonId? = status.leader?.takeIf(network::isConnected)
 
     private fun onPeerStatus(from: DaemonId, bytes: ByteArray) {
         val received = Messages.status(bytes) ?: return log.note("status_unreadable", "peer" to from)
-        statuses[from] = received
-        // The status with the highest term wins; within a term, one that names the leader.
-        val newest = statuses.values.maxWith(compareBy({ it.term }, { it.leader != null }))
-        if (newest.leader != status.leader || newest.term != status.term) {
-            log.note("leader_changed", "leader" to newest.leader, "term" to newest.term, "from" to from)
-        }
-        status = newest
+        view.update(from, received)
+        logLeader(from)
         if (received.hasCatalog) limits = received.limits
         network.addKnownPeers(received.members.toSet())
         updateLinks()
     }
 
+    /** Logs the leader if a status [from] a process has changed it, or the end of a link, for which [from] is null. */
+    private fun logLeader(from: DaemonId?) {
+        val current = status
+        if (loggedLeader == current.leader to current.term) return
+        loggedLeader = current.leader to current.term
+        log.note("leader_changed", "leader" to current.leader, "term" to current.term, "from" to from)
+    }
+
     private fun updateLinks() {
-        network.keptOpen = (seeds + status.members + setOfNotNull(status.leader)).toSet()
+        val current = status
+        network.keptOpen = (seeds + current.members + setOfNotNull(current.leader)).toSet()
     }
 
     private fun serve(request: HttpRequest, respond: (HttpResponse) -> Unit) {
@@ -164,10 +172,10 @@
     }
 
     private fun housekeeping() {
+        logLeader(from = null)
         callers.closeTimedOutConnections()
         readiness?.closeTimedOutConnections()
         if (connectedLeader() != null) lastLeaderAt = loop.now
-        loop.after(HOUSEKEEPING_INTERVAL, ::housekeeping)
     }
 
     private companion object {
