Release connections whose callbacks throw

Callers would see an address that is never called again, and a stop that waits until the grace time ends: - A result handler that threw at a call's timeout kept the connection of the call from being closed. It stayed busy for good, and after sixteen of them the pool opened no other. - A permission check that threw on a reused connection left the call unsent and the connection busy until the call's timeout; an exception in the stall check ended that check, too. - A request handler that threw on a pipelined request, which the loop runs as a posted block, left its connection busy for good, without an answer and without a timeout. On any other request the connection was closed at once, with the part of a given response that had not been sent yet.

Exceptions of result handlers and permission checks are now logged as event=call_handler_failed and end there; a call whose check throws is not sent. A request handler's exception is logged as event=request_handler_failed, and its connection is closed unless it was answered.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
@@ -169,7 +169,7 @@
         }
 
         private fun send(connection: Connection, call: Call) {
-            if (!call.isPermitted()) {
+            if (!isPermitted(call)) {
                 // The connection stays open for the next call.
                 this.call = null
                 call.end()
@@ -180,6 +180,14 @@
             if (call.request.body.isEmpty()) connection.write(head) else connection.write(head, call.request.body)
         }
 
+        /** Whether [call] may be sent; a call whose check fails may not. */
+        private fun isPermitted(call: Call): Boolean = try {
+            call.isPermitted()
+        } catch (e: Exception) {
+            logger.error("event=call_handler_failed cause=\"{}\"", e.toString(), e)
+            false
+        }
+
         private fun receive(bytes: ByteBuffer) {
             parser.append(bytes)
             val parsed = parser.next()
@@ -204,7 +212,12 @@
         }
     }
 
-    /** A call with its timer; [end] passes the result to the caller once. */
+    /**
+     * A call with its timer; [end] passes the result to the caller once.
+     *
+     * An exception of the caller is logged and goes no further, because the pool has still to close or reuse the
+     * connection of the call.
+     */
     private class Call(
         val request: HttpRequest,
         val timeout: Duration,
@@ -223,7 +236,11 @@
             if (isOver) return
             isOver = true
             timer?.cancel()
-            done(result)
+            try {
+                done(result)
+            } catch (e: Exception) {
+                logger.error("event=call_handler_failed cause=\"{}\"", e.toString(), e)
+            }
         }
     }
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -117,11 +117,17 @@
             isBusy = true
             messageStartedAt = null
             var isAnswered = false
-            handle(parsed.request) { response ->
-                if (!isAnswered) {
-                    isAnswered = true
-                    respond(response, parsed.keepsAlive)
+            try {
+                handle(parsed.request) { response ->
+                    if (!isAnswered) {
+                        isAnswered = true
+                        respond(response, parsed.keepsAlive)
+                    }
                 }
+            } catch (e: Exception) {
+                logger.error("event=request_handler_failed path={} cause=\"{}\"", parsed.request.path, e.toString(), e)
+                // Nobody else answers the request, and a connection that waits for an answer has no timeout.
+                if (!isAnswered) close()
             }
         }
 
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpClientTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpClientTest.kt
@@ -105,6 +105,53 @@
         }
     }
 
+    /** The connection of each such call stayed busy, and after sixteen of them the address was never called again. */
+    @Test
+    fun callbacksThatThrowAtATimeoutUseUpTheConnections() {
+        ServerSocket(0, 64, loopback).use { server ->
+            thread { answerAllButFirst(server, silent = MAX_OPEN_CONNECTIONS) }
+            val timedOut = CountDownLatch(MAX_OPEN_CONNECTIONS)
+            val result = CompletableFuture<CallResult>()
+            loop.post {
+                val client = HttpClient(loop, maxConnections = MAX_OPEN_CONNECTIONS)
+                val request = HttpRequest("POST", "/", emptyMap(), ByteArray(0))
+                val address = "127.0.0.1:${server.localPort}"
+                repeat(MAX_OPEN_CONNECTIONS) {
+                    client.call(address, request, 1.seconds) {
+                        timedOut.countDown()
+                        if (timedOut.count == 0L) {
+                            loop.post { client.call(address, request, 10.seconds) { result.complete(it) } }
+                        }
+                        error("a result that nothing expects")
+                    }
+                }
+            }
+
+            assertIs<CallResult.Answered>(result.get(20, TimeUnit.SECONDS))
+        }
+    }
+
+    /** The call was neither sent nor over before its timeout, and its connection carried no other call. */
+    @Test
+    fun aPermissionThatThrowsKeepsAReusedConnectionBusy() {
+        ServerSocket(0, 16, loopback).use { server ->
+            thread { answerAllButFirst(server, silent = 0) }
+            val first = CompletableFuture<CallResult>()
+            val second = CompletableFuture<CallResult>()
+            val client = HttpClient(loop, maxConnections = 1)
+            val request = HttpRequest("POST", "/", emptyMap(), ByteArray(0))
+            val address = "127.0.0.1:${server.localPort}"
+            loop.post { client.call(address, request, 60.seconds) { first.complete(it) } }
+            assertIs<CallResult.Answered>(first.get(20, TimeUnit.SECONDS))
+            loop.post {
+                val permission = { error("a state that nothing expects") }
+                client.call(address, request, 60.seconds, isPermitted = permission) { second.complete(it) }
+            }
+
+            assertEquals(CallResult.Unsent, second.get(20, TimeUnit.SECONDS))
+        }
+    }
+
     /** Answers and counts the requests of each connection once [mayAnswer] is released. */
     private fun answerWhenReleased(server: ServerSocket, requests: AtomicInteger, mayAnswer: CountDownLatch) {
         try {
@@ -149,4 +196,8 @@
             assertEquals(CallResult.Unknown, call(server.localPort))
         }
     }
+
+    private companion object {
+        const val MAX_OPEN_CONNECTIONS = 16
+    }
 }
