Keep the log's writer running after an exception

Operators would see a process that goes on without a log: the writer thread caught only IOException, so any other exception of the output ended it; the queue filled and lines were dropped.

The lines of a write that fails with any exception are counted as dropped and the writer goes on. An Error ends the process with a line on standard error, through a function that tests replace.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/log/LineLog.kt
@@ -12,7 +12,6 @@
 import java.io.ByteArrayOutputStream
 import java.io.FileDescriptor
 import java.io.FileOutputStream
-import java.io.IOException
 import java.io.OutputStream
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.Semaphore
@@ -46,9 +45,14 @@
  * Logging never blocks its caller: a line is dropped and counted if the queue is full, if it is logged after [close],
  * or if its write fails. A failed write may still have written some of its lines, so the next write starts with a line
  * break.
+ *
+ * @property onWriterFailed called with an [Error] that ends the writer; it should end the process, which would
+ *   otherwise go on without a log.
  */
-internal class LineAppender(private val out: OutputStream = FileOutputStream(FileDescriptor.out)) :
-    AppenderBase<ILoggingEvent>() {
+internal class LineAppender(
+    private val out: OutputStream = FileOutputStream(FileDescriptor.out),
+    private val onWriterFailed: (Throwable) -> Unit = ::haltWithoutLog,
+) : AppenderBase<ILoggingEvent>() {
     private val queue = ArrayBlockingQueue<String>(QUEUE_CAPACITY)
     private val queuedLines = Semaphore(0)
     private val dropped = AtomicLong()
@@ -124,7 +128,7 @@
         try {
             out.write(bytes, 0, bytes.size)
             return true
-        } catch (_: IOException) {
+        } catch (_: Exception) {
             dropped.addAndGet(lines.toLong())
             buffer.write('\n'.code)
             return false
@@ -132,15 +136,17 @@
     }
 
     private fun runWriter() {
-        while (true) {
-            try {
+        try {
+            while (true) {
                 queuedLines.acquire()
                 Thread.sleep(BATCH_DELAY_MS)
-            } catch (_: InterruptedException) {
-                return
+                queuedLines.drainPermits()
+                flush()
             }
-            queuedLines.drainPermits()
-            flush()
+        } catch (_: InterruptedException) {
+            return
+        } catch (e: Throwable) {
+            onWriterFailed(e)
         }
     }
 
@@ -163,6 +169,18 @@
     }
 }
 
+/** Ends the process with a line on standard error, because the log can take none. */
+private fun haltWithoutLog(cause: Throwable) {
+    try {
+        System.err.println("event=fatal reason=\"log: $cause\"")
+    } finally {
+        Runtime.getRuntime().halt(EXIT_FATAL)
+    }
+}
+
+/** Exit code of a process that cannot go on. */
+private const val EXIT_FATAL = 4
+
 /** Logs the decisions of a process, each as one line of `key=value` pairs. */
 public class LineLog(name: String) {
     private val logger = LoggerFactory.getLogger(name)
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/log/LineAppenderTest.kt
@@ -11,7 +11,9 @@
 import java.nio.channels.Channels
 import java.nio.channels.Pipe
 import java.util.Collections
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.test.Test
@@ -129,6 +131,34 @@
         assertEquals(1, appender.droppedLines)
     }
 
+    /** The writer ended, the queue filled, and the process went on without a log. */
+    @Test
+    fun anExceptionOfTheOutputEndsTheLog() {
+        val out = FailingOutput(failures = 1) { IllegalStateException("output closed") }
+        val appender = startAppender(out)
+        append(appender, "event=first")
+        out.hasFailed.await()
+        append(appender, "event=second")
+
+        assertTrue(out.hasWritten.await(20, TimeUnit.SECONDS), "the line after the failed write did not arrive")
+        appender.close()
+        val lines = linesOf(out.text())
+        assertTrue(lines[1].endsWith("event=log_lines_dropped count=1"), lines[1])
+        assertTrue(lines[2].endsWith("event=second"), lines[2])
+        assertEquals(1, appender.droppedLines)
+    }
+
+    /** A writer that ends must end the process, which would otherwise go on without a log. */
+    @Test
+    fun anErrorOfTheOutputLeavesTheProcessWithoutALog() {
+        val failed = CompletableFuture<Throwable>()
+        val out = FailingOutput(failures = 1) { StackOverflowError("too deep") }
+        val appender = startAppender(out, onWriterFailed = { failed.complete(it) })
+        append(appender, "event=first")
+
+        assertEquals("too deep", failed.get(20, TimeUnit.SECONDS).message)
+    }
+
     @Test
     fun linesOfFailedWritesAreCountedAsDropped() {
         val out = FailingOutput(failures = Int.MAX_VALUE)
@@ -139,10 +169,11 @@
         assertEquals(QUEUE_CAPACITY + 100L, appender.droppedLines)
     }
 
-    private fun startAppender(out: OutputStream): LineAppender = LineAppender(out).also {
-        it.context = context
-        it.start()
-    }
+    private fun startAppender(out: OutputStream, onWriterFailed: (Throwable) -> Unit = { }): LineAppender =
+        LineAppender(out, onWriterFailed).also {
+            it.context = context
+            it.start()
+        }
 
     private fun append(appender: LineAppender, text: String) {
         appender.doAppend(LoggingEvent("test", logger, Level.INFO, text, null, null))
@@ -197,17 +228,24 @@
         }
     }
 
-    /** Fails the first [failures] writes after ten bytes of each. */
-    private class FailingOutput(private var failures: Int) : RecordingOutput() {
+    /** Fails the first [failures] writes with [failure] after ten bytes of each. */
+    private class FailingOutput(
+        private var failures: Int,
+        private val failure: () -> Throwable = { IOException("no space left") },
+    ) : RecordingOutput() {
         val hasFailed = CountDownLatch(1)
 
+        /** Released once the line `event=second` is written. */
+        val hasWritten = CountDownLatch(1)
+
         override fun write(b: ByteArray, off: Int, len: Int) {
             if (failures-- > 0) {
                 super.write(b, off, minOf(len, 10))
                 hasFailed.countDown()
-                throw IOException("no space left")
+                throw failure()
             }
             super.write(b, off, len)
+            if ("event=second" in b.decodeToString(off, off + len)) hasWritten.countDown()
         }
     }
 
