Move the note on an unknown run out of RunControl

RunControl exceeded the limit of functions for a class after a worker's odd rows were handled there. The note is a function of the state, and whether a run is over is asked of the state as well. No behaviour changes; UnknownTaskTest covers both ways.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -294,7 +294,7 @@
         val newEnds = answer.ended.filter { it.number > lastKnownEnd }
         if (newEnds.isEmpty()) return
         for (ended in newEnds) {
-            if (state.isUnknown(ended.run.task)) logUnknownRun(ended.run, incarnation)
+            if (state.isUnknown(ended.run.task)) emit(state.unknownRunNote(ended.run, incarnation))
             pendingEnds.add(ended.run to incarnation)
             record(Record.RunEnded(ended.run, incarnation, ended.end, ended.saved))
         }
@@ -317,21 +317,14 @@
             if (!isOpen && order.isAbsenceConclusive(sentAt, answer)) {
                 release(run, incarnation, "not listed", order.ageFields(sentAt))
             }
-            val isOver = state.active[run.task.step.job] == null || state.isTaskDone(run.task) ||
-                state.isUnknown(run.task)
-            if (isRunning && isOver) stop(run, incarnation, now)
+            if (isRunning && state.isOver(run.task)) stop(run, incarnation, now)
         }
         running.keys.filter { it !in claims && (it to incarnation) !in pendingEnds }.forEach { run ->
-            logUnknownRun(run, incarnation)
+            emit(state.unknownRunNote(run, incarnation))
             state.worker(incarnation)?.let { emit(Action.Stop(it.profile, run, contacts.answerTimeout.after(0))) }
         }
     }
 
-    private fun logUnknownRun(run: RunId, incarnation: WorkerIncarnation) {
-        val claimants = state.task(run.task).claimants
-        log("unknown_run", "run" to run, "worker" to incarnation, "claimed_at" to claimants)
-    }
-
     /** Marks [run] as started by the time [sentAt] of the status query that listed it. */
     private fun confirmStart(contact: WorkerContact, run: RunId, sentAt: MonotonicTime, now: MonotonicTime) {
         val order = contact.orders.getOrPut(run) { Order(now) }
@@ -460,3 +453,8 @@
         val WAIT_AFTER_LOSS: Duration = 250.milliseconds
     }
 }
+
+private fun SchedulerState.unknownRunNote(run: RunId, incarnation: WorkerIncarnation): Action.Note = Action.Note(
+    "unknown_run",
+    listOf("run" to run, "worker" to incarnation, "claimed_at" to task(run.task).claimants),
+)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -86,9 +86,6 @@
     /** Returns the description of the step of [id], or null if its job was removed or has no such task. */
     internal fun stepOf(id: TaskId): StepDescription? = jobTable[id.step.job]?.stepOf(id)
 
-    /** Whether the job of [id] is known and has no such task, as after its id was used again for a smaller job. */
-    internal fun isUnknown(id: TaskId): Boolean = jobTable[id.step.job]?.let { it.stepOf(id) == null } == true
-
     /** Whether [id] is done, or its job was removed. */
     public fun isTaskDone(id: TaskId): Boolean {
         val job = jobTable[id.step.job] ?: return true
@@ -370,6 +367,12 @@
     }
 }
 
+/** Whether the job of [id] is known and has no such task, as after its id was used again for a smaller job. */
+internal fun SchedulerState.isUnknown(id: TaskId): Boolean = jobs[id.step.job]?.let { it.stepOf(id) == null } == true
+
+/** Whether no run of [id] is needed: its job is not active or has no such task, or the task is done. */
+internal fun SchedulerState.isOver(id: TaskId): Boolean = active[id.step.job] == null || isUnknown(id) || isTaskDone(id)
+
 /**
  * Worker incarnation that has certainly ended.
  *
