Keep the replica when its transport throws, and report every other end

Callers would see nothing at first: a process whose transport threw, as out of file descriptors, lived on without its replica for good, and its group tolerated one loss less. The fault was found by reading.

Cause: ReplicatedGroupRunner.run caught CancellationException, RuntimeException and Error. An IOException ended the coroutine without onFailure; a RuntimeException of the transport, such as an unresolved address, was reported as inconsistent state. A CancellationException of the state machine ended the replica unnoticed as well; that has no test.

Every other Throwable is reported: a RuntimeException as Inconsistent as before, anything else as Ended.

The test now asserts that it is neither reported as committed nor applied.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -9,6 +9,8 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
@@ -195,12 +197,13 @@
     }
 
     private suspend fun run(replica: Replica) {
+        val sender = PeerSender(configuration.id, transport)
         val outputs = GroupOutputs(
             sendEnvelope = { to, envelope ->
-                transport.send(to, PeerChannel.CONSENSUS, ReplicationCodec.encode(envelope))
+                sender.send(to, PeerChannel.CONSENSUS, ReplicationCodec.encode(envelope))
             },
             sendGroupMessage = { to, message ->
-                transport.send(to, PeerChannel.PROPOSAL, ReplicationCodec.encode(message))
+                sender.send(to, PeerChannel.PROPOSAL, ReplicationCodec.encode(message))
             },
             submitStoreTask = writer::submit,
             onApplied = onApplied,
@@ -209,12 +212,10 @@
         val writerJob = scope.launch { runWriter() }
         try {
             processEvents(replica, actor)
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: RuntimeException) {
-            fail(GroupFailure.Inconsistent(e.toString()))
-        } catch (e: Error) {
-            fail(GroupFailure.Ended(e.toString()))
+        } catch (e: Throwable) {
+            // The state machine may throw a CancellationException as well, which cancels nothing.
+            if (e is CancellationException) currentCoroutineContext().ensureActive()
+            fail(failureOf(e))
         } finally {
             isStopped = true
             lastQuorumContact = null
@@ -289,6 +290,11 @@
         else -> ReplicaRole.CANDIDATE
     }
 
+    private fun failureOf(cause: Throwable): GroupFailure = when (cause) {
+        is RuntimeException -> GroupFailure.Inconsistent(cause.toString())
+        else -> GroupFailure.Ended(cause.toString())
+    }
+
     private fun fail(failure: GroupFailure) {
         logger.error("event=group_failed group={} failure=\"{}\"", configuration.id, failure.message)
         onFailure(failure)
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/GroupFixture.kt
@@ -99,6 +99,9 @@
         val machine = RecordingStateMachine()
         val failures = ArrayList<GroupFailure>()
 
+        /** Thrown by [send] unless it is null. */
+        var sendError: Throwable? = null
+
         /** Time by which the clock is ahead of virtual time, to simulate a process that was frozen. */
         var clockAdvance = Duration.ZERO
         private val store = FailingStore(openStore())
@@ -135,6 +138,7 @@
         suspend fun start() = check(group.start() is StoreResult.Done)
 
         override fun send(to: DaemonId, channel: PeerChannel, payload: ByteArray): Boolean {
+            sendError?.let { throw it }
             val copies = if (random.nextDouble() < duplication) 2 else 1
             repeat(copies) {
                 if (random.nextDouble() >= loss) test.backgroundScope.launch { deliver(to, channel, payload) }
@@ -179,7 +183,7 @@
     val commands = ArrayList<String>()
 
     /** Thrown by [apply] unless it is null. */
-    var error: Error? = null
+    var error: Throwable? = null
 
     override fun apply(index: LogIndex, command: ByteArray): ByteArray {
         error?.let { throw it }
--- a/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
+++ b/daemon/src/test/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunnerTest.kt
@@ -19,6 +19,7 @@
 import org.auburnstream.model.LogIndex
 import org.auburnstream.model.MAX_ID_LENGTH
 import org.junit.jupiter.api.io.TempDir
+import java.io.IOException
 import java.nio.file.Path
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -179,6 +180,42 @@
         assertLeaderEnds(group) { it.makeSyncThrow() }
     }
 
+    /** A process that is out of file descriptors for a while must not go on without its replica. */
+    @Test
+    fun aTransportThatThrowsEndsTheReplica() = group { group ->
+        for (error in listOf(IOException("Too many open files"), IllegalArgumentException("unresolved address"))) {
+            val leader = group.awaitLeader()
+            leader.sendError = error
+            // Its followers elect another leader, to which it cannot forward either.
+            val lost = leader.group.propose("lost-$error".encodeToByteArray(), 4.seconds)
+            group.running().first { it != leader }.group.proposeUntilCommitted("c-$error")
+            leader.sendError = null
+            delay(2.seconds)
+
+            assertEquals(emptyList(), leader.failures)
+            assertIs<ProposeResult.Committed>(leader.group.proposeUntilCommitted("back-$error"))
+            assertTrue(lost !is ProposeResult.Committed, "$lost")
+            assertTrue("lost-$error" !in leader.machine.commands)
+        }
+    }
+
+    /** A state machine is not expected to do I/O; a replica that ends by it must not end unnoticed. */
+    @Test
+    fun aStateMachineThatThrowsACheckedExceptionEndsTheReplicaUnnoticed() = group { group ->
+        assertLeaderEnds(group) { it.machine.error = IOException("Input/output error") }
+    }
+
+    /** The state may differ from that of the other replicas, so the operator has to keep it. */
+    @Test
+    fun aReplicaWhoseStateMachineThrowsIsTakenForOneThatMayBeRestarted() = group { group ->
+        val leader = group.awaitLeader()
+        leader.machine.error = IllegalStateException("unexpected command")
+        leader.group.propose("c1".encodeToByteArray(), 1.seconds)
+        delay(1.seconds)
+
+        assertIs<GroupFailure.Inconsistent>(leader.failures.single())
+    }
+
     /** Asserts that a leader which [fail] has broken reports its end, and that the others go on without it. */
     private suspend fun assertLeaderEnds(group: GroupFixture, fail: (GroupFixture.DaemonUnderTest) -> Unit) {
         val leader = group.awaitLeader()
