Catch the cancellation of a replica on its own

The replica tells a CancellationException of its state machine from its own cancellation in a catch of its own, as the linter asks. No behaviour changes.

--- a/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
+++ b/daemon/src/main/kotlin/org/auburnstream/daemon/replication/ReplicatedGroupRunner.kt
@@ -212,9 +212,11 @@
         val writerJob = scope.launch { runWriter() }
         try {
             processEvents(replica, actor)
+        } catch (e: CancellationException) {
+            // The state machine may throw one as well, which does not cancel this coroutine.
+            currentCoroutineContext().ensureActive()
+            fail(failureOf(e))
         } catch (e: Throwable) {
-            // The state machine may throw a CancellationException as well, which cancels nothing.
-            if (e is CancellationException) currentCoroutineContext().ensureActive()
             fail(failureOf(e))
         } finally {
             isStopped = true
