Tell the owner of a connection that cannot be started, and answer each call

Callers would see requests that are never answered, and a process that is out of file descriptors would throw out of the timers and handlers that connect, as the check of its links. The faults were found by reading.

Causes: Connection.connect opened and configured its socket outside the try, and caught only IOException, not UnresolvedAddressException and IllegalArgumentException. PeerNetwork.addressOf threw for a port outside 0..65535. When a link closed, the first call handler that threw kept the later ones from being called, and their time limits found no call.

Change: connect never throws; the connection is closed in the next turn of the loop and onClosed is called, as for a refused one. Its startFailure has the cause, from which HttpClient logs connect_failed, so its own catch is gone. EventLoop takes the function that opens sockets, so that a test can make it fail. addressOf refuses ports outside 1..65535. Each pending call of a closed link is answered by itself (event=call_handler_failed).

Before the change (with the new parameter of EventLoop only): ConnectionTest.aConnectionToAnUnresolvedAddressEndsItsOwner expected: <null> but was: <java.nio.channels.UnresolvedAddressException> ConnectionTest.aProcessWithoutFileDescriptorsEndsTheOwnerOfAConnection expected: <null> but was: <java.io.IOException: Too many open files> PeerNetworkTest.aCallHandlerThatThrowsLeavesTheOtherCallsOfAClosedLink- Unanswered TimeoutException after 20 s PeerNetworkTest.anIdWithAPortThatCannotExistIsTakenForAnAddress IllegalArgumentException: port out of range:-1 After it the 19 tests of dispatch/loop, link and http and LeadershipTest (2) pass. The other tests of dispatch were not run.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpClient.kt
@@ -148,20 +148,18 @@
             if (current != null) return send(current, next)
             val address = pool.socketAddress() ?: return loop.post { end() }
             connectionsOpened += 1
-            connection = try {
-                Connection.connect(
-                    loop,
-                    address,
-                    onConnected = { opened -> call?.let { send(opened, it) } ?: opened.close() },
-                    onBytes = { _, bytes -> receive(bytes) },
-                    onClosed = { end() },
-                )
-            } catch (e: Exception) {
-                // The process is out of file descriptors, or the address cannot be used; only this call fails.
-                logger.info("event=connect_failed address={} cause=\"{}\"", address, e.toString())
-                loop.post { end() }
-                null
-            }
+            connection = Connection.connect(
+                loop,
+                address,
+                onConnected = { opened -> call?.let { send(opened, it) } ?: opened.close() },
+                onBytes = { _, bytes -> receive(bytes) },
+                onClosed = { closed ->
+                    closed.startFailure?.let {
+                        logger.info("event=connect_failed address={} cause=\"{}\"", address, it.toString())
+                    }
+                    end()
+                },
+            )
         }
 
         fun close() {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
@@ -210,7 +210,16 @@
             retryAt = loop.now + RECONNECT_DELAY
             val unanswered = calls.values.toList()
             calls.clear()
-            unanswered.forEach { it(null) }
+            unanswered.forEach(::endUnanswered)
+        }
+
+        private fun endUnanswered(done: (ByteArray?) -> Unit) {
+            try {
+                done(null)
+            } catch (e: Exception) {
+                // The other calls belong to other requests, which wait for their ends.
+                logger.error("event=call_handler_failed peer={} cause=\"{}\"", to, e.toString(), e)
+            }
         }
 
         private fun onFrame(frame: Frame) {
@@ -273,6 +282,7 @@
         private val PONG_TIMEOUT: Duration = 1_000.milliseconds
         private val RECONNECT_DELAY: Duration = 200.milliseconds
         private val IDLE_TIMEOUT: Duration = 60.seconds
+        private val PORTS = 1..65_535
         private const val MAX_QUEUED_BYTES = 8 * 1024 * 1024
 
         /** Returns the id of the process that listens on [host] and [port]. */
@@ -281,6 +291,7 @@
         /** Returns the address that [id] contains, or null if it contains none. */
         public fun addressOf(id: DaemonId): InetSocketAddress? {
             val port = id.value.substringAfterLast(':').toIntOrNull() ?: return null
+            if (port !in PORTS) return null
             return InetSocketAddress(id.value.substringBeforeLast(':'), port)
         }
     }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
@@ -18,7 +18,7 @@
  */
 public class Connection private constructor(
     private val loop: EventLoop,
-    private val channel: SocketChannel,
+    private val channel: SocketChannel?,
     private val onBytes: (Connection, ByteBuffer) -> Unit,
     private val onClosed: (Connection) -> Unit,
 ) {
@@ -28,6 +28,13 @@
     private var closesWhenFlushed = false
     private var isReadPaused = false
 
+    private val socket: SocketChannel
+        get() = checkNotNull(channel)
+
+    /** Why the connection could not be started; null if it was, even if the peer refuses it later. */
+    public var startFailure: Exception? = null
+        private set
+
     /** Whether the connection is established and not closed. */
     public var isOpen: Boolean = false
         private set
@@ -76,7 +83,7 @@
         isOpen = false
         key?.cancel()
         try {
-            channel.close()
+            channel?.close()
         } catch (_: IOException) {
             // The connection is unusable in either case.
         }
@@ -85,6 +92,11 @@
         onClosed(this)
     }
 
+    private fun closeUnstarted(cause: Exception) {
+        startFailure = cause
+        loop.post { close() }
+    }
+
     private fun markOpen() {
         isOpen = true
         updateInterest()
@@ -92,7 +104,7 @@
 
     private fun handle(key: SelectionKey) {
         try {
-            if (key.isConnectable && channel.finishConnect()) {
+            if (key.isConnectable && socket.finishConnect()) {
                 markOpen()
                 onConnected?.invoke()
             }
@@ -111,7 +123,7 @@
         val buffer = readBuffer.get()
         repeat(MAX_READS_PER_TURN) {
             buffer.clear()
-            val count = channel.read(buffer)
+            val count = socket.read(buffer)
             if (count < 0) return close()
             if (count == 0) return
             buffer.flip()
@@ -130,7 +142,7 @@
         try {
             while (output.isNotEmpty()) {
                 val batch = if (output.size == 1) null else output.take(MAX_BUFFERS_PER_WRITE).toTypedArray()
-                val count = if (batch == null) channel.write(output.first()).toLong() else channel.write(batch)
+                val count = if (batch == null) socket.write(output.first()).toLong() else socket.write(batch)
                 queuedBytes -= count.toInt()
                 while (output.isNotEmpty() && !output.first().hasRemaining()) output.removeFirst()
                 if (count == 0L) break
@@ -159,7 +171,12 @@
         private val readBuffer: ThreadLocal<ByteBuffer> =
             ThreadLocal.withInitial { ByteBuffer.allocateDirect(READ_BUFFER_BYTES) }
 
-        /** Connects to [address] and calls [onConnected] on success, or [onClosed] if the connection fails. */
+        /**
+         * Connects to [address] and calls [onConnected] on success, or [onClosed] if the connection fails.
+         *
+         * Never throws: a connection that cannot be started, such as without a file descriptor or to an unresolved
+         * address, is closed in the next turn of the loop and has a [startFailure].
+         */
         public fun connect(
             loop: EventLoop,
             address: InetSocketAddress,
@@ -167,12 +184,16 @@
             onBytes: (Connection, ByteBuffer) -> Unit,
             onClosed: (Connection) -> Unit,
         ): Connection {
-            val channel = SocketChannel.open()
-            channel.configureBlocking(false)
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+            val channel = try {
+                loop.openSocket()
+            } catch (e: Exception) {
+                return Connection(loop, channel = null, onBytes, onClosed).also { it.closeUnstarted(e) }
+            }
             val connection = Connection(loop, channel, onBytes, onClosed)
             connection.onConnected = { onConnected(connection) }
             try {
+                channel.configureBlocking(false)
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
                 val isConnected = channel.connect(address)
                 val operations = if (isConnected) SelectionKey.OP_READ else SelectionKey.OP_CONNECT
                 connection.key = loop.register(channel, operations, connection::handle)
@@ -184,8 +205,8 @@
                         }
                     }
                 }
-            } catch (_: IOException) {
-                loop.post { connection.close() }
+            } catch (e: Exception) {
+                connection.closeUnstarted(e)
             }
             return connection
         }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/EventLoop.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/EventLoop.kt
@@ -13,6 +13,7 @@
 import java.nio.channels.SelectableChannel
 import java.nio.channels.SelectionKey
 import java.nio.channels.Selector
+import java.nio.channels.SocketChannel
 import java.util.PriorityQueue
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicBoolean
@@ -25,9 +26,11 @@
  *
  * All members except [post], [dispatch] and [stop] must be called on the loop's thread. An exception from a callback is
  * logged and does not stop the loop; if the callback is a channel handler, its channel is closed.
+ *
+ * @property openSocket opens the socket of an outgoing connection.
  */
 @OptIn(InternalCoroutinesApi::class, ExperimentalCoroutinesApi::class)
-public class EventLoop :
+public class EventLoop(internal val openSocket: () -> SocketChannel = { SocketChannel.open() }) :
     CoroutineDispatcher(),
     Delay {
     private val selector = Selector.open()
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/link/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/link/PeerNetworkTest.kt
@@ -14,7 +14,9 @@
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
 import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.seconds
 
 class PeerNetworkTest {
     private val loop = EventLoop()
@@ -60,6 +62,42 @@
         assertContentEquals(byteArrayOf(2), readPayload(open))
     }
 
+    /** The id of a peer comes from its messages, and an address that cannot exist must not end their handler. */
+    @Test
+    fun anIdWithAPortThatCannotExistIsTakenForAnAddress() {
+        for (port in listOf(-1, 0, 65_536, Int.MAX_VALUE)) {
+            assertNull(PeerNetwork.addressOf(PeerNetwork.idOf("127.0.0.1", port)), "port $port")
+        }
+        for (port in listOf(1, 65_535)) {
+            assertEquals(port, PeerNetwork.addressOf(PeerNetwork.idOf("127.0.0.1", port))?.port)
+        }
+    }
+
+    /** Each call belongs to another request, which would stay unanswered for good. */
+    @Test
+    fun aCallHandlerThatThrowsLeavesTheOtherCallsOfAClosedLinkUnanswered() {
+        val replies = List(3) { CompletableFuture<ByteArray?>() }
+        ServerSocket(0, 1, loopback).use { server ->
+            val peer = PeerNetwork.idOf(loopback.hostAddress, server.localPort)
+            onLoop { network.keptOpen = setOf(peer) }
+            val link = server.accept().also(links::add)
+            while (!onLoop { network.isConnected(peer) }) Thread.sleep(POLL_MS)
+            onLoop {
+                replies.forEachIndexed { index, reply ->
+                    val isSent = network.call(peer, byteArrayOf(1), timeout = 600.seconds) {
+                        reply.complete(it)
+                        if (index == 1) error("a handler that fails")
+                    }
+                    check(isSent)
+                }
+            }
+            link.setSoLinger(true, 0)
+            link.close()
+
+            replies.forEach { assertNull(it.get(WAIT_SECONDS, TimeUnit.SECONDS)) }
+        }
+    }
+
     /** Opens a link that resets its connection when it is closed, and reads the status that it gets. */
     private fun openLink(name: String): Socket {
         val link = Socket(loopback, address.port).also(links::add)
@@ -86,5 +124,6 @@
 
     private companion object {
         const val WAIT_SECONDS = 20L
+        const val POLL_MS = 5L
     }
 }
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/loop/ConnectionTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/loop/ConnectionTest.kt
@@ -2,13 +2,17 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
+import java.io.IOException
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 class ConnectionTest {
@@ -56,6 +60,54 @@
         assertTrue(connection.isClosed)
     }
 
+    /** An owner that connects from a timer or a handler would lose the rest of its work. */
+    @Test
+    fun aConnectionToAnUnresolvedAddressEndsItsOwner() {
+        assertToldThatItIsClosed(loop, InetSocketAddress.createUnresolved("unresolved.invalid", 1))
+    }
+
+    /** A process that is out of file descriptors must go on with the connections that it has. */
+    @Test
+    fun aProcessWithoutFileDescriptorsEndsTheOwnerOfAConnection() {
+        val exhausted = EventLoop(openSocket = { throw IOException("Too many open files") })
+        val thread = Thread(exhausted::run, "exhausted-loop").apply { start() }
+        try {
+            assertToldThatItIsClosed(exhausted, InetSocketAddress(loopback, 1))
+        } finally {
+            exhausted.stop()
+            thread.join()
+        }
+    }
+
+    /** Asserts that a connection to [address] is closed in a later turn of [loop], and its owner is told once. */
+    private fun assertToldThatItIsClosed(loop: EventLoop, address: InetSocketAddress) {
+        val failure = CompletableFuture<Throwable?>()
+        val isClosedWithinConnect = CompletableFuture<Boolean>()
+        val closings = AtomicInteger()
+        loop.post {
+            val result = runCatching {
+                Connection.connect(
+                    loop,
+                    address,
+                    onConnected = { opened.complete(it) },
+                    onBytes = { _, _ -> },
+                    onClosed = {
+                        closings.incrementAndGet()
+                        closed.complete(Unit)
+                    },
+                )
+            }
+            isClosedWithinConnect.complete(closings.get() > 0)
+            failure.complete(result.exceptionOrNull())
+        }
+
+        assertNull(failure.get(WAIT_SECONDS, TimeUnit.SECONDS))
+        assertFalse(isClosedWithinConnect.get())
+        closed.get(WAIT_SECONDS, TimeUnit.SECONDS)
+        assertEquals(1, closings.get())
+        assertFalse(opened.isDone)
+    }
+
     /** Connects to a listener that passes received bytes to [onBytes]. */
     private fun connect(onBytes: () -> Unit): Socket {
         val port = CompletableFuture<Int>()
