--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
@@ -232,15 +232,25 @@
                 } catch (_: IOException) {
                     return
                 }
-                channel.configureBlocking(false)
-                channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-                val handlers = accept()
-                val connection = Connection(loop, channel, handlers.onBytes, handlers.onClosed)
-                connection.key = loop.register(channel, SelectionKey.OP_READ, connection::handle)
-                connection.markOpen()
-                handlers.onOpened(connection)
+                try {
+                    open(loop, channel, accept)
+                } catch (e: Exception) {
+                    // Only this connection fails; the loop would close the listening socket.
+                    logger.error("event=accept_failed cause=\"{}\"", e.toString(), e)
+                    channel.close()
+                }
             }
         }
+
+        private fun open(loop: EventLoop, channel: SocketChannel, accept: () -> Handlers) {
+            channel.configureBlocking(false)
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+            val handlers = accept()
+            val connection = Connection(loop, channel, handlers.onBytes, handlers.onClosed)
+            connection.key = loop.register(channel, SelectionKey.OP_READ, connection::handle)
+            connection.markOpen()
+            handlers.onOpened(connection)
+        }
     }
 
     /** Callbacks of an accepted connection. */
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/loop/ConnectionTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/loop/ConnectionTest.kt
@@ -60,6 +60,27 @@
         assertTrue(connection.isClosed)
     }
 
+    /** A process whose listener is closed works on and takes no more connections. */
+    @Test
+    fun aConnectionThatCannotBeAcceptedClosesTheListener() {
+        val accepted = AtomicInteger()
+        val second = CompletableFuture<Connection>()
+        val listener = CompletableFuture<Connection.Listener>()
+        loop.post {
+            val address = InetSocketAddress(loopback, 0)
+            val handlers = Connection.Handlers(onOpened = second::complete, onBytes = { _, _ -> }, onClosed = { })
+            listener.complete(
+                Connection.listen(loop, address) {
+                    if (accepted.incrementAndGet() == 1) error("a connection that nothing expects")
+                    handlers
+                },
+            )
+        }
+        val port = listener.get(WAIT_SECONDS, TimeUnit.SECONDS).address.port
+        Socket(loopback, port).use { first -> assertEquals(-1, first.getInputStream().read()) }
+        Socket(loopback, port).use { second.get(WAIT_SECONDS, TimeUnit.SECONDS) }
+    }
+
     /** An owner that connects from a timer or a handler would lose the rest of its work. */
     @Test
     fun aConnectionToAnUnresolvedAddressEndsItsOwner() {
