Count only what a leader still owes as missing progress

- One rejected batch, such as a configuration of over 1 MiB, in a group that has nothing else to commit: the rejection was remembered until the next commit, and the leader handed over 5 s later, again at each repeat.
- A group of one whose disk stalls for over 5 s: its leadership ended, no other followed in the term, and the process ended after 8 s.
- A suspension within a turn of the loop was not known yet when the comparison ran; a process could end after it had been frozen.
- A late answer to a barrier that counted as lost could begin a second leadership with the fencing token of the first.
- A batch without an outcome hid a coordinator without ticks, and its shorter limit.

Rejections count while they follow each other within 1.5 s. While the log has a batch, the replica is asked to step down and the leadership goes on until it does. A term begins one leadership at most, and each kind of missing progress has its own limit.

Open: repeated pauses of the process begin each limit anew; deferred orders have no age.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -90,7 +90,11 @@
         create = ::beginLeadership,
         stepDown = { group.handOver() },
         onFatal = onFatal,
-        resumedAt = { suspension.resumedAt },
+        resumedAt = {
+            // A suspension within a turn of the loop is found here first.
+            checkSuspension()
+            suspension.resumedAt
+        },
     )
     private var publishedStatus: GroupStatus? = null
     private var lastSeenLeader: DaemonId? = null
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -46,16 +46,18 @@
     private var deferredActions = ArrayList<Action>()
     private var batchSubmittedAt: MonotonicTime? = null
     private var rejectedSince: MonotonicTime? = null
+    private var rejectedAt: MonotonicTime? = null
     private var rejections = 0
     private var tickedAt = clock()
 
-    /** The progress that is missing for longest, or null if the leader decides and commits. */
-    val stall: Stall?
+    /** The progress that this leader owes and has not made; empty if it decides and commits. */
+    val stalls: List<Stall>
         get() = listOfNotNull(
-            batchSubmittedAt?.let { Stall("batch_unanswered", it) },
-            rejectedSince?.let { Stall("batches_rejected", it) },
+            batchSubmittedAt?.let { Stall(BATCH_UNANSWERED, it) },
+            // A leader that proposes nothing after a rejection owes no commit.
+            rejectedSince?.takeIf { isRecent(rejectedAt) }?.let { Stall("batches_rejected", it) },
             Stall(NO_TICK, tickedAt).takeIf { clock() - tickedAt > MAX_TICK_INTERVAL },
-        ).minByOrNull { it.since.nanoseconds }
+        )
 
     /** Whether [end] was called or the coordinator has failed. */
     var hasEnded: Boolean = false
@@ -172,6 +174,8 @@
         }
     }
 
+    private fun isRecent(time: MonotonicTime?): Boolean = time != null && clock() - time < REJECTION_MEMORY
+
     private fun settle(batch: RecordBatch, outcome: CommitOutcome, elapsed: Duration) {
         metrics.recordCommit(outcome, elapsed, batch.records.size)
         when (outcome) {
@@ -191,7 +195,12 @@
 
     /** Logs the rejection if the number since the last commit is a power of two, which bounds the volume. */
     private fun noteRejection(batch: RecordBatch, outcome: CommitOutcome.Rejected) {
+        if (!isRecent(rejectedAt)) {
+            rejectedSince = null
+            rejections = 0
+        }
         val since = rejectedSince ?: clock().also { rejectedSince = it }
+        rejectedAt = clock()
         rejections += 1
         if (rejections.countOneBits() > 1) return
         log.note(
@@ -210,6 +219,9 @@
 
         /** Several times the interval at which the coordinator asks for a tick. */
         val MAX_TICK_INTERVAL: Duration = 500.milliseconds
+
+        /** Rejections within this time of each other count as one series; a coordinator retries at its next tick. */
+        val REJECTION_MEMORY: Duration = 1_500.milliseconds
     }
 }
 
@@ -219,6 +231,9 @@
 /** Progress that a leader owes and has not made [since] a time; [cause] goes to logs. */
 internal data class Stall(val cause: String, val since: MonotonicTime)
 
+/** Cause of a [Stall]: the log has taken a batch and neither committed nor dropped it. */
+internal const val BATCH_UNANSWERED = "batch_unanswered"
+
 /** Cause of a [Stall]: the coordinator is not called any more at the times it asks for. */
 internal const val NO_TICK = "no_tick"
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeadershipLifecycle.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeadershipLifecycle.kt
@@ -52,7 +52,10 @@
      * It covers a replica that leads without a leadership, and a leadership that does not decide or commit.
      */
     val stall: Stall?
-        get() = ledTerm?.idleSince?.let { Stall("not_begun", it) } ?: current?.stall
+        get() = stalls.minByOrNull { it.since.nanoseconds }
+
+    private val stalls: List<Stall>
+        get() = ledTerm?.idleSince?.let { listOf(Stall("not_begun", it)) } ?: current?.stalls.orEmpty()
 
     /** Whether the replica leads in [term] according to its latest status. */
     fun leadsIn(term: Long): Boolean = status().let { it.role == ReplicaRole.LEADER && it.term == term }
@@ -96,7 +99,7 @@
         // A barrier has a timeout, so one that is not answered by then has been lost.
         val isLost = led.barrierRequestedAt?.let { timeSince(it) > BARRIER_LOSS_TIME } ?: false
         if (isLost) log.note("barrier_lost", "term" to led.number)
-        if (!led.isPrepared || isLost) prepare(led)
+        if (!led.hasBegun && (!led.isPrepared || isLost)) prepare(led)
     }
 
     private fun prepare(led: LedTerm) {
@@ -109,12 +112,13 @@
                 val waited = clock() - since
                 log.note("barrier_not_reached", "term" to led.number, "waited_ms" to waited.inWholeMilliseconds)
             }
-            if (isStopped || !leadsIn(led.number) || latest != null) return@awaitBarrier
+            if (isStopped || !leadsIn(led.number) || led.hasBegun) return@awaitBarrier
             if (isReached) begin(led) else led.isPrepared = false
         }
     }
 
     private fun begin(led: LedTerm) {
+        led.hasBegun = true
         try {
             latest = create(led.number)
             led.idleSince = null
@@ -144,34 +148,42 @@
         stepDown()
     }
 
-    /** Ends a leadership that makes no progress, and asks the replica to step down for as long as it leads then. */
+    /** Asks the replica to step down while the process makes no progress or has failed. */
     private fun checkProgress(led: LedTerm) {
+        val isIdle = led.idleSince != null
+        val stall = stalls.firstOrNull { timeSince(it.since) > limitOf(it) }
+        // A leadership that makes progress again, for lack of a successor, keeps its role.
+        if (stall == null && !isIdle) led.stepDownAt = null
         val stepDownAt = led.stepDownAt
         if (stepDownAt != null && clock() >= stepDownAt) requestStepDown(led)
-        val stall = stall ?: return
+        if (stall == null) return
         val duration = timeSince(stall.since)
-        val isIdle = led.idleSince != null
         if (isIdle && duration > MAX_IDLE_TIME) {
             return onFatal("led in term ${led.number} for $duration and scheduled nothing")
         }
-        val limit = if (stall.cause == NO_TICK) MAX_TIME_WITHOUT_TICK else STEP_DOWN_TIME
-        if (duration <= limit || stepDownAt != null) return
+        if (stepDownAt != null) return
         log.note(
             if (isIdle) "leadership_not_begun" else "leadership_stalled",
             "term" to led.number,
             "cause" to stall.cause,
             "waited_ms" to duration.inWholeMilliseconds,
         )
-        end(led.number, stall.cause)
+        // A batch that the log has taken may still get its outcome, if no other process can lead meanwhile.
+        if (stall.cause != BATCH_UNANSWERED) end(led.number, stall.cause)
         requestStepDown(led)
     }
 
+    private fun limitOf(stall: Stall): Duration = if (stall.cause == NO_TICK) MAX_TIME_WITHOUT_TICK else STEP_DOWN_TIME
+
     /** Time that has passed since [start] while the process ran; a suspension ends before it counts. */
     private fun timeSince(start: MonotonicTime): Duration = clock() - (resumedAt()?.let { maxOf(it, start) } ?: start)
 
     /** A term in which the replica leads; [isPrepared] once a barrier was requested that has not failed. */
     private class LedTerm(val number: Long) {
         var isPrepared = false
+
+        /** Whether a leadership was created; its orders carry the term, so no second one may follow in it. */
+        var hasBegun = false
         var barrierRequestedAt: MonotonicTime? = null
 
         /** Time since which there is no leadership, or null if there is one. */
@@ -188,8 +200,8 @@
         /** Long enough for an election; a request without a successor in contact has no effect. */
         val STEP_DOWN_INTERVAL: Duration = 1.seconds
 
-        /** With the election of a successor, within the time that a lasting task may be down. */
-        val MAX_IDLE_TIME: Duration = 8.seconds
+        /** Longer than a disk stalls: a group of one has no successor, and works again after the stall. */
+        val MAX_IDLE_TIME: Duration = 25.seconds
 
         /** Longer than the timeout of a read barrier. */
         val BARRIER_LOSS_TIME: Duration = 1_250.milliseconds
