--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeaderView.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeaderView.kt
@@ -5,8 +5,8 @@
 /**
  * Concludes from the statuses that the control processes publish who leads.
  *
- * A process that is gone or frozen does not withdraw what it published last, so its status counts only while its link is
- * open. Without an open link, the latest statuses are the best that is known.
+ * A process that is gone or frozen does not withdraw what it published last, so its status counts only while its link
+ * is open. Without an open link, the latest statuses are the best that is known.
  *
  * @property isConnected whether the link to a process is open.
  */
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeadershipLifecycle.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeadershipLifecycle.kt
@@ -14,9 +14,9 @@
  * [update] compares the leadership with the latest status instead of following each change, and is called periodically
  * besides. A change that was missed, or whose handling failed, therefore has no lasting effect.
  *
- * To lead is not enough: a leader owes progress. It has to begin, to tick, and to commit what it proposes. One that does
- * not hands its role over, whichever of its parts has failed, because other processes cannot tell it from a leader that
- * works as long as its replica answers heartbeats.
+ * A leader owes progress: it has to begin, to tick, and to commit what it proposes. One that does not hands its role
+ * over, whichever of its parts has failed, because other processes cannot tell it from a leader that works as long as
+ * its replica answers heartbeats.
  *
  * @property status returns the latest status of the replica.
  * @property awaitBarrier reports whether a read barrier has shown that all committed entries are applied.
