Add tenants, key digests and owners of jobs to the scheduling types

Cause: callers of two deployments carry keys of tenants, and nothing in the catalog, the log or a job knows a tenant. Change: types only, so that keys, caps and shares can be built side by side. A catalog holds digests of keys, a job keeps its owner, and a queue is public unless the catalog says otherwise, so that earlier logs and catalogs read as before. Result: compiles; no decision uses the types yet.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Catalog.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Catalog.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.scheduling
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.auburnstream.model.ServiceId
 
@@ -14,7 +15,14 @@
     val queues: List<Queue>,
     val services: List<ServiceTerms>,
     val limits: RequestLimits = RequestLimits(),
+    val tenants: List<Tenant> = emptyList(),
 ) {
+    /** Returns the tenant [name], or null. */
+    public fun tenant(name: TenantName): Tenant? = tenants.firstOrNull { it.name == name }
+
+    /** Returns the tenant that the key with [digest] identifies, or null if no tenant has the key. */
+    public fun tenantOf(digest: KeyDigest): Tenant? = tenants.firstOrNull { digest in it.keys }
+
     /** Returns the queue [name], or null. */
     public fun queue(name: QueueName): Queue? = queues.firstOrNull { it.name == name }
 
@@ -46,6 +54,7 @@
  * @property timeoutMs longest time that a request may take.
  * @property advice configuration of the advice service, which decides which workers may run the queue's steps, or null
  *   if any worker may.
+ * @property isPublic whether callers need no key; the jobs of a public queue belong to no tenant unless a key is given.
  */
 @Serializable
 public data class Queue(
@@ -59,6 +68,7 @@
     val objectiveMs: Long = 0,
     val timeoutMs: Long = 0,
     val advice: AdviceTerms? = null,
+    @SerialName("public") val isPublic: Boolean = true,
 )
 
 /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
@@ -12,9 +12,14 @@
 
 /** Input of a [Coordinator]. */
 public sealed interface Event {
-    /** A caller submits a job. */
-    public data class JobSubmitted(val call: CallId, val id: JobId, val queue: Queue, val description: JobDescription) :
-        Event
+    /** A caller submits a job, on behalf of [tenant] unless that is null. */
+    public data class JobSubmitted(
+        val call: CallId,
+        val id: JobId,
+        val queue: Queue,
+        val description: JobDescription,
+        val tenant: TenantName? = null,
+    ) : Event
 
     /** A caller cancels a job. */
     public data class CancelRequested(val call: CallId, val id: JobId) : Event
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -9,6 +9,7 @@
  *
  * @property queue settings of the queue when the job was accepted, used if the queue is removed from the catalog.
  * @property acceptedMs when the job was accepted, in Unix milliseconds.
+ * @property owner tenant that the job belongs to, or null if it belongs to none.
  * @property endedMs when the job ended, in Unix milliseconds, or 0.
  * @property hasStarted whether a worker is known to have started a run of any task.
  */
@@ -18,6 +19,7 @@
     public val queue: Queue,
     public val description: JobDescription,
     public val acceptedMs: Long,
+    public val owner: JobOwner? = null,
 ) {
     /** Current phase of the job. */
     public var phase: JobPhase = JobPhase.ACTIVE
@@ -77,6 +79,14 @@
         get() = nextOccurrence >= description.occurrences
 }
 
+/**
+ * Tenant that a job belongs to.
+ *
+ * @property isExcess whether the tenant had used up its [Tenant.weight] when the job was accepted.
+ */
+@Serializable
+public data class JobOwner(@SerialName("t") val tenant: TenantName, @SerialName("x") val isExcess: Boolean = false)
+
 /** Phase of an accepted job. */
 @Serializable
 public enum class JobPhase {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -46,7 +46,7 @@
                 return emit(Action.Answer(event.call, reply))
             }
             pendingJobs.add(event.id)
-            records.add(Record.JobAccepted(event.id, event.queue, event.description))
+            records.add(Record.JobAccepted(event.id, event.queue, event.description, event.tenant?.let(::JobOwner)))
         }
         calls.add(event.call)
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -29,6 +29,7 @@
         @SerialName("i") val id: JobId,
         @SerialName("q") val queue: Queue,
         @SerialName("d") val description: JobDescription,
+        @SerialName("o") val owner: JobOwner? = null,
     ) : Record
 
     /** A caller cancelled the job. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -229,7 +229,7 @@
 
     private fun accept(record: Record.JobAccepted, atMs: Long) {
         if (record.id in jobTable) return
-        val job = Job(record.id, record.queue, record.description, atMs)
+        val job = Job(record.id, record.queue, record.description, atMs, record.owner)
         jobTable[job.id] = job
         activeJobs[job.id] = job
     }
