Judge each call of a private queue by its key, and keep the tenant of a job

Change: the catalog decodes tenants, their keys as digests, and public queues; two tenants with one key or name, a weight that is not positive and a negative cap are refused by name.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -173,6 +173,8 @@
             200 to "OK",
             307 to "Temporary Redirect",
             400 to "Bad Request",
+            401 to "Unauthorized",
+            403 to "Forbidden",
             404 to "Not Found",
             405 to "Method Not Allowed",
             408 to "Request Timeout",
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/OperatorRequests.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/OperatorRequests.kt
@@ -126,6 +126,7 @@
     private fun receipt(id: JobId, reply: Reply): HttpResponse? = when (reply) {
         Reply.Accepted -> ok(JobReceipt.serializer(), JobReceipt(id.value))
         Reply.NoSuchJob -> notFound("job $id")
+        Reply.NotPermitted -> malformed("the id $id belongs to a job of a tenant; choose another id")
         Reply.Unknown -> null
         is Reply.NotAccepted -> error(
             ApiErrorType.UNAVAILABLE,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -87,6 +87,9 @@
 
     /** There is no such job. */
     public data object NoSuchJob : Reply
+
+    /** The id belongs to a job that the caller may not access; nothing was changed. */
+    public data object NotPermitted : Reply
 }
 
 /** Reason why a request was not accepted. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Catalog.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Catalog.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 
 /**
@@ -40,6 +41,23 @@
             if (!routes.add(queue.host to queue.prefix)) return CatalogProblem.DuplicateRoute(queue.name)
             if (queue.timeoutMs <= 0) return CatalogProblem.NoTimeout(queue.name, queue.timeoutMs)
         }
+        return tenantProblem()
+    }
+
+    private fun tenantProblem(): CatalogProblem? {
+        val names = HashSet<TenantName>()
+        val holders = HashMap<KeyDigest, TenantName>()
+        for (tenant in tenants) {
+            if (!names.add(tenant.name)) return CatalogProblem.DuplicateTenant(tenant.name)
+            if (!(tenant.weight > 0 && tenant.weight.isFinite())) {
+                return CatalogProblem.UnusableWeight(tenant.name, tenant.weight)
+            }
+            if (!tenant.cap.isValid) return CatalogProblem.NegativeCap(tenant.name, tenant.cap)
+            for (key in tenant.keys) {
+                val holder = holders.put(key, tenant.name) ?: continue
+                if (holder != tenant.name) return CatalogProblem.SharedKey(holder, tenant.name)
+            }
+        }
         return null
     }
 }
@@ -127,6 +145,30 @@
             get() = "queue $queue has a timeout of $timeoutMs ms; give it at least 1 ms"
     }
 
+    /** Two tenants have the same name. */
+    public data class DuplicateTenant(val tenant: TenantName) : CatalogProblem {
+        override val message: String
+            get() = "there are two tenants $tenant; merge them or rename one"
+    }
+
+    /** Two tenants have the same key. */
+    public data class SharedKey(val first: TenantName, val second: TenantName) : CatalogProblem {
+        override val message: String
+            get() = "tenants $first and $second share a key; give each tenant keys of its own"
+    }
+
+    /** A tenant has no positive weight. */
+    public data class UnusableWeight(val tenant: TenantName, val weight: Double) : CatalogProblem {
+        override val message: String
+            get() = "tenant $tenant has a weight of $weight; give it a positive number"
+    }
+
+    /** A tenant has a negative cap. */
+    public data class NegativeCap(val tenant: TenantName, val cap: Resources) : CatalogProblem {
+        override val message: String
+            get() = "tenant $tenant has a cap of $cap; give it 0 for no limit, or more"
+    }
+
     /** The catalog document cannot be parsed. */
     public data class Unreadable(val detail: String) : CatalogProblem {
         override val message: String
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
@@ -21,8 +21,12 @@
         val tenant: TenantName? = null,
     ) : Event
 
-    /** A caller cancels a job. */
-    public data class CancelRequested(val call: CallId, val id: JobId) : Event
+    /** A caller cancels a job, unless [mayCancel] denies it for the job's queue and owner. */
+    public data class CancelRequested(
+        val call: CallId,
+        val id: JobId,
+        val mayCancel: (QueueName, JobOwner?) -> Boolean = { _, _ -> true },
+    ) : Event
 
     /** The operator submits a validated catalog; [document] is its text as sent. */
     public data class CatalogSubmitted(val call: CallId, val catalog: Catalog, val document: String) : Event
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -12,7 +12,7 @@
 ) {
     private var records = ArrayList<Record>()
     private var calls = ArrayList<CallId>()
-    private val pendingJobs = HashSet<JobId>()
+    private val pendingJobs = HashMap<JobId, Record.JobAccepted>()
     private val pendingCancels = HashSet<JobId>()
     private val pendingWorkers = HashMap<WorkerIncarnation, Boolean>()
     private var pendingCatalog: Long? = null
@@ -39,22 +39,39 @@
     }
 
     fun submit(event: Event.JobSubmitted) {
-        if (event.id in state.jobs) return replyAccepted(event.call)
-        if (event.id !in pendingJobs) {
+        val owner = event.tenant?.let(::JobOwner)
+        val known = state.jobs[event.id]
+        val pending = pendingJobs[event.id]
+        val isForeign = when {
+            known != null -> isForeign(event, known.queue.name, known.owner)
+            pending != null -> isForeign(event, pending.queue.name, pending.owner)
+            else -> false
+        }
+        if (isForeign) return emit(Action.Answer(event.call, Reply.NotPermitted))
+        if (known != null) return replyAccepted(event.call)
+        if (pending == null) {
             if (isOverloaded(event.queue)) {
                 val reply = Reply.NotAccepted(RefusalReason.OVERLOADED, OVERLOAD_PAUSE)
                 return emit(Action.Answer(event.call, reply))
             }
-            pendingJobs.add(event.id)
-            records.add(Record.JobAccepted(event.id, event.queue, event.description, event.tenant?.let(::JobOwner)))
+            val record = Record.JobAccepted(event.id, event.queue, event.description, owner)
+            pendingJobs[event.id] = record
+            records.add(record)
         }
         calls.add(event.call)
     }
 
     fun submit(event: Event.CancelRequested) {
         val job = state.jobs[event.id]
+        val pending = pendingJobs[event.id]
+        val isDenied = when {
+            job != null -> !event.mayCancel(job.queue.name, job.owner)
+            pending != null -> !event.mayCancel(pending.queue.name, pending.owner)
+            else -> false
+        }
         when {
-            job == null && event.id !in pendingJobs -> return emit(Action.Answer(event.call, Reply.NoSuchJob))
+            isDenied -> return emit(Action.Answer(event.call, Reply.NotPermitted))
+            job == null && pending == null -> return emit(Action.Answer(event.call, Reply.NoSuchJob))
             job != null && !job.isActive -> return replyAccepted(event.call)
             pendingCancels.add(event.id) -> records.add(Record.JobCancelled(event.id))
         }
@@ -176,6 +193,10 @@
         batchRecords = emptyList()
     }
 
+    /** Whether a known job with the event's id, of [queue] and [owner], is not the job that the event resends. */
+    private fun isForeign(event: Event.JobSubmitted, queue: QueueName, owner: JobOwner?): Boolean =
+        owner?.tenant != event.tenant && !(event.queue.isPublic && event.queue.name == queue)
+
     private fun isOverloaded(queue: Queue): Boolean = state.waitingJobs(queue.name) >= settings.maxWaitingJobs
 
     private fun replyAccepted(call: CallId) = emit(Action.Answer(call, Reply.Accepted))
