Show tenants to operators, and take jobs of a tenant from them

Cause: operators could see neither what a tenant may have and has, nor whose job a job is, nor hand one in for a tenant. Keys and digests are in no view. Result: OperatorRequestsTest and ScheduleCommandsTest pass.

--- a/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
+++ b/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
@@ -9,6 +9,7 @@
  * @property queue queue of the catalog in force.
  * @property payload opaque text that each task is started with, 4000 bytes at most.
  * @property schedule when the steps run more than once, or null if they run once and at once.
+ * @property tenant tenant of the catalog in force that the job belongs to, or null if it belongs to none.
  */
 @Serializable
 public data class JobSubmission(
@@ -17,6 +18,7 @@
     val payload: String = "",
     val steps: List<StepSubmission>,
     val schedule: ScheduleSubmission? = null,
+    val tenant: String? = null,
 )
 
 /**
@@ -67,6 +69,7 @@
  * @property ageMillis time since the job was accepted.
  * @property tasksDone tasks that are done of the occurrences in progress.
  * @property runs runs that may be in progress.
+ * @property tenant tenant that the job belongs to, or null if it belongs to none.
  */
 @Serializable
 public data class ScheduledJobView(
@@ -77,6 +80,7 @@
     val tasks: Int,
     val tasksDone: Int,
     val runs: List<RunView> = emptyList(),
+    val tenant: String? = null,
 )
 
 /** A run that may be in progress. */
@@ -99,6 +103,33 @@
     val active: Int,
 )
 
+/**
+ * A tenant of the catalog, or one that was removed from it and has jobs left. Its keys are not shown.
+ *
+ * @property weight share of the tenant in jobs per second, or null if it is not in the catalog.
+ * @property cap resources that its runs may occupy, 0 in a dimension for no limit; null if it is not in the catalog.
+ * @property running resources that its [runs] occupy.
+ * @property runs runs that may be in progress.
+ * @property waiting accepted jobs that have not started.
+ * @property active accepted jobs that have work left.
+ * @property excess active jobs that were accepted when the tenant had used up its weight.
+ */
+@Serializable
+public data class TenantView(
+    val name: String,
+    val weight: Double?,
+    val cap: AmountView?,
+    val running: AmountView,
+    val runs: Int,
+    val waiting: Int,
+    val active: Int,
+    val excess: Int,
+)
+
+/** An amount of resources: [millicores], [memoryMegabytes] and [accelerators]. */
+@Serializable
+public data class AmountView(val millicores: Long = 0, val memoryMegabytes: Long = 0, val accelerators: Int = 0)
+
 /**
  * A worker.
  *
--- a/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleRoutes.kt
+++ b/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleRoutes.kt
@@ -15,6 +15,9 @@
     /** Queues of the catalog in force. */
     public const val QUEUES: String = "$ROOT/queues"
 
+    /** Tenants of the catalog in force, and others that have jobs left. */
+    public const val TENANTS: String = "$ROOT/tenants"
+
     /** Workers that are known. */
     public const val WORKERS: String = "$ROOT/workers"
 
--- a/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleChanges.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleChanges.kt
@@ -33,6 +33,9 @@
     )
     var file: String? = null
 
+    @Option(name = "--tenant", metaVar = "TENANT", usage = "Tenant that the job belongs to; without it, none.")
+    var tenant: String? = null
+
     @Option(name = "--payload", metaVar = "TEXT", usage = "Text that each task is started with.")
     var payload: String = ""
 
@@ -57,7 +60,7 @@
             null -> listOf(step())
             else -> readSteps(session, path) ?: return unreadable(path)
         }
-        val submission = JobSubmission(id = job, queue = queue, payload = payload, steps = steps)
+        val submission = JobSubmission(job, queue, payload, steps, tenant = tenant)
         val json = ApiJson.encodeToString(JobSubmission.serializer(), submission)
         return session.client.post(ScheduleRoutes.JOBS, json, operation = job)
             .print(session, JobReceipt.serializer()) { "accepted job ${it.id}" }
--- a/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleCommands.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleCommands.kt
@@ -36,6 +36,12 @@
             "Shows the terms of each queue and how many of its jobs wait.",
             "auburnctl schedule queues",
         ) { Queues() },
+        spec(
+            "schedule tenants",
+            "List the tenants.",
+            "Shows weight, cap and use of each tenant, and how many of its jobs wait. Keys are not shown.",
+            "auburnctl schedule tenants",
+        ) { Tenants() },
         spec(
             "schedule workers",
             "List the workers.",
--- a/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleReads.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleReads.kt
@@ -2,9 +2,11 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.builtins.ListSerializer
+import org.auburnstream.api.schedule.AmountView
 import org.auburnstream.api.schedule.QueueView
 import org.auburnstream.api.schedule.ScheduleRoutes
 import org.auburnstream.api.schedule.ScheduledJobView
+import org.auburnstream.api.schedule.TenantView
 import org.auburnstream.api.schedule.UpkeepView
 import org.auburnstream.api.schedule.WorkerView
 import org.auburnstream.cli.Command
@@ -56,8 +58,10 @@
 }
 
 private fun jobTable(jobs: List<ScheduledJobView>): Table {
-    val table = Table("JOB", "QUEUE", "PHASE", "AGE MS", "TASKS", "DONE", "RUNS")
-    jobs.forEach { table.row(it.id, it.queue, it.phase, it.ageMillis, it.tasks, it.tasksDone, it.runs.size) }
+    val table = Table("JOB", "QUEUE", "TENANT", "PHASE", "AGE MS", "TASKS", "DONE", "RUNS")
+    jobs.forEach {
+        table.row(it.id, it.queue, it.tenant, it.phase, it.ageMillis, it.tasks, it.tasksDone, it.runs.size)
+    }
     return table
 }
 
@@ -72,6 +76,21 @@
     }
 }
 
+/** Lists the tenants; an amount is given as millicores, MiB and accelerators. */
+internal class Tenants : ScheduleRead<List<TenantView>>(ListSerializer(TenantView.serializer())) {
+    override val path = ScheduleRoutes.TENANTS
+
+    override fun table(view: List<TenantView>): String {
+        val table = Table("TENANT", "WEIGHT", "CAP", "RUNNING", "RUNS", "WAITING", "ACTIVE", "EXCESS")
+        view.forEach {
+            table.row(it.name, it.weight, it.cap?.text, it.running.text, it.runs, it.waiting, it.active, it.excess)
+        }
+        return table.toString()
+    }
+
+    private val AmountView.text get() = "$millicores/$memoryMegabytes/$accelerators"
+}
+
 /** Lists the workers. */
 internal class Workers : ScheduleRead<List<WorkerView>>(ListSerializer(WorkerView.serializer())) {
     override val path = ScheduleRoutes.WORKERS
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/OperatorRequests.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/OperatorRequests.kt
@@ -11,6 +11,7 @@
 import org.auburnstream.api.schedule.QueueView
 import org.auburnstream.api.schedule.ScheduleRoutes
 import org.auburnstream.api.schedule.ScheduledJobView
+import org.auburnstream.api.schedule.TenantView
 import org.auburnstream.api.schedule.UpkeepView
 import org.auburnstream.api.schedule.WorkerView
 import org.auburnstream.dispatch.LeaderAccess
@@ -23,11 +24,12 @@
 import org.auburnstream.scheduling.QueueName
 import org.auburnstream.scheduling.Reply
 import org.auburnstream.scheduling.SchedulerState
+import org.auburnstream.scheduling.TenantName
 import org.auburnstream.scheduling.problem
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Serves the operators' interface for jobs, queues, workers and waves on the leader.
+ * Serves the operators' interface for jobs, queues, tenants, workers and waves on the leader.
  *
  * A quorum confirms every read before it is answered. The operator chooses the id of a job, so a request whose answer
  * was lost can be sent again without creating a second job.
@@ -80,6 +82,7 @@
                 ok(ListSerializer(ScheduledJobView.serializer()), views.jobs(state, queue))
             }
             ScheduleRoutes.QUEUES -> { state -> ok(ListSerializer(QueueView.serializer()), views.queues(state)) }
+            ScheduleRoutes.TENANTS -> { state -> ok(ListSerializer(TenantView.serializer()), views.tenants(state)) }
             ScheduleRoutes.WORKERS -> { state -> ok(ListSerializer(WorkerView.serializer()), views.workers(state)) }
             ScheduleRoutes.WAVES -> { state -> ok(ListSerializer(UpkeepView.serializer()), views.waves(state)) }
             else -> return respond(notFound("GET ${request.path}"))
@@ -107,10 +110,14 @@
         if (!JOB_ID.matches(submission.id)) return respond(malformed("the id '${submission.id}' is not 16 hex digits"))
         val description = submission.toDescription()
         description.problem()?.let { return respond(malformed(it.message)) }
-        val queue = leader.state.catalog?.queue(QueueName(submission.queue))
+        val catalog = leader.state.catalog
+        val queue = catalog?.queue(QueueName(submission.queue))
             ?: return respond(malformed("there is no queue '${submission.queue}'"))
+        val tenant = submission.tenant?.let { name ->
+            catalog.tenant(TenantName(name))?.name ?: return respond(malformed("there is no tenant '$name'"))
+        }
         val id = JobId(submission.id)
-        leader.offer({ Event.JobSubmitted(it, id, queue, description) }) { respond(receipt(id, it)) }
+        leader.offer({ Event.JobSubmitted(it, id, queue, description, tenant) }) { respond(receipt(id, it)) }
     }
 
     private fun cancel(id: JobId, leader: LeaderAccess, respond: (HttpResponse?) -> Unit) {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/ScheduleViews.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/ScheduleViews.kt
@@ -1,10 +1,12 @@
 package org.auburnstream.dispatch.operators
 
+import org.auburnstream.api.schedule.AmountView
 import org.auburnstream.api.schedule.JobSubmission
 import org.auburnstream.api.schedule.QueueView
 import org.auburnstream.api.schedule.RunView
 import org.auburnstream.api.schedule.ScheduledJobView
 import org.auburnstream.api.schedule.StepSubmission
+import org.auburnstream.api.schedule.TenantView
 import org.auburnstream.api.schedule.UpkeepView
 import org.auburnstream.api.schedule.WorkerView
 import org.auburnstream.model.RackId
@@ -18,9 +20,15 @@
 import org.auburnstream.scheduling.StepDescription
 import org.auburnstream.scheduling.StepId
 import org.auburnstream.scheduling.TaskId
+import org.auburnstream.scheduling.TenantName
+import org.auburnstream.scheduling.TenantUsage
+import org.auburnstream.scheduling.tenantUsage
 
 /** Converts the scheduling state at [nowMs] to the views of the operators' interface. */
-internal class ScheduleViews(private val nowMs: Long) {
+internal class ScheduleViews(
+    private val nowMs: Long,
+    private val usage: (SchedulerState) -> Map<TenantName, TenantUsage> = { it.tenantUsage() },
+) {
     /**
      * Returns the jobs of [queue], or of all queues if it is null, up to [MAX_JOBS].
      *
@@ -42,6 +50,7 @@
             tasks = job.description.steps.sumOf { it.count },
             tasksDone = tasks.count { it.isDone },
             runs = runs(job),
+            tenant = job.owner?.tenant?.value,
         )
     }
 
@@ -71,6 +80,23 @@
         )
     }
 
+    fun tenants(state: SchedulerState): List<TenantView> = usage(state).map { (name, usage) ->
+        val tenant = state.catalog?.tenant(name)
+        TenantView(
+            name = name.value,
+            weight = tenant?.weight,
+            cap = tenant?.cap?.let(::amount),
+            running = amount(usage.running),
+            runs = usage.runs,
+            waiting = usage.waiting,
+            active = usage.active,
+            excess = usage.excess,
+        )
+    }
+
+    private fun amount(resources: Resources) =
+        AmountView(resources.millicores, resources.memoryMegabytes, resources.accelerators)
+
     fun workers(state: SchedulerState): List<WorkerView> = state.workers.values.map { worker ->
         val profile = worker.profile
         val claims = state.claimsAt(profile.incarnation)
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/FakeLeader.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/FakeLeader.kt
@@ -2,12 +2,14 @@
 
 import org.auburnstream.dispatch.LeaderAccess
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 import org.auburnstream.scheduling.Action
 import org.auburnstream.scheduling.CallId
 import org.auburnstream.scheduling.Catalog
 import org.auburnstream.scheduling.Coordinator
 import org.auburnstream.scheduling.Event
+import org.auburnstream.scheduling.KeyDigest
 import org.auburnstream.scheduling.Queue
 import org.auburnstream.scheduling.QueueName
 import org.auburnstream.scheduling.Record
@@ -16,6 +18,8 @@
 import org.auburnstream.scheduling.SchedulerState
 import org.auburnstream.scheduling.SchedulingSettings
 import org.auburnstream.scheduling.ServiceTerms
+import org.auburnstream.scheduling.Tenant
+import org.auburnstream.scheduling.TenantName
 
 /** Fake of the leader that commits each batch immediately and discards orders to workers and the platform. */
 internal class FakeLeader : LeaderAccess {
@@ -33,8 +37,8 @@
         val queues = listOf("plates", "proofs").map { name ->
             Queue(QueueName(name), "host", "/$name/", SERVICE, attempts = 2, timeoutMs = 3_000)
         }
-        val catalog = Catalog(version = 1, queues, services = listOf(ServiceTerms(SERVICE)))
-        state.apply(RecordBatch(nowMs, listOf(Record.CatalogAccepted(catalog, document = "{}"))), MonotonicTime.Zero)
+        val tenant = Tenant(TenantName("press"), listOf(KeyDigest.of(KEY)), weight = 2.5, Resources(8_000, 4_096))
+        apply(Record.CatalogAccepted(Catalog(1, queues, listOf(ServiceTerms(SERVICE)), tenants = listOf(tenant)), "{}"))
         coordinator = Coordinator(state, SchedulingSettings(), MonotonicTime.Zero)
     }
 
@@ -46,6 +50,8 @@
 
     override fun read(use: (SchedulerState?) -> Unit) = use(state.takeIf { isConfirmed })
 
+    fun apply(vararg records: Record) = state.apply(RecordBatch(nowMs, records.asList()), MonotonicTime.Zero)
+
     private fun handle(event: Event) {
         for (action in coordinator.handle(event, MonotonicTime.Zero, nowMs)) {
             when (action) {
@@ -61,5 +67,6 @@
 
     companion object {
         val SERVICE = ServiceId("print")
+        const val KEY = "press-key"
     }
 }
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/OperatorRequestsTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/OperatorRequestsTest.kt
@@ -5,26 +5,37 @@
 import org.auburnstream.api.ApiError
 import org.auburnstream.api.ApiErrorType
 import org.auburnstream.api.ApiJson
+import org.auburnstream.api.schedule.AmountView
 import org.auburnstream.api.schedule.JobSubmission
 import org.auburnstream.api.schedule.QueueView
 import org.auburnstream.api.schedule.ScheduleRoutes
 import org.auburnstream.api.schedule.ScheduledJobView
 import org.auburnstream.api.schedule.StepSubmission
+import org.auburnstream.api.schedule.TenantView
 import org.auburnstream.api.schedule.UpkeepView
 import org.auburnstream.api.schedule.WorkerView
 import org.auburnstream.dispatch.ListenerKind
 import org.auburnstream.dispatch.http.HttpRequest
 import org.auburnstream.dispatch.http.HttpResponse
 import org.auburnstream.model.DataCentreId
+import org.auburnstream.model.JobId
 import org.auburnstream.model.Resources
 import org.auburnstream.model.VmId
 import org.auburnstream.scheduling.Event
+import org.auburnstream.scheduling.JobOwner
+import org.auburnstream.scheduling.KeyDigest
+import org.auburnstream.scheduling.Record
+import org.auburnstream.scheduling.RunId
+import org.auburnstream.scheduling.StepId
+import org.auburnstream.scheduling.TaskId
+import org.auburnstream.scheduling.TenantName
 import org.auburnstream.scheduling.WorkerId
 import org.auburnstream.scheduling.WorkerIncarnation
 import org.auburnstream.scheduling.WorkerProfile
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNull
 import kotlin.time.Duration.Companion.seconds
 
@@ -87,11 +98,49 @@
         )
     }
 
+    /** A claim of a cancelled job still occupies its worker, and a tenant that was removed still has runs. */
+    @Test
+    fun tenantsAreListedWithWhatTheyOccupy() {
+        val job = submission.copy(tenant = "press", steps = listOf(StepSubmission(count = 3, millicores = 500)))
+        submit(job)
+        submit(job.copy(id = "00c0ffee00c0fff0"))
+        val incarnation = WorkerIncarnation(WorkerId("w"), 1)
+        val address = "w:1"
+        val profile =
+            WorkerProfile(incarnation, FakeLeader.SERVICE, address, DataCentreId("a"), null, Resources(16_000))
+        val accepted = leader.state.active.getValue(JobId(job.id))
+        val owner = JobOwner(TenantName("gone"), isExcess = true)
+        val claims = List(2) { RunId(TaskId(StepId(accepted.id, 0, 0), it), 1) }
+        leader.apply(
+            Record.WorkerRegistered(profile, leaving = false),
+            Record.JobAccepted(JobId("00c0ffee00c0fff1"), accepted.queue, accepted.description, owner),
+            Record.RunClaimed(claims[0], incarnation),
+            Record.RunClaimed(claims[1], incarnation),
+            Record.JobCancelled(accepted.id),
+        )
+
+        val none = AmountView()
+        val expected = listOf(
+            TenantView("gone", null, null, none, runs = 0, waiting = 1, active = 1, excess = 1),
+            TenantView("press", 2.5, AmountView(8_000, 4_096), AmountView(1_000), runs = 2, waiting = 1, 1, excess = 0),
+        )
+        assertEquals(expected, read(ScheduleRoutes.TENANTS, ListSerializer(TenantView.serializer())))
+        val jobs = read(ScheduleRoutes.JOBS, ListSerializer(ScheduledJobView.serializer()))
+        assertEquals(mapOf<String?, Int>("gone" to 1, "press" to 2), jobs.groupingBy { it.tenant }.eachCount())
+        for (path in listOf(ScheduleRoutes.TENANTS, ScheduleRoutes.JOBS, ScheduleRoutes.QUEUES)) {
+            val text = send("GET", path).body.decodeToString()
+            for (secret in listOf(FakeLeader.KEY, KeyDigest.of(FakeLeader.KEY).value.take(6))) {
+                assertFalse(secret in text)
+            }
+        }
+    }
+
     @Test
     fun invalidRequestsAreRefusedWithReason() {
         val invalidJobs = listOf(
             submission.copy(id = "x") to "the id 'x' is not 16 hex digits",
             submission.copy(queue = "none") to "there is no queue 'none'",
+            submission.copy(tenant = "none") to "there is no tenant 'none'",
             submission.copy(steps = listOf(StepSubmission(count = 0))) to "step 0 has 0 tasks; give it 1 to 10000",
             submission.copy(steps = listOf(StepSubmission(dependsOn = listOf(0)))) to "step 0 depends on step 0",
         )
--- a/testkit/src/test/kotlin/org/auburnstream/testkit/operators/ControlNodeStandIn.kt
+++ b/testkit/src/test/kotlin/org/auburnstream/testkit/operators/ControlNodeStandIn.kt
@@ -20,6 +20,8 @@
 import org.auburnstream.scheduling.Queue
 import org.auburnstream.scheduling.QueueName
 import org.auburnstream.scheduling.ServiceTerms
+import org.auburnstream.scheduling.Tenant
+import org.auburnstream.scheduling.TenantName
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -31,7 +33,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The only member of a control group, with a catalog of one queue and no workers. */
+/** The only member of a control group, with a catalog of one queue and one tenant, and no workers. */
 internal class ControlNodeStandIn(folder: Path) : AutoCloseable {
     private val loop = EventLoop()
     private val accepted = CountDownLatch(1)
@@ -79,7 +81,8 @@
     private object CatalogHandler : RequestHandler {
         private val service = ServiceId("print")
         private val queue = Queue(QueueName("plates"), "host", "/plates/", service, attempts = 2, timeoutMs = 3_000)
-        private val catalog = Catalog(version = 1, listOf(queue), listOf(ServiceTerms(service)))
+        private val tenant = Tenant(TenantName("press"), keys = emptyList(), weight = 2.5)
+        private val catalog = Catalog(1, listOf(queue), listOf(ServiceTerms(service)), tenants = listOf(tenant))
 
         override fun handle(
             listener: ListenerKind,
--- a/testkit/src/test/kotlin/org/auburnstream/testkit/operators/ScheduleCommandsTest.kt
+++ b/testkit/src/test/kotlin/org/auburnstream/testkit/operators/ScheduleCommandsTest.kt
@@ -47,6 +47,17 @@
         assertEquals(ExitCode.OK, run("schedule waves"))
     }
 
+    @Test
+    fun aJobOfATenantIsHandedInAndCountedForIt() {
+        assertEquals(ExitCode.OK, run("schedule submit plates --tenant press --id 00c0ffee00c0ffee"), err.toString())
+        assertEquals(ExitCode.OK, run("schedule jobs"))
+        assertContains(out.last(), Regex("plates +press +active"))
+        assertEquals(ExitCode.OK, run("schedule tenants"))
+        assertContains(out.last(), Regex("press +2.5 +0/0/0 +0/0/0 +0 +1 +1 +0"))
+        assertEquals(ExitCode.REFUSED, run("schedule submit plates --tenant none"))
+        assertContains(err.last(), "there is no tenant 'none'")
+    }
+
     @Test
     fun aWrongTokenAndAWrongQueueAreRefusedWithTheirRemedy() {
         assertEquals(ExitCode.REFUSED, run("schedule submit none"))
