Refuse requests at once while a group is known to be without a leader

Each request waited 1.5 s of its own for a leader, also at an entry process that had been without one for seconds, and was then told to return after one second, so that a caller used up its tries before the group was back.

The process now keeps since when no leader serves. The time to return grows with the age of the outage and is spread over callers. A read whose answer was lost is refused as not run, because it has no effect.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
@@ -22,7 +22,8 @@
  * A process that terminates callers' connections and forwards their requests to the leader.
  *
  * It stores no state: every answer comes from the leader, so an answer never lacks an acknowledged change. A request
- * that arrives while no leader serves waits for one for a limited time and is then refused as not run.
+ * that arrives while no leader serves waits for one for a limited time and is then refused as not run, at once if the
+ * outage is known to last.
  */
 public class EntryNode(
     private val settings: NodeSettings,
@@ -40,6 +41,8 @@
         onStatus = ::onPeerStatus,
     )
     private val view = LeaderView(network::isConnected)
+    private val outage = LeaderOutage()
+    private var isOutageLogged = false
     private var loggedLeader: Pair<DaemonId?, Long> = null to 0L
     private var limits = RequestLimits()
     private var seeds = settings.seeds
@@ -145,6 +148,7 @@
                     "leader" to status.leader,
                     "term" to status.term,
                     "age_ms" to (loop.now - since).inWholeMilliseconds,
+                    "outage_ms" to outage.age(loop.now)?.inWholeMilliseconds,
                     "cause" to cause,
                 )
             }
@@ -165,9 +169,15 @@
             onGiveUp = { cause ->
                 metrics.countNotForwarded(cause.label)
                 val mayHaveRun = cause == GiveUpCause.NO_ANSWER
-                val response = if (mayHaveRun) handler.unknown(kind, request) else handler.noLeader(kind, request)
+                val response = if (mayHaveRun) {
+                    handler.unknown(kind, request)
+                } else {
+                    handler.noLeader(kind, request, outage.returnAfter(loop.now, request.path.hashCode()))
+                }
                 answer(response, cause.label)
             },
+            hasEffects = request.method != "GET",
+            outage = outage,
         ).attempt()
     }
 
@@ -175,7 +185,17 @@
         logLeader(from = null)
         callers.closeTimedOutConnections()
         readiness?.closeTimedOutConnections()
-        if (connectedLeader() != null) lastLeaderAt = loop.now
+        if (connectedLeader() != null) lastLeaderAt = loop.now else outage.missing(loop.now)
+        logOutage()
+    }
+
+    /** Logs once that an outage is known to last, and once that it is over. */
+    private fun logOutage() {
+        val age = outage.age(loop.now)
+        val isKnown = age != null && (isOutageLogged || !outage.mayEndSoon(loop.now))
+        if (isKnown == isOutageLogged) return
+        isOutageLogged = isKnown
+        log.note(if (isKnown) "outage_known" else "outage_over", "age_ms" to age?.inWholeMilliseconds)
     }
 
     private companion object {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Forwarding.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Forwarding.kt
@@ -23,11 +23,15 @@
  *
  * Sends a repeatable request again when a lost link or a change of the leader loses its answer, so that the caller does
  * not notice the change. A request that cannot have run is given up after [LEADER_WAIT] without a leader that serves,
- * in which most elections end. Exactly one of [onAnswer] and [onGiveUp] is called, once.
+ * in which most elections end, or at once when [outage] is known to last. Exactly one of [onAnswer] and [onGiveUp] is
+ * called, once.
  *
  * @property since time at which the request arrived.
  * @property timeout time that the caller waits for the answer.
  * @property isRepeatable whether the request may be sent again after an attempt whose outcome is not known.
+ * @property hasEffects whether running the request changes anything; one that changes nothing is refused as not run
+ *   although an attempt may have reached a leader.
+ * @property outage what the process knows about the absence of a leader, shared by all its requests.
  * @property schedule runs a block after a delay.
  * @property isClosed whether answers no longer reach callers.
  * @property connectedLeader returns the known leader if there is a link to it.
@@ -45,6 +49,8 @@
     private val call: (leader: DaemonId, timeout: Duration, done: (ByteArray?) -> Unit) -> Boolean,
     private val onAnswer: (HttpResponse) -> Unit,
     private val onGiveUp: (GiveUpCause) -> Unit,
+    private val hasEffects: Boolean = true,
+    private val outage: LeaderOutage = LeaderOutage(),
 ) {
     private var mayHaveRun = false
 
@@ -57,20 +63,25 @@
         val left = timeLeft()
         if (left <= Duration.ZERO || isClosed()) return giveUp()
         val leader = connectedLeader() ?: return awaitLeader(GiveUpCause.NO_LEADER)
-        val isSent = call(leader, minOf(left, ATTEMPT_TIMEOUT), ::onReply)
+        val sentAt = clock()
+        val isSent = call(leader, minOf(left, ATTEMPT_TIMEOUT)) { onReply(it, sentAt) }
         if (!isSent) awaitLeader(GiveUpCause.NO_LEADER)
     }
 
     private fun timeLeft(): Duration = timeout - (clock() - since) - ANSWER_MARGIN
 
-    private fun onReply(bytes: ByteArray?) {
+    private fun onReply(bytes: ByteArray?, sentAt: MonotonicTime) {
         val reply = bytes?.let(Messages::reply)
         val response = reply?.response
         when {
-            response != null && response.status != HTTP_UNKNOWN -> onAnswer(response)
+            response != null && response.status != HTTP_UNKNOWN -> {
+                outage.served()
+                onAnswer(response)
+            }
             reply != null && response == null -> awaitLeader(GiveUpCause.LEADER_IDLE)
             else -> {
-                mayHaveRun = true
+                if (hasEffects) mayHaveRun = true
+                if (bytes == null) outage.unanswered(sentAt)
                 if (isRepeatable) awaitLeader(GiveUpCause.NO_ANSWER) else giveUp()
             }
         }
@@ -80,8 +91,14 @@
     private fun awaitLeader(cause: GiveUpCause) {
         lastCause = cause
         val now = clock()
+        when (cause) {
+            GiveUpCause.NO_LEADER -> outage.missing(now)
+            GiveUpCause.LEADER_IDLE -> outage.idle(now)
+            GiveUpCause.NO_ANSWER -> Unit
+        }
         val leaderlessAt = leaderlessSince ?: now.also { leaderlessSince = it }
-        val isWaitOver = !mayHaveRun && now - leaderlessAt >= LEADER_WAIT
+        val isKnownToLast = cause != GiveUpCause.NO_ANSWER && !outage.mayEndSoon(now)
+        val isWaitOver = !mayHaveRun && (isKnownToLast || now - leaderlessAt >= LEADER_WAIT)
         if (isWaitOver || timeLeft() <= LEADER_CHECK_INTERVAL) return giveUp()
         schedule(LEADER_CHECK_INTERVAL, ::attempt)
     }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
@@ -7,6 +7,7 @@
 import org.auburnstream.scheduling.Event
 import org.auburnstream.scheduling.Reply
 import org.auburnstream.scheduling.SchedulerState
+import kotlin.time.Duration
 
 /** Sends the actions of the coordinator to workers, the advice service and the platform, and reports the answers. */
 public fun interface Gateway {
@@ -37,6 +38,10 @@
     /** Returns the answer to a request that was certainly not run because no leader is known. */
     public fun noLeader(listener: ListenerKind, request: HttpRequest): HttpResponse
 
+    /** Returns the same answer; it tells the caller to send the request again after [retryAfter], in whole seconds. */
+    public fun noLeader(listener: ListenerKind, request: HttpRequest, retryAfter: Duration): HttpResponse =
+        noLeader(listener, request)
+
     /** Returns the answer to a request that may or may not have been run. */
     public fun unknown(listener: ListenerKind, request: HttpRequest): HttpResponse
 
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/ForwardingTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/ForwardingTest.kt
@@ -163,6 +163,46 @@
         assertEquals(0, attempts)
     }
 
+    @Test
+    fun callersWaitThoughTheProcessKnowsThatTheOutageLasts() {
+        val outage = LeaderOutage().apply { missing(MonotonicTime.Zero) }
+        val outcome = forward(outage = outage) { Attempt.NotConnected }
+
+        assertEquals("no_leader", outcome.result)
+        assertEquals(Duration.ZERO, outcome.at)
+    }
+
+    @Test
+    fun requestsThatAlreadyWaitAreNotRefusedWhenTheOutageBecomesKnown() {
+        val outage = LeaderOutage().apply { missing(MonotonicTime.Zero + 5.seconds) }
+        val outcome = forward(outage = outage) { Attempt.NotConnected }
+
+        assertTrue(outcome.at in 500.milliseconds..550.milliseconds, "given up at ${outcome.at}")
+    }
+
+    /** Only a leader that is connected can tell that the outage is over. */
+    @Test
+    fun aKnownOutageKeepsRequestsFromANewLeader() {
+        val outage = LeaderOutage().apply { missing(MonotonicTime.Zero) }
+        val outcome = forward(outage = outage) { now ->
+            if (now < 300.milliseconds) Attempt.Reply(ForwardedReply(null), roundTrip) else served(roundTrip)
+        }
+
+        assertEquals("200", outcome.result)
+        assertEquals(null, outage.age(MonotonicTime.Zero + 9.seconds))
+    }
+
+    /** A request without effects has not run in any sense that its caller could notice. */
+    @Test
+    fun aLostAttemptOfARequestWithoutEffectsIsHeldThroughTheOutage() {
+        val outcome = forward(hasEffects = false) { now ->
+            if (now == Duration.ZERO) Attempt.Reply(null, 100.milliseconds) else Attempt.NotConnected
+        }
+
+        assertEquals("no_leader", outcome.result)
+        assertTrue(outcome.at <= 1_650.milliseconds, "given up at ${outcome.at}")
+    }
+
     private fun assertWaited(elapsed: Duration, tolerance: Duration = checkInterval + roundTrip) =
         assertTrue(elapsed >= leaderWait - tolerance && elapsed <= leaderWait + tolerance, "given up after $elapsed")
 
@@ -172,6 +212,8 @@
     private fun forward(
         timeout: Duration = 3.seconds,
         isRepeatable: Boolean = true,
+        hasEffects: Boolean = true,
+        outage: LeaderOutage = LeaderOutage(),
         attemptAt: (Duration) -> Attempt,
     ): Outcome {
         val start = MonotonicTime.Zero + 7.seconds
@@ -203,6 +245,8 @@
             },
             onAnswer = { results.add(Outcome(it.status.toString(), now - start)) },
             onGiveUp = { results.add(Outcome(it.label, now - start)) },
+            hasEffects = hasEffects,
+            outage = outage,
         )
         forwarding.attempt()
         while (true) {
