Start no more of a tenant's tasks than its cap permits

Tenants have a cap in the catalog, but the planner did not read it, so a tenant that sent much took every free worker. The planner claims a run only if all claims of the tenant and the task fit under the cap of the catalog in force and of those being committed. Tasks that wait for a cap are no demand: no VM moves, no worker is reserved and nothing is evicted for them. Catalogs without caps decide as before.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -44,6 +44,7 @@
     private val firstOrders = HashSet<VmId>()
     private val advice = AdviceCache()
     private val lastingTaskWaits = LastingTaskWaits(state, ::exclusionOf) { actions.add(it) }
+    private val cappedTenants = CappedTenants(state) { actions.add(it) }
     private var batchInProgress: RecordBatch? = null
     private var needsPlan = true
     private var needsVmDecisions = false
@@ -322,6 +323,7 @@
         val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { pendingRecords.isBeingCancelled(it.job.id) }
         if (waiting.isEmpty()) {
             lastingTaskWaits.update(waiting, emptyList(), now)
+            cappedTenants.update(emptyList())
             return pools.updateShortages(emptyMap(), now)
         }
         val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !isCordoned(worker.profile) }
@@ -334,10 +336,12 @@
             mayRun = { step, worker -> mayRun(step, worker, now) },
             isStopping = runs::isStopping,
             spares = pools.spareCapacities,
+            caps = TenantCaps(state, pendingRecords.catalogs),
         )
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
         pools.updateShortages(plan.unplaced, now)
         lastingTaskWaits.update(waiting, plan.claims, now)
+        cappedTenants.update(plan.capped)
         plan.claims.forEach(pendingRecords::record)
         plan.evictions.forEach { runs.evacuate(it.run, it.incarnation, cause = "room for ${it.beneficiary}", now) }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -31,6 +31,10 @@
         (it is Record.MoveBegun && it.vm == vm) || (it is Record.UpkeepBegun && it.vm == vm)
     }
 
+    /** Catalogs that are queued. */
+    val catalogs: List<Catalog>
+        get() = records.mapNotNull { (it as? Record.CatalogAccepted)?.catalog }
+
     /** Whether a cancellation of the job is queued or being committed. */
     fun isBeingCancelled(id: JobId): Boolean = id in pendingCancels
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -14,6 +14,7 @@
  * @property mayProbe whether a quarantined worker accepts lasting tasks that no usable worker can take.
  * @param mayRun whether the advice service permits a worker to run a step.
  * @param isStopping whether a run in progress was ordered to stop.
+ * @property caps limits of what each tenant may have running; a task beyond them is no demand for capacity.
  * @property spares capacities of the VMs that are switched off, or null if they are not known yet.
  */
 internal class Planner(
@@ -23,6 +24,7 @@
     mayRun: (WaitingStep, WorkerProfile) -> Boolean,
     isStopping: (RunId, WorkerIncarnation) -> Boolean,
     private val spares: List<Resources>? = emptyList(),
+    private val caps: TenantCaps = TenantCaps(state),
 ) {
     private val placement = TaskPlacement(state, mayRun)
     private val eviction = EvictionChoice(state, isStopping)
@@ -30,26 +32,50 @@
     /** Returns at most [limit] runs to claim at [nowMs], and the runs to stop so that lasting tasks fit. */
     fun plan(nowMs: Long, waiting: List<WaitingStep>, limit: Int): Plan {
         if (waiting.isEmpty()) return Plan(emptyList(), emptyList(), emptyMap())
-        val unplaced = HashMap<ServiceId, UnplacedDemand>()
-        val capacities = CapacityTracker(state, isUsable)
-        val probed = CapacityTracker(state, mayProbe)
+        val pass = Pass(nowMs, limit)
+        pass.order.sort(waiting).asSequence().takeWhile { !pass.isFull }.forEach(pass::add)
+        return Plan(pass.claims, pass.evictions, pass.unplaced, pass.capped)
+    }
+
+    /** Places one step after the other, until [limit] runs are claimed. */
+    private inner class Pass(nowMs: Long, private val limit: Int) {
         val claims = ArrayList<Record.RunClaimed>()
         val evictions = ArrayList<Eviction>()
-        val reservations = Reservations(state, capacities, nowMs)
+        val unplaced = HashMap<ServiceId, UnplacedDemand>()
+        val capped = ArrayList<CappedStep>()
+        private val capacities = CapacityTracker(state, isUsable)
+        private val probed = CapacityTracker(state, mayProbe)
+        private val reservations = Reservations(state, capacities, nowMs)
         val order = WaitingOrder(reservations, nowMs)
-        for (step in order.sort(waiting)) {
-            if (claims.size >= limit) break
+
+        val isFull: Boolean
+            get() = claims.size >= limit
+
+        /** Places the tasks of [step] that its tenant's cap permits. */
+        fun add(step: WaitingStep) {
+            val permitted = caps.startable(step.job, step.description, step.tasks.size)
+            if (permitted < step.tasks.size) capped.add(CappedStep(step, step.tasks.size - permitted))
+            if (permitted > 0) addPermitted(step.withFirst(permitted))
+        }
+
+        private fun addPermitted(step: WaitingStep) {
             val placed = place(step, capacities, probed, reservations, limit - claims.size)
             claims.addAll(placed.claims)
             evictions.addAll(placed.evictions.flatten())
+            caps.started(step.job, step.description, placed.claims.size)
             val missing = step.tasks.size - placed.claims.size
-            if (missing == 0 || !mayEverFit(step)) continue
-            val demand = unplacedOf(step, missing, freed = placed.evictions.size)
+            if (missing > 0 && mayEverFit(step)) addUnplaced(step, placed, missing)
+        }
+
+        private fun addUnplaced(step: WaitingStep, placed: Placement, missing: Int) {
+            val wanted = caps.wantable(step.job, step.description, missing)
+            if (wanted == 0) return
+            caps.addWanted(step.job, step.description, wanted)
+            val demand = unplacedOf(step, wanted, freed = placed.evictions.size)
             unplaced.merge(step.queue.service, demand, UnplacedDemand::plus)
             val isWhole = step.description.gang || placed.claims.isEmpty()
-            if (isWhole && order.hasWaited(step)) reservations.reserve(step)
+            if (isWhole && order.hasWaited(step)) reservations.reserve(step.withFirst(wanted))
         }
-        return Plan(claims, evictions, unplaced)
     }
 
     /**
@@ -106,7 +132,8 @@
         if (!step.description.lasting || missing == 0) return Placement(placed)
         // Searching runs to stop for a gang that never fits would take the leader's time in every plan.
         val isHopeless = step.description.gang && !reservations.isUseful(step)
-        val evictions = if (isHopeless) emptyList() else eviction.choose(step, missing, candidates)
+        val wanted = if (isHopeless) 0 else caps.wantable(step.job, step.description, missing)
+        val evictions = if (wanted == 0) emptyList() else eviction.choose(step, wanted, candidates)
         val isFreeing = if (step.description.gang) evictions.size == missing else evictions.isNotEmpty()
         val quarantined = placement.candidates(step, probed)
         if (isFreeing || quarantined.isEmpty()) return Placement(placed, evictions)
@@ -127,9 +154,14 @@
  * Result of a [Planner].
  *
  * @property unplaced demand that no worker has the capacity for, by service.
+ * @property capped steps with tasks that wait for their tenant's cap.
  */
 internal class Plan(
     val claims: List<Record.RunClaimed>,
     val evictions: List<Eviction>,
     val unplaced: Map<ServiceId, UnplacedDemand>,
+    val capped: List<CappedStep> = emptyList(),
 )
+
+/** Step of which [tasks] tasks wait because their tenant would exceed its cap. */
+internal class CappedStep(val step: WaitingStep, val tasks: Int)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
@@ -20,7 +20,25 @@
     val workMs: Long,
     val remainingMs: Long,
     val rank: Int = 0,
-)
+) {
+    /** Returns this step with only the first [count] of its [tasks]. */
+    fun withFirst(count: Int): WaitingStep = if (count >= tasks.size) {
+        this
+    } else {
+        WaitingStep(
+            job = job,
+            id = id,
+            description = description,
+            progress = progress,
+            queue = queue,
+            tasks = tasks.subList(0, count),
+            dueMs = dueMs,
+            workMs = workMs,
+            remainingMs = remainingMs,
+            rank = rank,
+        )
+    }
+}
 
 /**
  * Finds the steps that are ready to start, from the state and the estimated durations.
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -174,8 +174,14 @@
         }
     }
 
-    fun submit(id: String, vararg steps: StepDescription, queue: Queue = QUEUE): CallId =
-        call { Event.JobSubmitted(it, JobId(id), queue, JobDescription("payload", steps.toList())) }
+    fun submit(id: String, vararg steps: StepDescription, queue: Queue = QUEUE, tenant: TenantName? = null): CallId =
+        call { Event.JobSubmitted(it, JobId(id), queue, JobDescription("payload", steps.toList()), tenant) }
+
+    fun submitCatalog(version: Long, vararg tenants: Tenant): CallId {
+        val services = listOf(ServiceTerms(SERVICE), ServiceTerms(SPARE, spare = true))
+        val catalog = Catalog(version, listOf(QUEUE), services, tenants = tenants.toList())
+        return call { Event.CatalogSubmitted(it, catalog, "") }
+    }
 
     fun isRunning(task: TaskId): Boolean = workers.values.any { it.runs(task) }
 
