Let a task of a step that allows copies have two runs in progress

Cause: steps state that several runs of a task may be in progress, and the state refuses every second claim. Change: a claim may be marked as that of a copy. The state accepts it only for a step with the flag that is neither a gang nor lasting, while exactly one run is in progress at another worker, an attempt is left and the run number rises; all other claims are judged as before, so that earlier logs give the same state. A copy whose claim has no effect gets no order.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -159,6 +159,14 @@
 @Serializable
 public data class Claim(val number: Int, @SerialName("life") val incarnation: WorkerIncarnation)
 
+/** Whether [claim] of a run of this task of [step] takes effect; a copy needs one of [attempts] to be left. */
+internal fun Task.accepts(claim: Record.RunClaimed, step: StepDescription, attempts: Int): Boolean = when {
+    isDone -> false
+    claim.isCopy -> step.mayHaveCopies && claim.run.number > lastRun && failures < attempts &&
+        claims.size == 1 && claims.single().incarnation.worker != claim.incarnation.worker
+    else -> claims.isEmpty()
+}
+
 /** Claims of a task as incarnation and run number, for the log. */
 internal val Task?.claimants: List<String>
     get() = this?.claims.orEmpty().map { "${it.incarnation}#${it.number}" }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/JobDescription.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/JobDescription.kt
@@ -85,4 +85,8 @@
     /** Resources that one task reserves on its worker; a [fillsUnused] task reserves no processor time. */
     val reserved: Resources
         get() = if (fillsUnused) demand.copy(millicores = 0) else demand
+
+    /** Whether a second run of a task may be claimed while the first is in progress. */
+    internal val mayHaveCopies: Boolean
+        get() = allowsCopies && !gang && !lasting
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -64,11 +64,17 @@
      * The run is claimed by [incarnation] until it ends there or is released; its start order is sent after the commit.
      *
      * The claim moves to a later incarnation of the same worker.
+     *
+     * @property isCopy whether the run is a copy of a run in progress, see [StepDescription.allowsCopies]. The claim of
+     *   a copy has no effect unless exactly one run of the task is in progress, at another worker.
      */
     @Serializable
     @SerialName("s")
-    public data class RunClaimed(@SerialName("r") val run: RunId, @SerialName("l") val incarnation: WorkerIncarnation) :
-        Record
+    public data class RunClaimed(
+        @SerialName("r") val run: RunId,
+        @SerialName("l") val incarnation: WorkerIncarnation,
+        @SerialName("c") val isCopy: Boolean = false,
+    ) : Record
 
     /** The run certainly does not run at [incarnation] and never will. */
     @Serializable
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -70,12 +70,16 @@
         if (contact.failedQueries > 0 || contacts.isLeaseClosed(worker, contact)) {
             return release(claim.run, claim.incarnation, "worker silent")
         }
+        val description = job.description.steps[claim.run.task.step.step]
+        // The other run of the task may have completed it in the same batch.
+        if (description.mayHaveCopies && state.isTaskDone(claim.run.task)) {
+            return release(claim.run, claim.incarnation, "task done")
+        }
         // A stop was requested before the start was sent, because another member of the gang did not start.
         if (isStopping(claim.run, claim.incarnation)) return release(claim.run, claim.incarnation, "gang not whole")
         val order = Order(now)
         contact.orders[claim.run] = order
         contacts.unansweredStarts.add(claim.run, claim.incarnation, now)
-        val description = job.description.steps[claim.run.task.step.step]
         val progress = job.step(claim.run.task.step)
         val saved = if (description.gang) progress.saved else progress.tasks[claim.run.task.index].saved
         // Status queries renew the lease in time. If each start extended it, unanswered starts would delay its expiry.
@@ -104,6 +108,9 @@
     fun isStopping(run: RunId, incarnation: WorkerIncarnation): Boolean =
         contacts.find(incarnation)?.orders?.get(run)?.isStopRequested ?: false
 
+    /** Whether the end or release of [run] at [incarnation] waits to be committed. */
+    fun isEnding(run: RunId, incarnation: WorkerIncarnation): Boolean = run to incarnation in pendingEnds
+
     /** Stops every run of a job that has ended. */
     fun stopJob(id: JobId, now: MonotonicTime) {
         for (incarnation in state.claimedIncarnations) {
@@ -337,7 +344,9 @@
     private fun stopRelatedRuns(run: RunId, now: MonotonicTime) {
         val id = run.task.step
         val job = state.jobs[id.job] ?: return
-        val isGang = job.stepOf(run.task)?.gang ?: return
+        val step = job.stepOf(run.task) ?: return
+        val isGang = step.gang
+        if (step.mayHaveCopies && job.isDone(id.occurrence)) return stopTask(run.task, now)
         val tasks = job.occurrences[id.occurrence]?.steps?.get(id.step)?.tasks ?: return
         tasks.forEachIndexed { index, task ->
             val isObsolete = isGang || (index == run.task.index && task.isDone)
@@ -345,6 +354,14 @@
         }
     }
 
+    /** Stops the runs of a task whose occurrence is done, so that only the workers' claims show them. */
+    private fun stopTask(id: TaskId, now: MonotonicTime) {
+        for (incarnation in state.claimedIncarnations) {
+            state.claimsAt(incarnation).keys.filter { it.task == id && it !in unsentClaims }
+                .forEach { stop(it, incarnation, now) }
+        }
+    }
+
     private fun stop(run: RunId, incarnation: WorkerIncarnation, now: MonotonicTime) {
         val contact = contacts.of(incarnation, now)
         val order = contact.orders.getOrPut(run) { Order(now) }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -130,8 +130,14 @@
         orders = HashMap(orderTable),
         ended = LinkedHashMap(endedTable),
         latestMs = latestMs,
+        obsolete = obsoleteClaims(),
     )
 
+    /** Claims whose occurrence is done: runs that still have to be stopped, such as the slower copy of a task. */
+    private fun obsoleteClaims(): List<ObsoleteClaim> = claimTable.flatMap { (incarnation, claims) ->
+        claims.filterKeys { task(it.task) == null }.map { (run, step) -> ObsoleteClaim(run, incarnation, step) }
+    }
+
     /**
      * Replaces the state by [image].
      *
@@ -159,6 +165,7 @@
             if (job.isActive) activeJobs[job.id] = job
             job.open.forEach { (number, occurrence) -> indexClaims(job, number, occurrence) }
         }
+        image.obsolete.forEach { claimsOf(it.incarnation)[it.run] = it.step }
         image.jobs.filterNot { it.isActive }.sortedBy { it.endedMs }.forEach(finishedJobs::addLast)
     }
 
@@ -286,7 +293,7 @@
         if (isObsolete) return
         val task = job.step(id.step).tasks[id.index]
         // After this claim was decided, the end of an earlier run or another leader's claim may have been committed.
-        if (task.isDone || task.claims.isNotEmpty()) return
+        if (!task.accepts(record, job.description.steps[id.step.step], job.queue.attempts)) return
         task.claims.add(Claim(record.run.number, record.incarnation))
         task.lastRun = maxOf(task.lastRun, record.run.number)
         claimsOf(record.incarnation)[record.run] = job.description.steps[id.step.step]
@@ -454,6 +461,15 @@
     public val orders: Map<VmId, Long> = emptyMap(),
     public val latestMs: Long = 0,
     public val ended: Map<WorkerId, EndedIncarnation> = emptyMap(),
+    public val obsolete: List<ObsoleteClaim> = emptyList(),
+)
+
+/** Claim of a run whose occurrence is done, with the description of its step. */
+@Serializable
+public data class ObsoleteClaim(
+    @SerialName("r") val run: RunId,
+    @SerialName("l") val incarnation: WorkerIncarnation,
+    @SerialName("d") val step: StepDescription,
 )
 
 /**
