Start copies of runs that make their job late

Copies stay a small share of the running tasks, need two free slots, and stop in queues whose copies do not complete first. Tests know two runs of a task: no third one, none at the same worker, no start or run long after the end.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -36,6 +36,7 @@
     private val deregistrations = Deregistrations(state, contacts, pendingRecords, runs) { actions.add(it) }
     private val disruptionBudget = DisruptionBudget(state, contacts)
     private val waitingSteps = WaitingSteps(durations)
+    private val copies = CopyControl(state, settings, contacts, durations, runs::isEnding) { actions.add(it) }
     private val orderGuard = StaleOrderGuard(state, settings, now)
     private val waves = WaveControl(state, settings, now, orderGuard)
     private val pools = PoolControl(state, now, orderGuard, contacts::isSilent)
@@ -213,7 +214,10 @@
                 }
                 is Record.MoveBegun -> orderMove(record.vm, record.to, isFirst = true, now)
                 is Record.WorkerEnded -> contacts.remove(record.incarnation)
-                is Record.RunEnded -> runs.runEnded(record, now)
+                is Record.RunEnded -> {
+                    runs.runEnded(record, now)
+                    copies.runEnded(record, now)
+                }
                 is Record.RunReleased -> runs.runReleased(record, now)
                 is Record.LeaseReopened -> runs.closedLeases.reopened(record.incarnation, now)
                 else -> Unit
@@ -320,18 +324,38 @@
         val pendingClaims = pendingRecords.hasClaims
         if (pendingClaims) return
         val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { pendingRecords.isBeingCancelled(it.job.id) }
+        val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !isCordoned(worker.profile) }
+        val claims = place(waiting, isUsable, now, nowMs)
+        copies.decide(
+            waiting = waiting,
+            claims = claims,
+            isUsable = isUsable,
+            mayRun = { step, queue, worker -> mayRun(step, queue, worker, now) },
+            isBeingCancelled = pendingRecords::isBeingCancelled,
+            now = now,
+            nowMs = nowMs,
+        ).forEach(pendingRecords::record)
+    }
+
+    /** Plans the runs of the steps [waiting], and returns their claims. */
+    private fun place(
+        waiting: List<WaitingStep>,
+        isUsable: (Worker) -> Boolean,
+        now: MonotonicTime,
+        nowMs: Long,
+    ): List<Record.RunClaimed> {
         if (waiting.isEmpty()) {
             lastingTaskWaits.update(waiting, emptyList(), now)
-            return pools.updateShortages(emptyMap(), now)
+            pools.updateShortages(emptyMap(), now)
+            return emptyList()
         }
-        val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !isCordoned(worker.profile) }
         val mayProbe = { worker: Worker -> contacts.mayProbe(worker, now) && !isCordoned(worker.profile) }
         askAdvice(waiting, isUsable, mayProbe, now)
         val planner = Planner(
             state = state,
             isUsable = isUsable,
             mayProbe = mayProbe,
-            mayRun = { step, worker -> mayRun(step, worker, now) },
+            mayRun = { step, worker -> mayRun(step.id, step.queue, worker, now) },
             isStopping = runs::isStopping,
             spares = pools.spareCapacities,
         )
@@ -340,6 +364,7 @@
         lastingTaskWaits.update(waiting, plan.claims, now)
         plan.claims.forEach(pendingRecords::record)
         plan.evictions.forEach { runs.evacuate(it.run, it.incarnation, cause = "room for ${it.beneficiary}", now) }
+        return plan.claims
     }
 
     private fun isCordoned(worker: WorkerProfile): Boolean =
@@ -348,11 +373,11 @@
     private fun exclusionOf(step: WaitingStep, worker: Worker, now: MonotonicTime): String? = when {
         isCordoned(worker.profile) -> "cordoned"
         else -> contacts.exclusionOf(worker, now)?.name?.lowercase()
-            ?: "no_ticket".takeUnless { mayRun(step, worker.profile, now) }
+            ?: "no_ticket".takeUnless { mayRun(step.id, step.queue, worker.profile, now) }
     }
 
-    private fun mayRun(step: WaitingStep, worker: WorkerProfile, now: MonotonicTime): Boolean =
-        step.queue.advice == null || advice.ticket(step.id, worker.incarnation.worker, now) != null
+    private fun mayRun(step: StepId, queue: Queue, worker: WorkerProfile, now: MonotonicTime): Boolean =
+        queue.advice == null || advice.ticket(step, worker.incarnation.worker, now) != null
 
     private fun askAdvice(
         waiting: List<WaitingStep>,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/DurationEstimator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/DurationEstimator.kt
@@ -16,12 +16,29 @@
 
     /** Records that a task of [queue] with the caller's [estimateMs] took [actualMs]. */
     fun recordDuration(queue: QueueName, estimateMs: Long, actualMs: Long) {
+        recordRatio(queue, estimateMs, actualMs)
         val statistics = queues.getOrPut(queue) { Statistics() }
         val actual = ln(maxOf(1L, actualMs).toDouble())
         statistics.durations.add(actual)
         if (estimateMs > 0) statistics.errors.add(actual - ln(estimateMs.toDouble()))
     }
 
+    /** Records that a task took longer than [elapsedMs], after which its run was stopped, for the [distribution] only. */
+    fun recordStopped(queue: QueueName, estimateMs: Long, elapsedMs: Long) = recordRatio(queue, estimateMs, elapsedMs)
+
+    private fun recordRatio(queue: QueueName, estimateMs: Long, actualMs: Long) {
+        val expected = estimate(queue, estimateMs)
+        if (expected > 0) queues.getOrPut(queue) { Statistics() }.ratios.add(actualMs.toDouble() / expected)
+    }
+
+    /** Returns the distribution of the duration of a task of [queue], or null if too few durations are recorded. */
+    fun distribution(queue: QueueName, estimateMs: Long): DurationDistribution? {
+        val ratios = queues[queue]?.ratios ?: return null
+        val expected = estimate(queue, estimateMs)
+        if (ratios.count < MIN_RATIOS || expected <= 0) return null
+        return DurationDistribution(expected.toDouble(), ratios.ascending())
+    }
+
     /**
      * Returns the expected duration in ms of a task of [queue], or 0 if nothing is known.
      *
@@ -44,6 +61,7 @@
     private class Statistics {
         val durations = Moments()
         val errors = Moments()
+        val ratios = DurationRatios()
     }
 
     /** Exponentially weighted mean and variance, computed with Welford's algorithm. */
@@ -73,6 +91,9 @@
         /** Number of durations from which their mean is more reliable than a single caller's estimate. */
         const val MIN_SAMPLES = 10
 
+        /** Number of durations from which their mean shows a tail of a few in a hundred often enough. */
+        const val MIN_RATIOS = 20
+
         /** Weight of the newest duration, so that about the last hundred durations count. */
         const val MIN_WEIGHT = 0.01
         const val MIN_VARIANCE = 0.01
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -162,8 +162,9 @@
 /** Whether [claim] of a run of this task of [step] takes effect; a copy needs one of [attempts] to be left. */
 internal fun Task.accepts(claim: Record.RunClaimed, step: StepDescription, attempts: Int): Boolean = when {
     isDone -> false
-    claim.isCopy -> step.mayHaveCopies && claim.run.number > lastRun && failures < attempts &&
-        claims.size == 1 && claims.single().incarnation.worker != claim.incarnation.worker
+    claim.isCopy ->
+        step.mayHaveCopies && claim.run.number > lastRun && failures < attempts &&
+            claims.size == 1 && claims.single().incarnation.worker != claim.incarnation.worker
     else -> claims.isEmpty()
 }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -215,6 +215,7 @@
         if (contact.answeredQueryAt == null) contact.clock.assumeGranted(answer.clockMs, settings.maxLease)
         contact.answeredQueryAt = sentAt
         contact.running = answer.running
+        contact.listedAt = now
         answer.ended.filter { it.end == RunEnd.DONE }.forEach { slowWorkers.recordCompletion(contact, it.run, now) }
         slowWorkers.recordProgress(contact, answer.running, now)
         recordEnds(contact, answer)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
@@ -36,7 +36,7 @@
         val tasksPerJob = (MAX_SCHEDULED_TASKS / maxOf(1, dueJobs)).coerceIn(1, MAX_TASKS_PER_JOB)
         val found = ArrayList<WaitingStep>()
         for (job in state.active.values) {
-            val estimates = Estimates(job, state.catalog?.queue(job.queue.name) ?: job.queue)
+            val estimates = JobEstimates(job, state.catalog?.queue(job.queue.name) ?: job.queue, durations)
             val schedule = job.description.schedule
             if (schedule == null) {
                 collectReady(estimates, occurrence = 0, job.acceptedMs, rank = 0, found)
@@ -48,7 +48,7 @@
     }
 
     private fun collectDue(
-        estimates: Estimates,
+        estimates: JobEstimates,
         schedule: Schedule,
         latestDueMs: Long,
         maxTasks: Int,
@@ -71,7 +71,7 @@
 
     /** Adds the steps of [occurrence] with ready tasks to [found] and returns the number of these tasks. */
     private fun collectReady(
-        estimates: Estimates,
+        estimates: JobEstimates,
         occurrence: Int,
         fromMs: Long,
         rank: Int,
@@ -123,39 +123,6 @@
         return indexes
     }
 
-    /** Estimates for the steps of [job], computed when they are first needed and shared by all its occurrences. */
-    private inner class Estimates(val job: Job, val queue: Queue) {
-        private val steps = job.description.steps
-        private val taskMs by lazy(LazyThreadSafetyMode.NONE) {
-            LongArray(steps.size) { durations.estimate(queue.name, steps[it].estimateMs) }
-        }
-        private val wholeWorkMs by lazy(LazyThreadSafetyMode.NONE) { work { steps[it].count } }
-
-        /** For each step, the duration of the critical path that begins with it. */
-        val chains: LongArray by lazy(LazyThreadSafetyMode.NONE) {
-            val chains = taskMs.copyOf()
-            for (number in steps.indices.reversed()) {
-                for (earlier in steps[number].dependsOn) {
-                    chains[earlier] = maxOf(chains[earlier], taskMs[earlier] + chains[number])
-                }
-            }
-            chains
-        }
-
-        /** Deadline of an occurrence that is due at [fromMs]; the conversion from a floating-point sum saturates. */
-        fun dueMs(fromMs: Long): Long = (fromMs.toDouble() + queue.objectiveMs + chains.max() * queue.stretch).toLong()
-
-        /** Processor time of the tasks that have not started, in millicores x ms. */
-        fun workLeft(progress: List<StepProgress>?): Long =
-            if (progress == null) wholeWorkMs else work { unclaimedTasks(progress[it]) }
-
-        private fun work(tasksOf: (Int) -> Int): Long =
-            steps.indices.sumOf { tasksOf(it).toDouble() * taskMs[it] * steps[it].demand.millicores }.toLong()
-    }
-
-    /** Counts the tasks without a run in progress; a job whose tasks are mostly running needs little more to finish. */
-    private fun unclaimedTasks(progress: StepProgress): Int = progress.tasks.count { !it.isDone && it.claims.isEmpty() }
-
     /** The indexes below [size], which take no memory each. */
     private class Indexes(override val size: Int) : AbstractList<Int>() {
         override fun get(index: Int): Int = index
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -46,6 +46,9 @@
     /** Latest status of the runs in progress. */
     var running: List<RunStatus> = emptyList()
 
+    /** Time at which [running] was received, or null. */
+    var listedAt: MonotonicTime? = null
+
     /** Time until which the worker counts as full because it refused an order for lack of capacity, or null. */
     var atCapacityUntil: MonotonicTime? = null
 
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -58,6 +58,12 @@
     /** Returns the actual work of a task in ms, which may differ from its estimate. */
     var workOf: (TaskId, StepDescription) -> Long = { _, step -> step.estimateMs }
 
+    /** Returns the actual work of a run in ms; the runs of a task differ only where a test replaces it. */
+    var workOfRun: (RunId, StepDescription) -> Long = { run, step -> workOf(run.task, step) }
+
+    /** Work of runs that were stopped before they were done, in ms. */
+    var wastedMs = 0L
+
     /** Time that the advice service takes for a call. */
     var adviceTime: Duration = 50.milliseconds
 
@@ -324,6 +330,8 @@
         batch.records.filterIsInstance<Record.RunEnded>().filter {
             it.end == RunEnd.DONE
         }.forEach { endRecorded(it.run) }
+        batch.records.filterIsInstance<Record.RunEnded>().filter { it.end == RunEnd.FAILED }
+            .forEach { invariants.failureRecorded(it.run) }
         betweenApplyAndEvent()
         feed(Event.BatchApplied, from)
     }
