Answer calls that were never proposed as not run when a leadership ends

A leadership that ended answered all its calls as unknown, also those that still waited for a batch, so callers got a 504 for requests that had certainly not run.

Such calls are now reported to the entry process as not run, which asks the next leader while time is left. A call for a job that is in the batch whose outcome is open stays unknown.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -101,7 +101,6 @@
     private val promotions = PromotionOrder()
     private var isChangingMembers = false
     private val suspension = SuspensionDetector()
-    private val access = Access()
 
     /** Starts the process; reads the store and joins the group in the background. */
     public fun start() {
@@ -324,7 +323,7 @@
             metrics.recordResponse(listener.name.lowercase(), response.status, loop.now - since)
             respond(response)
         }
-        if (leads) return handle(listener, request, answer)
+        if (leads) return handle(listener, request, answer) { answer(handler.noLeader(listener, request)) }
         val leader = lastSeenLeader ?: return answer(handler.noLeader(listener, request))
         val message = Messages.encode(ForwardedRequest(listener.name, request))
         val isSent = network.call(leader, message, FORWARD_TIMEOUT) { bytes ->
@@ -343,14 +342,24 @@
         val message = Messages.request(bytes) ?: return
         val kind = ListenerKind.entries.firstOrNull { it.name == message.listener } ?: return
         if (!leads) return reply(Messages.encode(ForwardedReply(null)))
-        handle(kind, message.request) { reply(Messages.encode(ForwardedReply(it))) }
+        val answer = { response: HttpResponse? -> reply(Messages.encode(ForwardedReply(response))) }
+        handle(kind, message.request, answer) { answer(null) }
     }
 
-    /** Serves [request] as the leader; a request whose handling fails is answered as one with an unknown outcome. */
-    private fun handle(listener: ListenerKind, request: HttpRequest, answer: (HttpResponse) -> Unit) {
+    /**
+     * Serves [request] as the leader; a request whose handling fails is answered as one with an unknown outcome.
+     *
+     * @param notRun called instead of [answer] if the leadership ends before the request is run.
+     */
+    private fun handle(
+        listener: ListenerKind,
+        request: HttpRequest,
+        answer: (HttpResponse) -> Unit,
+        notRun: () -> Unit,
+    ) {
         val handler = handlerOf(listener)
         try {
-            handler.handle(listener, request, access) { answer(it ?: handler.unknown(listener, request)) }
+            handler.handle(listener, request, Access(notRun)) { answer(it ?: handler.unknown(listener, request)) }
         } catch (e: Exception) {
             logger.error("event=request_handler_failed path={} cause=\"{}\"", request.path, e.toString(), e)
             answer(handler.unknown(listener, request))
@@ -386,14 +395,15 @@
     }
 
     /** Gives request handlers access to the leadership and the replicated state of this process. */
-    private inner class Access : LeaderAccess {
+    private inner class Access(private val notRun: () -> Unit) : LeaderAccess {
         override val controlAddress: String = settings.control?.let { "${it.hostString}:${it.port}" }.orEmpty()
 
         override val state: SchedulerState
             get() = replica.state
 
         override fun offer(event: (CallId) -> Event, reply: (Reply) -> Unit) {
-            leadership.current?.offer(event, reply) ?: reply(NotLeading)
+            val current = leadership.current ?: return notRun()
+            current.offer(event) { if (it === NotLeading) notRun() else reply(it) }
         }
 
         override fun read(use: (SchedulerState?) -> Unit) {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -80,13 +80,20 @@
         handleEvent(event(call))
     }
 
-    /** Ends the leadership and answers all pending calls with [Reply.Unknown]. */
+    /**
+     * Ends the leadership and answers all pending calls.
+     *
+     * A call that was never proposed has certainly not run; the outcome of any other one is [Reply.Unknown].
+     */
     fun end() {
         hasEnded = true
         timer?.cancel()
-        val unanswered = pendingCalls.values.toList()
+        val unanswered = pendingCalls.toList()
+        val notRun = coordinator.unproposedCalls.toSet()
         pendingCalls.clear()
-        unanswered.forEach { isolate("reply_failed") { it(Reply.Unknown) } }
+        unanswered.forEach { (call, reply) ->
+            isolate("reply_failed") { reply(if (call in notRun) NotLeading else Reply.Unknown) }
+        }
     }
 
     /** Executes the actions that were deferred until a quorum confirms the leadership again. */
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/LeadershipTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/LeadershipTest.kt
@@ -3,16 +3,21 @@
 import org.auburnstream.dispatch.loop.EventLoop
 import org.auburnstream.dispatch.metrics.NodeMetrics
 import org.auburnstream.model.DataCentreId
+import org.auburnstream.model.JobId
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 import org.auburnstream.scheduling.Event
+import org.auburnstream.scheduling.JobDescription
+import org.auburnstream.scheduling.Queue
+import org.auburnstream.scheduling.QueueName
 import org.auburnstream.scheduling.Record
 import org.auburnstream.scheduling.RecordBatch
 import org.auburnstream.scheduling.RefusalReason
 import org.auburnstream.scheduling.Reply
 import org.auburnstream.scheduling.SchedulerState
 import org.auburnstream.scheduling.SchedulingSettings
+import org.auburnstream.scheduling.StepDescription
 import org.auburnstream.scheduling.WorkerId
 import org.auburnstream.scheduling.WorkerIncarnation
 import org.auburnstream.scheduling.WorkerProfile
@@ -66,6 +71,25 @@
         assertEquals(listOf<Reply>(Reply.Unknown), replies.toList())
     }
 
+    /** Only the first job is in the batch whose outcome is open; the second one, and its resend, wait for the next. */
+    @Test
+    fun aCallThatWasNeverProposedMayHaveRun() {
+        isConfirmed = true
+        submit("proposed")
+        submit("waiting")
+        submit("waiting")
+        submit("proposed")
+        leadership.end()
+
+        assertEquals(listOf(Reply.Unknown, NotLeading, NotLeading, Reply.Unknown), replies.toList())
+    }
+
+    private fun submit(id: String) {
+        val queue = Queue(QueueName("q"), "h", "/q/", profile.service, objectiveMs = 600, timeoutMs = 3_000)
+        val job = JobDescription("", listOf(StepDescription(count = 1, demand = Resources(100, 100))))
+        leadership.offer({ Event.JobSubmitted(it, JobId(id), queue, job) }, replies::add)
+    }
+
     /** A call that no coordinator has seen has certainly not run. */
     @Test
     fun aCallAfterTheEndOfALeadershipMayHaveRun() {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -52,6 +52,10 @@
     private var isBackingOff = false
     private var nextTick = now
 
+    /** Callers' calls that wait for a later batch; if no further event is handled, they have certainly not run. */
+    public val unproposedCalls: Set<CallId>
+        get() = pendingRecords.unproposedCalls
+
     /** When [Event.Tick] is due. */
     public val nextDeadline: MonotonicTime
         get() = nextTick
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -12,6 +12,11 @@
 ) {
     private var records = ArrayList<Record>()
     private var calls = ArrayList<CallId>()
+
+    /** Callers' calls whose own records are in no batch yet. */
+    val unproposedCalls: Set<CallId>
+        get() = unproposed
+    private val unproposed = HashSet<CallId>()
     private val pendingJobs = HashMap<JobId, Record.JobAccepted>()
     private val pendingCancels = HashSet<JobId>()
     private val pendingWorkers = HashMap<WorkerIncarnation, Boolean>()
@@ -58,6 +63,8 @@
             pendingJobs[event.id] = record
             records.add(record)
         }
+        // The job may already be in the batch that is being committed, because an earlier call asked for it.
+        if (pending == null || batchRecords.none { it === pending }) unproposed.add(event.call)
         calls.add(event.call)
     }
 
@@ -73,7 +80,10 @@
             isDenied -> return emit(Action.Answer(event.call, Reply.NotPermitted))
             job == null && pending == null -> return emit(Action.Answer(event.call, Reply.NoSuchJob))
             job != null && !job.isActive -> return replyAccepted(event.call)
-            pendingCancels.add(event.id) -> records.add(Record.JobCancelled(event.id))
+            pendingCancels.add(event.id) -> {
+                records.add(Record.JobCancelled(event.id))
+                unproposed.add(event.call)
+            }
         }
         calls.add(event.call)
     }
@@ -133,6 +143,7 @@
         records = ArrayList()
         batchCalls = calls
         calls = ArrayList()
+        unproposed.clear()
         batchRecords = taken
         return taken
     }
