Grant short leases to workers with brief runs only

Each lease was as long as a worker grants, so where that is 10 s the runs of a dark worker started elsewhere after more than 10 s, however brief they were.

A worker whose runs are all brief now gets a lease of at most 6 s, any other one the longest. At the first answer of a worker that has not restarted, the leases of earlier leaders are counted from the start of the leadership; before, each worker's first run under a leader waited for the longest lease. Where workers grant at most 6 s nothing changes.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -28,6 +28,7 @@
     /** Runs whose end or release is waiting to be committed. */
     private val pendingEnds = HashSet<Pair<RunId, WorkerIncarnation>>()
     private val paces = PaceOrders(state, emit)
+    private val leases = LeaseLengths(state, settings, durations)
     private val startedJobs = StartedJobs(state, record)
     val closedLeases = ClosedLeases(state, settings, contacts, record)
 
@@ -79,7 +80,8 @@
         val progress = job.step(claim.run.task.step)
         val saved = if (description.gang) progress.saved else progress.tasks[claim.run.task.index].saved
         // Status queries renew the lease in time. If each start extended it, unanswered starts would delay its expiry.
-        val until = contact.clock.reuseOrGrant(now, settings.maxLease, minimum = settings.maxLease / 2)
+        val length = leases.lengthAt(contact, now)
+        val until = contact.clock.reuseOrGrant(now, length, minimum = length / 2)
         log(
             "run_claimed",
             "run" to claim.run,
@@ -205,7 +207,10 @@
             contact.nextQueryAt = now + settings.retryInterval
             return
         }
-        if (contact.answeredQueryAt == null) contact.clock.assumeGranted(answer.clockMs, settings.maxLease)
+        if (contact.answeredQueryAt == null) {
+            val isRestarted = state.worker(event.incarnation)?.earlier != null
+            contact.assumeEarlierLeases(answer.clockMs, sentAt, isRestarted, settings)
+        }
         contact.answeredQueryAt = sentAt
         contact.running = answer.running
         answer.ended.filter { it.end == RunEnd.DONE }.forEach { slowWorkers.recordCompletion(contact, it.run, now) }
@@ -392,7 +397,7 @@
         val mayRenew = contact.clock.isKnown && !contact.isRenewalUnanswered && !contact.isSuperseded &&
             !contacts.isLeaseClosed(worker, contact)
         if (mayRenew) contact.isRenewalUnanswered = true
-        val until = if (mayRenew) contact.clock.grant(now, settings.maxLease) else null
+        val until = if (mayRenew) contact.clock.grant(now, leases.lengthAt(contact, now)) else null
         // A later incarnation numbers its ends from the start, so the earlier one's number would drop unread ends.
         val lastRecordedEnd = if (contact.isSuperseded) 0 else worker.lastRecordedEnd
         val timeout = contacts.answerTimeout.after(contact.failedQueries)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -10,6 +10,8 @@
  * Unless a property gives another reason, the default times suit a group whose members are a millisecond apart.
  *
  * @property maxLease longest lease that a worker grants.
+ * @property briefLease lease of a worker whose runs are all brief, at most [maxLease]: several renewals, each up to
+ *   [lookWait] after the other, and an election of the control group.
  * @property clockSlowness fraction by which a worker's clock may run slow.
  * @property reportInterval time between two reports of a worker.
  * @property stopTime longest time from the order to stop a run to the end of the run.
@@ -36,6 +38,7 @@
  */
 public data class SchedulingSettings(
     val maxLease: Duration = 6.seconds,
+    val briefLease: Duration = minOf(maxLease, 6.seconds),
     val clockSlowness: Double = 0.02,
     val reportInterval: Duration = 1500.milliseconds,
     val stopTime: Duration = 900.milliseconds,
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -21,6 +21,9 @@
  */
 internal class VirtualFleet(seed: Int, private val settings: SchedulingSettings = SchedulingSettings()) {
     val random = Random(seed)
+
+    /** Longest lease that a worker grants. */
+    val maxLeaseMs = settings.maxLease.inWholeMilliseconds
     val state = SchedulerState(retentionMs = 150_000)
     private val invariants = InvariantChecker { now }
     val violations: List<Violation>
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -214,7 +214,7 @@
     }
 
     private fun renewLease(untilMs: Long) {
-        leaseMs = maxOf(leaseMs, minOf(untilMs, clockMs + 6_000))
+        leaseMs = maxOf(leaseMs, minOf(untilMs, clockMs + fleet.maxLeaseMs))
         val until = leaseMs
         fleet.at(((until - clockMs) / clockRate).toLong().milliseconds) { if (leaseMs == until) expireLease() }
     }
