Decide copies once a tick, and test the decision and its faults

Cause: copies were decided after each batch, which estimates all running tasks again; a copy could go to a worker whose tasks progress slower than elsewhere; the decision had no test of its own. Change: copies are decided once a tick, from estimates shared by the tasks of a job, and not at workers slower than most others. Without slow runs the flag changes no start.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -14,7 +14,7 @@
  * An input only adds pending records. They are committed in one batch at a time, and orders and replies are sent only
  * after the records that they depend on are committed. A record claims a run before its start order is sent, and the
  * claim lasts until a record states that the run ended or certainly does not run. Therefore every later leader knows
- * all runs that may be in progress, and a task never has two.
+ * all runs that may be in progress, and a task never has two, unless its step allows copies.
  *
  * Not thread-safe; the caller passes events one at a time.
  *
@@ -36,7 +36,8 @@
     private val deregistrations = Deregistrations(state, contacts, pendingRecords, runs) { actions.add(it) }
     private val disruptionBudget = DisruptionBudget(state, contacts)
     private val waitingSteps = WaitingSteps(durations)
-    private val copies = CopyControl(state, settings, contacts, durations, runs::isEnding) { actions.add(it) }
+    private val copies =
+        CopyControl(state, settings, contacts, durations, slowWorkers, runs.ending) { actions.add(it) }
     private val orderGuard = StaleOrderGuard(state, settings, now)
     private val waves = WaveControl(state, settings, now, orderGuard)
     private val pools = PoolControl(state, now, orderGuard, contacts::isSilent)
@@ -48,6 +49,7 @@
     private var batchInProgress: RecordBatch? = null
     private var needsPlan = true
     private var needsVmDecisions = false
+    private var needsCopyDecisions = false
 
     /** Whether a batch was rejected since the last tick; the next batch waits, because the log may be overloaded. */
     private var isBackingOff = false
@@ -144,6 +146,7 @@
             actions.add(Action.ListVms)
         }
         needsVmDecisions = true
+        needsCopyDecisions = true
         // Holds, pauses and due times can end between two ticks without a record.
         needsPlan = true
         nextTick = now + TICK_INTERVAL
@@ -207,7 +210,7 @@
         for (record in batch.records) {
             when (record) {
                 is Record.RunClaimed -> runs.start(record, ticketFor(record, now), now)
-                is Record.JobCancelled -> runs.stopJob(record.id, now)
+                is Record.JobCancelled -> runs.stopAll(now) { it.task.step.job == record.id }
                 is Record.UpkeepBegun -> {
                     waves.orderSent(record.vm, now, isFresh = true)
                     actions.add(Action.OrderUpkeep(record.wave, record.vm))
@@ -326,6 +329,8 @@
         val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { pendingRecords.isBeingCancelled(it.job.id) }
         val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !isCordoned(worker.profile) }
         val claims = place(waiting, isUsable, now, nowMs)
+        if (!needsCopyDecisions) return
+        needsCopyDecisions = false
         copies.decide(
             waiting = waiting,
             claims = claims,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyControl.kt
@@ -9,6 +9,7 @@
 /**
  * Collects the runs that may get copies, plans the copies with a [CopyPlanner], and records which copies gain.
  *
+ * @property ending runs whose end or release waits to be committed.
  * @property mayStart whether the tenant of a job may start one more task of a step.
  */
 internal class CopyControl(
@@ -16,7 +17,8 @@
     private val settings: SchedulingSettings,
     private val contacts: WorkerContacts,
     private val durations: DurationEstimator,
-    private val isEnding: (RunId, WorkerIncarnation) -> Boolean,
+    private val slowWorkers: SlowWorkerDetector,
+    private val ending: Set<Pair<RunId, WorkerIncarnation>>,
     private val mayStart: (Job, StepDescription) -> Boolean = { _, _ -> true },
     private val emit: (Action) -> Unit,
 ) {
@@ -41,10 +43,9 @@
         nowMs: Long,
     ): List<Record.RunClaimed> {
         open.values.removeAll { (state.task(it.first.task)?.claims?.size ?: 0) < 2 }
-        val runs = copyableRuns()
+        val runs = copyableRuns(without = servicesWithWaitingTasks(waiting, claims))
         if (runs.isEmpty()) return emptyList()
-        val blocked = servicesWithWaitingTasks(waiting, claims)
-        val capacities = CapacityTracker(state, isUsable)
+        val capacities = CapacityTracker(state) { isUsable(it) && !isSlower(it, now) }
         val steps = waiting.associateBy { it.id }
         for (claim in claims) {
             val step = steps[claim.run.task.step]?.description ?: continue
@@ -56,14 +57,20 @@
             mayRun = { candidate, worker -> mayRun(candidate.run.task.step, queueOf(candidate.job), worker) },
             mayStart = mayStart,
         )
-        return runs.filterKeys { it !in blocked }.flatMap { (service, own) ->
-            val single = own.filter { it.task.claims.size == 1 && !isBeingCancelled(it.job.id) }
-            val copies = own.size - own.count { it.task.claims.size == 1 }
-            val candidates = single.mapNotNull { candidate(it, now) }
-            planner.plan(nowMs, candidates, capacities.of(service), running = own.size, copies / 2)
+        val estimates = HashMap<JobId, JobEstimates>()
+        return runs.flatMap { (service, own) ->
+            val (single, copied) = own.partition { it.task.claims.size == 1 }
+            val candidates = single.filterNot { isBeingCancelled(it.job.id) }.mapNotNull { run ->
+                val job = run.job
+                candidate(run, estimates.getOrPut(job.id) { JobEstimates(job, queueOf(job), durations) }, now)
+            }
+            planner.plan(nowMs, candidates, capacities.of(service), running = own.size, copies = copied.size / 2)
         }.onEach { started(it, now) }.map { it.claim }
     }
 
+    private fun isSlower(worker: Worker, now: MonotonicTime): Boolean =
+        contacts.find(worker.profile.incarnation)?.let { slowWorkers.isSlower(it, now) } == true
+
     private fun started(copy: PlannedCopy, now: MonotonicTime) {
         val candidate = copy.candidate
         val first = candidate.run
@@ -109,32 +116,31 @@
         return waiting.filter { it.tasks.size > (placed[it.id] ?: 0) }.mapTo(HashSet()) { it.queue.service }
     }
 
-    /** Returns the runs of tasks that may have copies, by service. */
-    private fun copyableRuns(): Map<ServiceId, List<CopyableRun>> {
+    /** Returns the runs of tasks that may have copies, by service, [without] some services. */
+    private fun copyableRuns(without: Set<ServiceId>): Map<ServiceId, List<CopyableRun>> {
         val found = HashMap<ServiceId, ArrayList<CopyableRun>>()
         for (incarnation in state.claimedIncarnations) {
             for ((run, step) in state.claimsAt(incarnation)) {
                 if (!step.mayHaveCopies || step.fillsUnused) continue
                 val job = state.active[run.task.step.job] ?: continue
-                val task = state.task(run.task)?.takeIf { !it.isDone } ?: continue
-                found.getOrPut(queueOf(job).service) { ArrayList() }
-                    .add(CopyableRun(job, step, task, run, incarnation))
+                val service = queueOf(job).service
+                val task = state.task(run.task)?.takeIf { !it.isDone && service !in without } ?: continue
+                found.getOrPut(service) { ArrayList() }.add(CopyableRun(job, step, task, run, incarnation))
             }
         }
         return found
     }
 
-    private fun candidate(copyable: CopyableRun, now: MonotonicTime): CopyCandidate? {
+    private fun candidate(copyable: CopyableRun, estimates: JobEstimates, now: MonotonicTime): CopyCandidate? {
         val job = copyable.job
-        val queue = queueOf(job)
+        val queue = estimates.queue
         val run = copyable.run
         val contact = contacts.find(copyable.incarnation) ?: return null
         val order = contact.orders[run] ?: return null
         val startedAt = order.startedAt ?: return null
-        val isLeaving = order.isStopRequested || isEnding(run, copyable.incarnation)
+        val isLeaving = order.isStopRequested || run to copyable.incarnation in ending
         if (isLeaving || copyable.task.failures >= minOf(queue.attempts, job.queue.attempts)) return null
         val id = run.task.step
-        val estimates = JobEstimates(job, queue, durations)
         val fromMs = job.description.schedule?.dueMs(id.occurrence) ?: job.acceptedMs
         val status = contact.running.firstOrNull { it.run == run }
         val listedAt = contact.listedAt
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyPlanner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyPlanner.kt
@@ -42,10 +42,10 @@
 /**
  * Decides which runs in progress get a copy at another worker, because they will make their job late.
  *
- * The load it answers: a few tasks in a hundred take several times as long as the others, so that a job of a dozen tasks
- * often waits for its last one while workers are idle. Such a run is recognized by its own progress, or by its duration
- * so far and the tail of its queue's durations (Zaharia et al., "Improving MapReduce performance in heterogeneous
- * environments", 2008; Ananthanarayanan et al., "Reining in the outliers", 2010). A copy starts only if
+ * The load it answers: a few tasks in a hundred take several times as long as the others, so that a job of a dozen
+ * tasks often waits for its last one while workers are idle. Such a run is recognized by its own progress, or by its
+ * duration so far and the tail of its queue's durations (Zaharia et al., "Improving MapReduce performance in
+ * heterogeneous environments", 2008; Ananthanarayanan et al., "Reining in the outliers", 2010). A copy starts only if
  * - it is expected to complete clearly earlier than the run in progress,
  * - the job is expected to miss its deadline without the copy and to meet it with the copy, and
  * - no task of the service waits, and copies stay a small share of the running tasks and of the free capacity, so that
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/DurationEstimator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/DurationEstimator.kt
@@ -23,7 +23,7 @@
         if (estimateMs > 0) statistics.errors.add(actual - ln(estimateMs.toDouble()))
     }
 
-    /** Records that a task took longer than [elapsedMs], after which its run was stopped, for the [distribution] only. */
+    /** Records for the [distribution] that a task took longer than [elapsedMs], when its run was stopped. */
     fun recordStopped(queue: QueueName, estimateMs: Long, elapsedMs: Long) = recordRatio(queue, estimateMs, elapsedMs)
 
     private fun recordRatio(queue: QueueName, estimateMs: Long, actualMs: Long) {
@@ -36,7 +36,7 @@
         val ratios = queues[queue]?.ratios ?: return null
         val expected = estimate(queue, estimateMs)
         if (ratios.count < MIN_RATIOS || expected <= 0) return null
-        return DurationDistribution(expected.toDouble(), ratios.ascending())
+        return DurationDistribution(expected.toDouble(), ratios)
     }
 
     /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -1,6 +1,5 @@
 package org.auburnstream.scheduling
 
-import org.auburnstream.model.JobId
 import org.auburnstream.model.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -25,8 +24,10 @@
     private val record: (Record) -> Unit,
     private val emit: (Action) -> Unit,
 ) {
-    /** Runs whose end or release is waiting to be committed. */
+    /** Runs whose end or release is waiting to be committed, also as [ending]. */
     private val pendingEnds = HashSet<Pair<RunId, WorkerIncarnation>>()
+    val ending: Set<Pair<RunId, WorkerIncarnation>>
+        get() = pendingEnds
     private val paces = PaceOrders(state, emit)
     private val startedJobs = StartedJobs(state, record)
     val closedLeases = ClosedLeases(state, settings, contacts, record)
@@ -108,13 +109,10 @@
     fun isStopping(run: RunId, incarnation: WorkerIncarnation): Boolean =
         contacts.find(incarnation)?.orders?.get(run)?.isStopRequested ?: false
 
-    /** Whether the end or release of [run] at [incarnation] waits to be committed. */
-    fun isEnding(run: RunId, incarnation: WorkerIncarnation): Boolean = run to incarnation in pendingEnds
-
-    /** Stops every run of a job that has ended. */
-    fun stopJob(id: JobId, now: MonotonicTime) {
+    /** Stops every run that [isObsolete], such as those of a job that has ended. */
+    fun stopAll(now: MonotonicTime, isObsolete: (RunId) -> Boolean) {
         for (incarnation in state.claimedIncarnations) {
-            state.claimsAt(incarnation).keys.filter { it.task.step.job == id && it !in unsentClaims }
+            state.claimsAt(incarnation).keys.filter { isObsolete(it) && it !in unsentClaims }
                 .forEach { stop(it, incarnation, now) }
         }
     }
@@ -247,7 +245,7 @@
             }
             else -> Unit
         }
-        if (state.jobs[job]?.isActive == false) stopJob(job, now)
+        if (state.jobs[job]?.isActive == false) stopAll(now) { it.task.step.job == job }
         stopRelatedRuns(end.run, now)
     }
 
@@ -347,7 +345,8 @@
         val job = state.jobs[id.job] ?: return
         val step = job.stepOf(run.task) ?: return
         val isGang = step.gang
-        if (step.mayHaveCopies && job.isDone(id.occurrence)) return stopTask(run.task, now)
+        // Only the workers' claims still show the runs of an occurrence that is done.
+        if (step.mayHaveCopies && job.isDone(id.occurrence)) return stopAll(now) { it.task == run.task }
         val tasks = job.occurrences[id.occurrence]?.steps?.get(id.step)?.tasks ?: return
         tasks.forEachIndexed { index, task ->
             val isObsolete = isGang || (index == run.task.index && task.isDone)
@@ -355,14 +354,6 @@
         }
     }
 
-    /** Stops the runs of a task whose occurrence is done, so that only the workers' claims show them. */
-    private fun stopTask(id: TaskId, now: MonotonicTime) {
-        for (incarnation in state.claimedIncarnations) {
-            state.claimsAt(incarnation).keys.filter { it.task == id && it !in unsentClaims }
-                .forEach { stop(it, incarnation, now) }
-        }
-    }
-
     private fun stop(run: RunId, incarnation: WorkerIncarnation, now: MonotonicTime) {
         val contact = contacts.of(incarnation, now)
         val order = contact.orders.getOrPut(run) { Order(now) }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SlowWorkerDetector.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SlowWorkerDetector.kt
@@ -59,6 +59,10 @@
         }
     }
 
+    /** Whether the tasks of the worker reliably progress slower than those of most others. */
+    fun isSlower(contact: WorkerContact, now: MonotonicTime): Boolean =
+        contact.speed.isReliable(now) && contact.speed.value / medianSpeed < SLOWER_RATIO
+
     private fun isSlow(contact: WorkerContact, now: MonotonicTime): Boolean {
         val speedRatio = contact.speed.value / medianSpeed
         return (contact.speed.isReliable(now) && speedRatio < SLOW_RATIO) ||
@@ -96,6 +100,9 @@
         /** Far below the spread of healthy workers, whose task estimates are off by about a half each. */
         const val SLOW_RATIO = 0.35
 
+        /** Below the spread of sound workers of one kind. */
+        const val SLOWER_RATIO = 0.7
+
         /** A task on a healthy worker whose estimate is wrong by a factor of twenty is very rare. */
         const val STALLED_RATIO = 0.05
         const val MIN_SPEED_RATIO = 0.01
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopiesTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopiesTest.kt
@@ -75,6 +75,38 @@
         assertTrue(outcomes.all { it.copies <= 8 }, "${outcomes.map { it.copies }}")
     }
 
+    @Test
+    fun withoutSlowRunsTheFlagChangesNoDecision() {
+        for (interval in listOf(400, 90)) {
+            val starts = listOf(plain, step).map { own ->
+                val started = ArrayList<String>()
+                play(seed = 1, own, interval = interval) {
+                    workOf = { _, step -> step.estimateMs }
+                    workOfRun = { _, step -> step.estimateMs }
+                    mutate = { action ->
+                        if (action is Action.Start) started.add("${action.run} ${action.worker.incarnation} $now")
+                        listOf(action)
+                    }
+                }
+                started
+            }
+            assertEquals(60 * 13, starts[0].size)
+            assertEquals(starts[0], starts[1])
+        }
+    }
+
+    @Test
+    fun aFullPoolGetsFewCopiesAndNoLaterJobs() {
+        val without = (0 until 4).map { play(it, plain, interval = 160).second }
+        val with = (0 until 4).map { play(it, step, interval = 160).second }
+        val seen = "in time ${without.map {
+            it.inTime
+        }} and ${with.map { it.inTime }}, copies ${with.map { it.copies }}"
+        println("FULL $seen, wasted ${with.map { it.wastedMs }}")
+
+        assertTrue(with.sumOf { it.inTime } >= without.sumOf { it.inTime }, seen)
+    }
+
     @Test
     fun faultsViolateNoInvariant() {
         repeat(30) { seed ->
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopyChecker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopyChecker.kt
@@ -5,7 +5,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Checks the runs of tasks that may have copies: at most two in progress, at different workers, none long after the end.
+ * Checks the runs of tasks that may have copies: at most two in progress, at different workers, and none long after the
+ * end of the task.
  *
  * @property now returns the reading of the virtual clock.
  */
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantChecker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantChecker.kt
@@ -9,7 +9,20 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Invariants of the scheduler, as observed by callers, workers and the platform. */
-internal enum class Invariant { TWICE, ORDER, BUDGET, ROOM, GANG, UNASKED, REFUSED, LOST, AVAILABILITY, WAVE_CAP, ONE, COPIES }
+internal enum class Invariant {
+    TWICE,
+    ORDER,
+    BUDGET,
+    ROOM,
+    GANG,
+    UNASKED,
+    REFUSED,
+    LOST,
+    AVAILABILITY,
+    WAVE_CAP,
+    ONE,
+    COPIES,
+}
 
 /** Violation of an invariant. */
 internal data class Violation(val invariant: Invariant, val at: MonotonicTime, val detail: String) {
@@ -82,23 +95,12 @@
         if (cancelledFor != null && cancelledFor > MAX_CANCEL_TIME) {
             report(Invariant.UNASKED, "$run starts although its job was cancelled")
         }
-        val others = running.filterKeys { it.task == run.task }
-        val restart = Violation(Invariant.TWICE, now(), "$run starts after its task was done")
-        if (description.mayHaveCopies) {
-            copies.runStarted(run, worker, others)
-            if (copies.isLongDone(run.task) && worker.canSend) violations.add(restart)
-        } else {
-            others.forEach { (_, other) ->
-                report(Invariant.TWICE, "$run starts while it runs at ${other.profile.incarnation}")
-            }
-            if (run.task in recordedTasks) violations.add(restart)
-            unrecordedEnds.filterKeys { it.task == run.task }.forEach { (_, end) -> end.restarted(restart) }
-        }
+        checkOtherRuns(run, worker, description)
         val open = description.dependsOn.filter { earlier ->
             (0 until job.description.steps[earlier].count).any { TaskId(step.copy(step = earlier), it) !in done }
         }
         if (open.isNotEmpty()) report(Invariant.ORDER, "$run starts before steps $open are done")
-        val failed = (if (description.mayHaveCopies) copies.longFailed(run.task) else failures[run.task]) ?: 0
+        val failed = failuresBefore(run.task, description)
         if (!description.lasting &&
             failed >= job.queue.attempts
         ) {
@@ -231,6 +233,24 @@
         }
     }
 
+    private fun checkOtherRuns(run: RunId, worker: VirtualWorker, description: StepDescription) {
+        val others = running.filterKeys { it.task == run.task }
+        val restart = Violation(Invariant.TWICE, now(), "$run starts after its task was done")
+        if (description.mayHaveCopies) {
+            copies.runStarted(run, worker, others)
+            if (copies.isLongDone(run.task) && worker.canSend) violations.add(restart)
+        } else {
+            others.forEach { (_, other) ->
+                report(Invariant.TWICE, "$run starts while it runs at ${other.profile.incarnation}")
+            }
+            if (run.task in recordedTasks) violations.add(restart)
+            unrecordedEnds.filterKeys { it.task == run.task }.forEach { (_, end) -> end.restarted(restart) }
+        }
+    }
+
+    private fun failuresBefore(task: TaskId, description: StepDescription): Int =
+        if (description.mayHaveCopies) copies.longFailed(task) else failures[task] ?: 0
+
     private fun checkRoom(worker: VirtualWorker, run: RunId, step: StepDescription, service: ServiceId) {
         val here = running.filterValues { it === worker }.keys
         val used = here.mapNotNull(::stepOf).fold(Resources.None) { sum, step -> sum + step.reserved }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantCheckerTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantCheckerTest.kt
@@ -79,6 +79,36 @@
         }
     }
 
+    @Test
+    fun theSlowerRunOfATaskIsStopped() = check(Invariant.COPIES, { submitCopied() }) { action ->
+        val isLoser = action is Action.Stop && state.isTaskDone(action.run.task)
+        if (isLoser) emptyList() else listOf(action)
+    }
+
+    @Test
+    fun noCopyStartsLongAfterItsTaskIsDone() = check(Invariant.TWICE, { submitCopied() }) { action ->
+        if (action is Action.Start) at(12.seconds) { inject(later(action)) }
+        listOf(action)
+    }
+
+    @Test
+    fun aTaskHasAtMostTwoRuns() = check(Invariant.COPIES, { submitCopied() }) { action ->
+        val others = workers.values.map { it.profile }
+        if (action is Action.Start) {
+            others.mapIndexed { index, worker -> later(action).copy(worker = worker, run = later(action, index).run) }
+        } else {
+            listOf(action)
+        }
+    }
+
+    /** Submits jobs of a step that allows copies; the first run of one late task takes 8 s. */
+    private fun VirtualFleet.submitCopied() {
+        workOfRun = { run, _ -> if (run.task.step.job.value == "job20" && run.number == 1) 8_000 else 500 }
+        repeat(21) { number ->
+            at((number * 300).milliseconds) { submit("job$number", small.copy(count = 1, allowsCopies = true)) }
+        }
+    }
+
     @Test
     fun aStepStartsAfterItsDependencies() =
         check(Invariant.ORDER, { submit("job", small, small.copy(dependsOn = listOf(0))) }) { action ->
@@ -192,6 +222,6 @@
         at(1.seconds) { call { Event.WaveSubmitted(it, 7, vms, 30.seconds, cap) } }
     }
 
-    private fun later(order: Action.Start): Action.Start =
-        order.copy(run = order.run.copy(number = order.run.number + 10), untilMs = order.untilMs + 60_000)
+    private fun later(order: Action.Start, index: Int = 0): Action.Start =
+        order.copy(run = order.run.copy(number = order.run.number + 10 + index), untilMs = order.untilMs + 60_000)
 }
