Bound what clients make a process hold, and read each byte of a message once

Cause: each connection's buffer was bounded and their sum was not, a message was kept raw until its last byte and read again from its start with each read, and bytes sent after a request or answers that nobody read piled up. Change: HttpParser reads incrementally and keeps no framing. The next request of a connection waits until its answer is written. A refusal half-closes and discards what still arrives. A further connection takes the place of one without a request, and a turn of the loop accepts at most 32. A control process without room refuses a forwarded request as not run.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -17,6 +17,7 @@
 import org.auburnstream.daemon.replication.ReplicaRole
 import org.auburnstream.daemon.replication.ReplicaStatus
 import org.auburnstream.daemon.replication.ReplicatedGroupRunner
+import org.auburnstream.dispatch.http.ClientMemory
 import org.auburnstream.dispatch.http.HttpLimits
 import org.auburnstream.dispatch.http.HttpRequest
 import org.auburnstream.dispatch.http.HttpResponse
@@ -64,6 +65,7 @@
     private val handler: RequestHandler,
     private val gateway: Gateway,
     private val metrics: NodeMetrics,
+    private val memory: ClientMemory = ClientMemory(),
     private val onFatal: (String) -> Unit,
 ) {
     private val log = LineLog("control")
@@ -80,6 +82,7 @@
         limits = { HttpLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES) },
         timeouts = { HttpTimeouts(messageTimeout = 5.seconds, idleTimeout = 60.seconds) },
         maxConnections = settings.maxOpenFiles / 2,
+        memory = memory,
         handle = { request, respond -> serve(ListenerKind.CONTROL, request, respond) },
     )
     private val operators = OperatorRequests(nowMs = System::currentTimeMillis)
@@ -343,7 +346,14 @@
         val message = Messages.request(bytes) ?: return
         val kind = ListenerKind.entries.firstOrNull { it.name == message.listener } ?: return
         if (!leads) return reply(Messages.encode(ForwardedReply(null)))
-        handle(kind, message.request) { reply(Messages.encode(ForwardedReply(it))) }
+        val holding = memory.open("links", loop.now) {}
+        if (!holding.begin(FORWARDED_COPIES * bytes.size)) {
+            return reply(Messages.encode(ForwardedReply(handlerOf(kind).noLeader(kind, message.request))))
+        }
+        handle(kind, message.request) {
+            holding.close()
+            reply(Messages.encode(ForwardedReply(it)))
+        }
     }
 
     /** Serves [request] as the leader; a request whose handling fails is answered as one with an unknown outcome. */
@@ -432,6 +442,9 @@
 
         /** Large enough for a catalog of several thousand queues and for a worker's report. */
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
+
+        /** A forwarded request and what the scheduler decodes from it. */
+        const val FORWARDED_COPIES = 2L
         val HOUSEKEEPING_INTERVAL: Duration = 500.milliseconds
         val BARRIER_TIMEOUT: Duration = 1.seconds
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/EntryNode.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import org.auburnstream.dispatch.http.ClientMemory
 import org.auburnstream.dispatch.http.HttpLimits
 import org.auburnstream.dispatch.http.HttpRequest
 import org.auburnstream.dispatch.http.HttpResponse
@@ -29,6 +30,7 @@
     private val loop: EventLoop,
     private val handler: RequestHandler,
     private val metrics: NodeMetrics,
+    private val memory: ClientMemory = ClientMemory(),
 ) {
     private val log = LineLog("entry")
     private val scope = CoroutineScope(SupervisorJob() + loop)
@@ -51,6 +53,7 @@
         limits = { HttpLimits(limits.maxHeaderBytes, limits.maxBodyBytes) },
         timeouts = { HttpTimeouts(limits.headerTimeoutMs.milliseconds, limits.idleTimeoutMs.milliseconds) },
         maxConnections = settings.maxOpenFiles - RESERVED_FILES,
+        memory = memory,
         handle = ::serve,
     )
     private val readiness = settings.readiness?.let {
@@ -60,6 +63,7 @@
             limits = { HttpLimits(READINESS_BYTES, READINESS_BYTES) },
             timeouts = { HttpTimeouts(messageTimeout = 3.seconds, idleTimeout = 30.seconds) },
             maxConnections = READINESS_CONNECTIONS,
+            memory = memory,
         ) { _, respond -> respond(HttpResponse(if (isReady()) HTTP_OK else HTTP_UNAVAILABLE)) }
     }
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -5,14 +5,19 @@
 import org.auburnstream.model.MonotonicTime
 import org.slf4j.LoggerFactory
 import java.net.InetSocketAddress
+import java.nio.ByteBuffer
+import kotlin.math.ceil
 import kotlin.time.Duration
+import kotlin.time.DurationUnit
 
 /**
  * Serves HTTP/1.1 on one address and processes the requests of each connection one at a time.
  *
  * @property limits size limits of requests in force, read for each attempt to parse a request.
  * @property timeouts timeouts of connections in force, read for each check.
- * @property maxConnections maximum number of open connections; further ones are closed when they are accepted.
+ * @property maxConnections maximum number of open connections; a further one takes the place of a connection without a
+ *   request, and is closed when it is accepted if there is none.
+ * @property memory budget of the bytes that clients make the process hold; a request without room is refused with 503.
  * @property handle called with each request and a function that sends its response; only the first call of that
  *   function has an effect.
  */
@@ -22,9 +27,13 @@
     private val limits: () -> HttpLimits,
     private val timeouts: () -> HttpTimeouts,
     private val maxConnections: Int,
+    private val memory: ClientMemory = ClientMemory(),
     private val handle: (HttpRequest, (HttpResponse) -> Unit) -> Unit,
 ) {
     private val openConnections = LinkedHashSet<ServerConnection>()
+
+    /** Connections that have not sent a whole request yet, in the order in which they were accepted. */
+    private val unproven = LinkedHashSet<ServerConnection>()
     private val listener = Connection.listen(loop, address) { ServerConnection().handlers }
     private var isDraining = false
 
@@ -66,28 +75,47 @@
         openConnections.toList().forEach { it.close() }
     }
 
+    /** Closes the connection that has waited longest for its first request, or else an idle one, or [newcomer]. */
+    private fun closeForNewcomer(newcomer: ServerConnection) {
+        val leaving = unproven.firstOrNull { it !== newcomer } ?: openConnections.firstOrNull { it.isIdle }
+        (leaving ?: newcomer).close()
+    }
+
     /** An accepted connection with its parser and the state of its current request. */
     private inner class ServerConnection {
-        private val parser = HttpParser(isResponse = false, limits)
+        private val parser = HttpParser(isResponse = false, ::reserve, limits)
         private var connection: Connection? = null
+        private var holding: ClientMemory.Holding? = null
         private var lastActivityAt = loop.now
         private var messageStartedAt: MonotonicTime? = null
+
+        /** Whether the connection closes after its last answer and reads no further requests. */
+        private var isEnding = false
+        private var isAnswerUnread = false
+
+        /** Whether bytes that followed the current request were dropped, so that the connection has to end with it. */
+        private var hasDropped = false
         var isBusy = false
             private set
 
+        val isIdle: Boolean
+            get() = !isBusy && !isAnswerUnread && !parser.isInMessage
+
         val handlers = Connection.Handlers(
             onOpened = {
                 connection = it
+                it.onFlushed = ::onFlushed
                 openConnections.add(this)
-                if (openConnections.size > maxConnections) it.close()
+                unproven.add(this)
+                if (openConnections.size > maxConnections) closeForNewcomer(this)
             },
-            onBytes = { _, bytes ->
-                lastActivityAt = loop.now
-                if (messageStartedAt == null) messageStartedAt = lastActivityAt
-                parser.append(bytes)
-                processNext()
+            onBytes = { _, bytes -> receive(bytes) },
+            onClosed = {
+                openConnections.remove(this)
+                unproven.remove(this)
+                parser.clear()
+                release()
             },
-            onClosed = { openConnections.remove(this) },
         )
 
         fun close() {
@@ -97,15 +125,35 @@
         fun checkTimeouts(now: MonotonicTime, timeouts: HttpTimeouts) {
             if (isBusy) return
             val isSlow = parser.isInMessage && messageStartedAt?.let { now - it > timeouts.messageTimeout } == true
-            if (isSlow) return reject(REQUEST_TIMEOUT, "request not complete in time")
+            if (isSlow && !isAnswerUnread && !isEnding) return reject(REQUEST_TIMEOUT, "request not complete in time")
             if (now - lastActivityAt > timeouts.idleTimeout) close()
         }
 
+        private fun receive(bytes: ByteBuffer) {
+            if (isEnding) return
+            lastActivityAt = loop.now
+            if (messageStartedAt == null) messageStartedAt = lastActivityAt
+            if (!parser.append(bytes)) hasDropped = true
+            if (isBusy || isAnswerUnread) connection?.pauseReading(isPaused = true) else processNext()
+        }
+
+        private fun reserve(bytes: Long): Boolean {
+            val current = holding ?: memory.open(connection?.peerAddress.orEmpty(), loop.now, ::giveUp)
+            holding = current
+            return current.resize(maxOf(current.bytes, bytes))
+        }
+
+        private fun release() {
+            holding?.close()
+            holding = null
+        }
+
+        /** Ends the message or the unread answer of this connection, because others need the room. */
+        private fun giveUp() {
+            if (isAnswerUnread) close() else reject(UNAVAILABLE, "too many large messages at the same time")
+        }
+
         private fun processNext() {
-            if (isBusy) {
-                connection?.pauseReading(isPaused = true)
-                return
-            }
             when (val parsed = parser.next()) {
                 is ParseResult.Request -> start(parsed)
                 is ParseResult.Rejected -> reject(parsed.status, parsed.detail)
@@ -114,6 +162,11 @@
         }
 
         private fun start(parsed: ParseResult.Request) {
+            val bytes = parser.heldBytes + HEAD_COPIES * parsed.headBytes + BODY_COPIES * parsed.request.body.size
+            val current = holding ?: memory.open(connection?.peerAddress.orEmpty(), loop.now, ::giveUp)
+            holding = current
+            if (!current.begin(bytes)) return reject(UNAVAILABLE, "too many large messages at the same time")
+            unproven.remove(this)
             isBusy = true
             messageStartedAt = null
             var isAnswered = false
@@ -136,17 +189,51 @@
             lastActivityAt = loop.now
             val connection = connection ?: return
             if (connection.isClosed) return
-            val staysOpen = keepsAlive && !isDraining
+            val staysOpen = keepsAlive && !isDraining && !hasDropped
             connection.write(*encode(response, staysOpen))
-            if (!staysOpen) return connection.closeWhenFlushed()
+            if (!staysOpen) {
+                isEnding = true
+                parser.clear()
+            }
+            isAnswerUnread = connection.queuedBytes > 0
+            if (isAnswerUnread) holding?.awaitReader(parser.heldBytes + connection.queuedBytes) else settle()
+            if (!staysOpen) return if (hasDropped) connection.closeAfterPeer() else connection.closeWhenFlushed()
+            if (!isAnswerUnread) resume(connection)
+        }
+
+        /** Goes on with the bytes after a request whose answer is written. */
+        private fun onFlushed() {
+            if (!isAnswerUnread) return
+            isAnswerUnread = false
+            lastActivityAt = loop.now
+            settle()
+            connection?.let(::resume)
+        }
+
+        /** Holds only what has arrived of the next message. */
+        private fun settle() {
+            release()
+            if (parser.heldBytes > 0) reserve(parser.heldBytes)
+        }
+
+        private fun resume(connection: Connection) {
             connection.pauseReading(isPaused = false)
-            if (parser.isInMessage) loop.post { if (!connection.isClosed && !isBusy) processNext() }
+            if (!parser.isInMessage) return
+            if (messageStartedAt == null) messageStartedAt = loop.now
+            loop.post { if (!connection.isClosed && !isBusy && !isEnding && !isAnswerUnread) processNext() }
         }
 
         private fun reject(status: Int, detail: String) {
+            if (isEnding) return
+            isEnding = true
+            parser.clear()
+            release()
             logger.info("event=request_unreadable status={} detail=\"{}\"", status, detail)
-            connection?.write(*encode(HttpResponse.json(status, "{\"error\":\"$detail\"}"), keepsAlive = false))
-            connection?.closeWhenFlushed()
+            val pause = ceil(timeouts().messageTimeout.toDouble(DurationUnit.SECONDS)).toInt()
+            val headers = if (status == UNAVAILABLE) mapOf("retry-after" to pause.toString()) else emptyMap()
+            val response = HttpResponse.json(status, "{\"error\":\"$detail\"}", headers)
+            connection?.write(*encode(response, keepsAlive = false))
+            connection?.closeAfterPeer()
         }
     }
 
@@ -154,6 +241,13 @@
         val logger = LoggerFactory.getLogger(HttpServer::class.java)
 
         const val REQUEST_TIMEOUT = 408
+        const val UNAVAILABLE = 503
+
+        /** A request is held with its body, and while it is forwarded also encoded, as a message and as a frame. */
+        const val BODY_COPIES = 4L
+
+        /** Text of the head and its headers, for which the runtime takes a few bytes a character. */
+        const val HEAD_COPIES = 4L
 
         fun encode(response: HttpResponse, keepsAlive: Boolean): Array<ByteArray> {
             val head = buildString {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
@@ -8,6 +8,7 @@
 import java.nio.channels.SelectionKey
 import java.nio.channels.ServerSocketChannel
 import java.nio.channels.SocketChannel
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * A non-blocking TCP connection that runs on an [EventLoop] and queues its output.
@@ -28,6 +29,9 @@
     private var closesWhenFlushed = false
     private var isReadPaused = false
 
+    /** Bytes that may still be read and discarded before the connection is closed; negative if none are discarded. */
+    private var discardLeft = -1
+
     private val socket: SocketChannel
         get() = checkNotNull(channel)
 
@@ -35,6 +39,17 @@
     public var startFailure: Exception? = null
         private set
 
+    /** IP address of the peer, or an empty string if it is not known. */
+    public val peerAddress: String
+        get() = try {
+            (channel?.remoteAddress as? InetSocketAddress)?.address?.hostAddress.orEmpty()
+        } catch (_: IOException) {
+            ""
+        }
+
+    /** Called when all queued bytes are written, but not from within [write]. */
+    public var onFlushed: () -> Unit = {}
+
     /** Whether the connection is established and not closed. */
     public var isOpen: Boolean = false
         private set
@@ -70,6 +85,28 @@
         if (output.isEmpty()) close()
     }
 
+    /**
+     * Closes the connection once all queued bytes are written and the peer has closed its side.
+     *
+     * A close with unread bytes would reset the connection, and the peer could lose the last answer. Bytes that still
+     * arrive are therefore discarded, up to [DISCARDED_BYTES] and for up to [DISCARD_TIME].
+     */
+    public fun closeAfterPeer() {
+        if (isClosed || discardLeft >= 0) return
+        discardLeft = DISCARDED_BYTES
+        pauseReading(isPaused = false)
+        if (output.isEmpty()) shutDownOutput()
+        loop.after(DISCARD_TIME, ::close)
+    }
+
+    private fun shutDownOutput() {
+        try {
+            socket.shutdownOutput()
+        } catch (_: IOException) {
+            loop.post { close() }
+        }
+    }
+
     /** Pauses or resumes reading, which applies TCP backpressure to the peer. */
     public fun pauseReading(isPaused: Boolean) {
         isReadPaused = isPaused
@@ -127,6 +164,10 @@
             if (count < 0) return close()
             if (count == 0) return
             buffer.flip()
+            if (discardLeft >= 0) {
+                discardLeft -= count
+                return if (discardLeft < 0) close() else Unit
+            }
             onBytes(this, buffer)
             if (isClosed || isReadPaused || count < buffer.capacity()) return
         }
@@ -134,7 +175,11 @@
 
     private fun flush() {
         val isOver = !writeQueued() || (output.isEmpty() && closesWhenFlushed)
-        if (isOver) close() else updateInterest()
+        if (isOver) return close()
+        updateInterest()
+        if (output.isNotEmpty()) return
+        if (discardLeft >= 0) shutDownOutput()
+        onFlushed()
     }
 
     /** Writes as much of the queue as the socket takes; returns false if the connection has failed. */
@@ -165,9 +210,14 @@
     public companion object {
         private val logger = LoggerFactory.getLogger(Connection::class.java)
         private const val MAX_READS_PER_TURN = 4
+        private const val MAX_ACCEPTS_PER_TURN = 32
         private const val MAX_BUFFERS_PER_WRITE = 16
         private const val READ_BUFFER_BYTES = 64 * 1024
         private const val ACCEPT_BACKLOG = 512
+
+        /** Covers what a peer sends before the answer reaches it. */
+        private const val DISCARDED_BYTES = 1024 * 1024
+        private val DISCARD_TIME = 1.seconds
         private val readBuffer: ThreadLocal<ByteBuffer> =
             ThreadLocal.withInitial { ByteBuffer.allocateDirect(READ_BUFFER_BYTES) }
 
@@ -226,7 +276,8 @@
         }
 
         private fun acceptAll(loop: EventLoop, server: ServerSocketChannel, accept: () -> Handlers) {
-            while (true) {
+            // A closed channel keeps its descriptor until the next turn.
+            repeat(MAX_ACCEPTS_PER_TURN) {
                 val channel = try {
                     server.accept() ?: return
                 } catch (_: IOException) {
--- /dev/null
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpParserFuzzTest.kt
@@ -0,0 +1,127 @@
+package org.auburnstream.dispatch.http
+
+import java.nio.ByteBuffer
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** The parser reads what a simple reader of the whole stream reads, however the stream is split. */
+class HttpParserFuzzTest {
+    private val limits = HttpLimits(maxHeadBytes = 300, maxBodyBytes = 60)
+
+    @Test
+    fun aStreamIsReadAsTheReferenceReadsItHoweverItIsSplit() {
+        var rejected = 0
+        repeat(20_000) { seed ->
+            val random = Random(seed)
+            val stream = stream(random)
+            val expected = reference(stream)
+            if (expected.lastOrNull()?.startsWith("rejected") == true) rejected += 1
+            assertEquals(expected, read(stream, random), "seed $seed: ${stream.decodeToString()}")
+        }
+        assertTrue(rejected in 2_000..18_000, "$rejected rejected")
+    }
+
+    private fun stream(random: Random): ByteArray {
+        val text = List(random.nextInt(1, 4)) { message(random) }.joinToString("").toByteArray()
+        if (random.nextInt(3) > 0) return text
+        val changed = text.copyOf(random.nextInt(1, text.size + 1))
+        repeat(random.nextInt(3)) { changed[random.nextInt(changed.size)] = NOISE.random(random).code.toByte() }
+        return changed
+    }
+
+    private fun message(random: Random): String {
+        val body = "b".repeat(random.nextInt(if (random.nextInt(4) == 0) 90 else 50))
+        val head = "POST /${random.nextInt(99)} HTTP/1.1\r\nX-A: ${"y".repeat(random.nextInt(120))}\r\n"
+        if (random.nextBoolean()) return "${head}Content-Length: ${body.length}\r\n\r\n$body"
+        val chunks = body.chunked(random.nextInt(1, 20)).joinToString("") {
+            val extension = if (random.nextBoolean()) "" else ";e=${"z".repeat(random.nextInt(9))}"
+            "${it.length.toString(16)}$extension\r\n$it\r\n"
+        }
+        return "${head}Transfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n"
+    }
+
+    private fun read(stream: ByteArray, random: Random): List<String> {
+        val parser = HttpParser(isResponse = false) { limits }
+        val results = ArrayList<String>()
+        var at = 0
+        while (at < stream.size) {
+            val count = minOf(random.nextInt(1, 40), stream.size - at)
+            parser.append(ByteBuffer.wrap(stream, at, count))
+            at += count
+            while (true) {
+                val parsed = parser.next()
+                if (parsed is ParseResult.Request) results += parsed.request.run { "$target ${body.decodeToString()}" }
+                if (parsed is ParseResult.Rejected) return results + "rejected ${parsed.status}"
+                if (parsed === ParseResult.Incomplete) break
+            }
+        }
+        return results
+    }
+
+    private fun reference(stream: ByteArray): List<String> {
+        val results = ArrayList<String>()
+        var text = stream.toString(Charsets.ISO_8859_1)
+        while (true) {
+            val headEnd = text.indexOf("\r\n\r\n")
+            val headSize = if (headEnd < 0) text.length - partialEnd(text) else headEnd
+            if (headSize > limits.maxHeadBytes) return results + "rejected 431"
+            if (headEnd < 0) return results
+            val lines = text.substring(0, headEnd).split("\r\n")
+            val fields = lines.drop(1).filter { it.isNotEmpty() }
+            if (fields.any { it.indexOf(':') <= 0 || it[0] == ' ' }) return results + "rejected 400"
+            val headers = fields.associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+            val lengths = fields.filter { it.startsWith("content-length:", ignoreCase = true) }
+            if (lengths.map { it.substringAfter(':').trim() }.distinct().size > 1) return results + "rejected 400"
+            val rest = text.substring(headEnd + 4)
+            val coding = headers["transfer-encoding"]
+            val isKnown = coding == null || coding.equals("chunked", true) && "content-length" !in headers
+            if (!isKnown) return results + "rejected 501"
+            val read = if (coding == null) whole(headers["content-length"] ?: "0", rest) else chunked(rest)
+            val (status, body, after) = read ?: return results
+            if (status != 0) return results + "rejected $status"
+            val start = lines[0].split(' ', limit = 3)
+            val isValid = start.size == 3 && start[2].startsWith("HTTP/1.") && start[1].startsWith("/")
+            if (!isValid) return results + "rejected 400"
+            val bytes = body.toByteArray(Charsets.ISO_8859_1)
+            results += "${start[1]} ${bytes.decodeToString()}"
+            text = after
+        }
+    }
+
+    private fun partialEnd(text: String) = listOf("\r\n\r", "\r\n", "\r").firstOrNull(text::endsWith)?.length ?: 0
+
+    private fun whole(length: String, text: String): Triple<Int, String, String>? {
+        val count = length.toLongOrNull()?.takeIf { it >= 0 } ?: return Triple(400, "", "")
+        if (count > limits.maxBodyBytes) return Triple(413, "", "")
+        if (text.length < count) return null
+        return Triple(0, text.take(count.toInt()), text.drop(count.toInt()))
+    }
+
+    private fun chunked(text: String): Triple<Int, String, String>? {
+        val body = StringBuilder()
+        var at = 0
+        while (true) {
+            val lineEnd = text.indexOf("\r\n", at)
+            if (lineEnd < 0) return null
+            val size = text.substring(at, lineEnd).substringBefore(';').trim().toIntOrNull(16)?.takeIf { it >= 0 }
+                ?: return Triple(400, "", "")
+            if (body.length.toLong() + size > limits.maxBodyBytes) return Triple(413, "", "")
+            at = lineEnd + 2
+            if (size == 0) {
+                val end = text.indexOf("\r\n", at)
+                return if (end < 0) null else Triple(0, body.toString(), text.substring(end + 2))
+            }
+            val end = text.drop(at + size).take(2)
+            if (!"\r\n".startsWith(end)) return Triple(400, "", "")
+            if (end.length < 2) return null
+            body.append(text, at, at + size)
+            at += size + 2
+        }
+    }
+
+    private companion object {
+        const val NOISE = "\r\n: ;0aGx-/"
+    }
+}
