Bound the links that others open to a control process

Cause: anybody who reached the port of the links could open any number of them and have a frame of 2 MiB held on each. Change: a link that has not named its process is read frames of at most 1 KiB, and beyond a quarter of the descriptors the oldest such link is closed. The new test was not run on the code before.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -73,7 +73,15 @@
         CoroutineScope(SupervisorJob() + loop + CoroutineExceptionHandler { _, e -> coroutineFailed(e) })
     private val self = PeerNetwork.idOf(settings.peer.hostString, settings.peer.port)
     private val disk = Executors.newSingleThreadExecutor { Thread(it, "disk").apply { isDaemon = true } }
-    private val network = PeerNetwork(loop, self, settings.peer, scope, ::onPeerStatus, ::onForwardedRequest)
+    private val network = PeerNetwork(
+        loop = loop,
+        self = self,
+        address = settings.peer,
+        scope = scope,
+        onStatus = ::onPeerStatus,
+        onCall = ::onForwardedRequest,
+        maxIncoming = settings.maxOpenFiles / 4,
+    )
     private val replica = StateReplica(SchedulerState(settings.retention.inWholeMilliseconds)) { loop.now }
     private lateinit var group: ReplicatedGroupRunner
     private val server = HttpServer(
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -101,6 +101,9 @@
         val isIdle: Boolean
             get() = !isBusy && !isAnswerUnread && !parser.isInMessage
 
+        private val mayStart: Boolean
+            get() = !isBusy && !isEnding && !isAnswerUnread
+
         val handlers = Connection.Handlers(
             onOpened = {
                 connection = it
@@ -220,7 +223,7 @@
             connection.pauseReading(isPaused = false)
             if (!parser.isInMessage) return
             if (messageStartedAt == null) messageStartedAt = loop.now
-            loop.post { if (!connection.isClosed && !isBusy && !isEnding && !isAnswerUnread) processNext() }
+            loop.post { if (!connection.isClosed && mayStart) processNext() }
         }
 
         private fun reject(status: Int, detail: String) {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/Frames.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/Frames.kt
@@ -46,8 +46,12 @@
     }
 }
 
-/** Reassembles frames from a stream of bytes. */
-internal class FrameReader {
+/**
+ * Reassembles frames from a stream of bytes.
+ *
+ * @property maxPayloadBytes largest payload that is read, asked for each frame.
+ */
+internal class FrameReader(private val maxPayloadBytes: () -> Int = { Frame.MAX_PAYLOAD_BYTES }) {
     private var data = ByteArray(INITIAL_BYTES)
     private var size = 0
 
@@ -63,7 +67,7 @@
             val length = header.int
             val kind = KINDS.getOrNull(header.get().toInt())
             val number = header.long
-            if (length !in 0..Frame.MAX_PAYLOAD_BYTES || kind == null) return false
+            if (length !in 0..maxPayloadBytes() || kind == null) return false
             if (size - offset - Frame.HEADER_BYTES < length) break
             val payloadStart = offset + Frame.HEADER_BYTES
             onFrame(Frame(kind, number, data.copyOfRange(payloadStart, payloadStart + length)))
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
@@ -27,6 +27,8 @@
  * @param address address to listen on, or null for a process that only opens links.
  * @param onStatus called with the sender and the encoded status of the group that it published.
  * @param onCall called with the payload of a call and the function that sends its reply.
+ * @param maxIncoming maximum number of links that others have opened; a further one takes the place of a link that has
+ *   not named its process, and is closed if there is none.
  */
 public class PeerNetwork(
     private val loop: EventLoop,
@@ -35,6 +37,7 @@
     private val scope: CoroutineScope,
     private val onStatus: (DaemonId, ByteArray) -> Unit,
     private val onCall: (ByteArray, (ByteArray) -> Unit) -> Unit = { _, _ -> },
+    private val maxIncoming: Int = Int.MAX_VALUE,
 ) : PeerTransport {
     private val outgoing = HashMap<DaemonId, OutgoingLink>()
     private val incoming = LinkedHashSet<IncomingLink>()
@@ -231,15 +234,26 @@
         }
     }
 
+    /** Closes the oldest link that has not named its process, or else [newcomer]. */
+    private fun closeForNewcomer(newcomer: IncomingLink) {
+        val leaving = incoming.firstOrNull { !it.isNamed && it !== newcomer } ?: newcomer
+        logger.info("event=link_refused links={} limit={}", incoming.size, maxIncoming)
+        leaving.close()
+    }
+
     private inner class IncomingLink {
-        private val reader = FrameReader()
+        private val reader = FrameReader { if (from == null) MAX_HELLO_BYTES else Frame.MAX_PAYLOAD_BYTES }
         private var connection: Connection? = null
         private var from: DaemonId? = null
 
+        val isNamed: Boolean
+            get() = from != null
+
         val handlers = Connection.Handlers(
             onOpened = {
                 connection = it
                 incoming.add(this)
+                if (incoming.size > maxIncoming) closeForNewcomer(this)
             },
             onBytes = { current, bytes -> if (!reader.read(bytes, ::onFrame)) current.close() },
             onClosed = { incoming.remove(this) },
@@ -283,6 +297,9 @@
         private val RECONNECT_DELAY: Duration = 200.milliseconds
         private val IDLE_TIMEOUT: Duration = 60.seconds
         private val PORTS = 1..65_535
+
+        /** A name of a process; a link that has not given it sends nothing else. */
+        private const val MAX_HELLO_BYTES = 1_024
         private const val MAX_QUEUED_BYTES = 8 * 1024 * 1024
 
         /** Returns the id of the process that listens on [host] and [port]. */
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpParserFuzzTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/http/HttpParserFuzzTest.kt
@@ -50,46 +50,63 @@
             val count = minOf(random.nextInt(1, 40), stream.size - at)
             parser.append(ByteBuffer.wrap(stream, at, count))
             at += count
-            while (true) {
-                val parsed = parser.next()
-                if (parsed is ParseResult.Request) results += parsed.request.run { "$target ${body.decodeToString()}" }
-                if (parsed is ParseResult.Rejected) return results + "rejected ${parsed.status}"
-                if (parsed === ParseResult.Incomplete) break
-            }
+            if (!takeMessages(parser, results)) return results
         }
         return results
     }
 
+    /** Adds the messages that the parser has read to [results]; returns false if it has rejected one. */
+    private fun takeMessages(parser: HttpParser, results: MutableList<String>): Boolean {
+        while (true) {
+            when (val parsed = parser.next()) {
+                is ParseResult.Request -> results += parsed.request.run { "$target ${body.decodeToString()}" }
+                is ParseResult.Rejected -> return !results.add("rejected ${parsed.status}")
+                else -> return true
+            }
+        }
+    }
+
     private fun reference(stream: ByteArray): List<String> {
         val results = ArrayList<String>()
         var text = stream.toString(Charsets.ISO_8859_1)
         while (true) {
-            val headEnd = text.indexOf("\r\n\r\n")
-            val headSize = if (headEnd < 0) text.length - partialEnd(text) else headEnd
-            if (headSize > limits.maxHeadBytes) return results + "rejected 431"
-            if (headEnd < 0) return results
-            val lines = text.substring(0, headEnd).split("\r\n")
-            val fields = lines.drop(1).filter { it.isNotEmpty() }
-            if (fields.any { it.indexOf(':') <= 0 || it[0] == ' ' }) return results + "rejected 400"
-            val headers = fields.associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
-            val lengths = fields.filter { it.startsWith("content-length:", ignoreCase = true) }
-            if (lengths.map { it.substringAfter(':').trim() }.distinct().size > 1) return results + "rejected 400"
-            val rest = text.substring(headEnd + 4)
-            val coding = headers["transfer-encoding"]
-            val isKnown = coding == null || coding.equals("chunked", true) && "content-length" !in headers
-            if (!isKnown) return results + "rejected 501"
-            val read = if (coding == null) whole(headers["content-length"] ?: "0", rest) else chunked(rest)
-            val (status, body, after) = read ?: return results
-            if (status != 0) return results + "rejected $status"
-            val start = lines[0].split(' ', limit = 3)
-            val isValid = start.size == 3 && start[2].startsWith("HTTP/1.") && start[1].startsWith("/")
-            if (!isValid) return results + "rejected 400"
-            val bytes = body.toByteArray(Charsets.ISO_8859_1)
-            results += "${start[1]} ${bytes.decodeToString()}"
-            text = after
+            val (outcome, rest) = firstMessage(text) ?: return results
+            results += outcome
+            text = rest ?: return results
         }
     }
 
+    /** Outcome of the first message in [text] and what follows it, or null while it is incomplete. */
+    private fun firstMessage(text: String): Pair<String, String?>? {
+        val headEnd = text.indexOf("\r\n\r\n")
+        val headSize = if (headEnd < 0) text.length - partialEnd(text) else headEnd
+        if (headSize > limits.maxHeadBytes) return "rejected 431" to null
+        if (headEnd < 0) return null
+        val lines = text.substring(0, headEnd).split("\r\n")
+        val headers = headers(lines.drop(1).filter { it.isNotEmpty() }) ?: return "rejected 400" to null
+        val (status, body, after) = body(headers, text.substring(headEnd + 4)) ?: return null
+        val start = lines[0].split(' ', limit = 3)
+        val isValid = start.size == 3 && start[2].startsWith("HTTP/1.") && start[1].startsWith("/")
+        return when {
+            status != 0 -> "rejected $status" to null
+            !isValid -> "rejected 400" to null
+            else -> "${start[1]} ${body.toByteArray(Charsets.ISO_8859_1).decodeToString()}" to after
+        }
+    }
+
+    private fun headers(fields: List<String>): Map<String, String>? {
+        val lengths = fields.filter { it.startsWith("content-length:", ignoreCase = true) }
+        val isMalformed = fields.any { it.indexOf(':') <= 0 || it[0] == ' ' }
+        if (isMalformed || lengths.map { it.substringAfter(':').trim() }.distinct().size > 1) return null
+        return fields.associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+    }
+
+    private fun body(headers: Map<String, String>, text: String): Triple<Int, String, String>? {
+        val coding = headers["transfer-encoding"] ?: return whole(headers["content-length"] ?: "0", text)
+        val isKnown = coding.equals("chunked", ignoreCase = true) && "content-length" !in headers
+        return if (isKnown) chunked(text) else Triple(501, "", "")
+    }
+
     private fun partialEnd(text: String) = listOf("\r\n\r", "\r\n", "\r").firstOrNull(text::endsWith)?.length ?: 0
 
     private fun whole(length: String, text: String): Triple<Int, String, String>? {
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/link/PeerNetworkTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/link/PeerNetworkTest.kt
@@ -48,6 +48,18 @@
         links.forEach { it.close() }
     }
 
+    /** Anybody could make the process hold the largest frame on each of any number of links. */
+    @Test
+    fun aLinkThatHasNotNamedItsProcessIsReadALargeFrame() {
+        Socket(address.address, address.port).use { link ->
+            link.soTimeout = TimeUnit.SECONDS.toMillis(20).toInt()
+            val header = Frame(FrameKind.CALL, 1, ByteArray(4096)).encode()
+            link.getOutputStream().write(header, 0, Frame.HEADER_BYTES)
+
+            assertEquals(-1, link.getInputStream().read())
+        }
+    }
+
     /** A process that was suspended publishes to links that its peers have closed, before it reads that they did. */
     @Test
     fun linksThatPeersHaveClosedEndThePublicationOfTheStatus() {
