--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopiesTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopiesTest.kt
@@ -3,7 +3,9 @@
 import org.auburnstream.model.JobId
 import org.auburnstream.model.Resources
 import kotlin.math.abs
+import kotlin.math.exp
 import kotlin.random.Random
+import kotlin.random.asJavaRandom
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -35,13 +37,15 @@
         belongsToTask: Boolean = false,
         jobs: Int = 60,
         interval: Int = 400,
+        estimateOf: (Int) -> Long = { step.estimateMs },
         faults: VirtualFleet.() -> Unit = {},
     ): Pair<VirtualFleet, Outcome> {
         val fleet = VirtualFleet.withWorkers(workers = 12, seed = seed)
         fleet.workOfRun = { run, own -> workOf(if (belongsToTask) run.copy(number = 1) else run, own.estimateMs) }
         fleet.faults()
         repeat(jobs) { number ->
-            fleet.at((number * interval).milliseconds) { fleet.submit("s$seed-$number", step, queue = queue) }
+            val own = step.copy(estimateMs = estimateOf(number))
+            fleet.at((number * interval).milliseconds) { fleet.submit("s$seed-$number", own, queue = queue) }
         }
         fleet.run((jobs * interval).milliseconds + 30.seconds)
         val inTime = fleet.state.jobs.values.count {
@@ -62,7 +66,6 @@
         }
         val seen = "in time ${without.map { it.inTime }} and ${with.map { it.inTime }} of 60, copies " +
             "${with.map { it.copies }}, won ${with.map { it.won }}, wasted ms ${with.map { it.wastedMs }}"
-        println("COPIES $seen")
 
         assertTrue(with.sumOf { it.inTime } - without.sumOf { it.inTime } > 0, seen)
     }
@@ -70,7 +73,6 @@
     @Test
     fun copiesStopWhereTheDurationBelongsToTheTask() {
         val outcomes = (0 until 6).map { play(it, step, belongsToTask = true).second }
-        println("BELONG copies ${outcomes.map { it.copies }} won ${outcomes.map { it.won }}")
 
         assertTrue(outcomes.all { it.copies <= 8 }, "${outcomes.map { it.copies }}")
     }
@@ -95,6 +97,21 @@
         }
     }
 
+    @Test
+    fun wrongEstimatesCauseFewLostCopies() {
+        val outcomes = (0 until 4).map { seed ->
+            // The standard deviation of the error is a factor of e to the power of 0.9, as of some callers.
+            val error = { number: Int -> exp(0.9 * Random(seed * 100 + number).asJavaRandom().nextGaussian()) }
+            play(seed, step, estimateOf = { (540 / error(it)).toLong() }) {
+                workOfRun = { run, _ -> workOf(run, estimateMs = 540) }
+            }.second
+        }
+        val seen = "in time ${outcomes.map { it.inTime }}, copies ${outcomes.map { it.copies }}, " +
+            "won ${outcomes.map { it.won }}"
+
+        assertTrue(outcomes.sumOf { it.won } * 2 >= outcomes.sumOf { it.copies }, seen)
+    }
+
     @Test
     fun aFullPoolGetsFewCopiesAndNoLaterJobs() {
         val without = (0 until 4).map { play(it, plain, interval = 160).second }
@@ -102,7 +119,6 @@
         val seen = "in time ${without.map {
             it.inTime
         }} and ${with.map { it.inTime }}, copies ${with.map { it.copies }}"
-        println("FULL $seen, wasted ${with.map { it.wastedMs }}")
 
         assertTrue(with.sumOf { it.inTime } >= without.sumOf { it.inTime }, seen)
     }
