Serve tenants within their weight before work beyond it

The order of waiting steps ignored tenants, so one that sent six times its weight took the pool in its peaks and the small tenants were late. Jobs beyond a tenant's weight are marked when they are accepted, wait behind those within, and are refused at once with a time to come back when they would miss their objective anyway. At a full service, tenants far above their weighted share come after the others.

RecordedDecisionsTest, without tenants, passes unchanged.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -99,4 +99,7 @@
 
     /** The queue holds the maximum number of waiting jobs. */
     OVERLOADED,
+
+    /** The tenant sends more than its weight, and the job would miss its objective. */
+    BEYOND_WEIGHT,
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -2,6 +2,7 @@
 
 import org.auburnstream.model.JobId
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
 import kotlin.time.Duration
@@ -27,9 +28,10 @@
     now: MonotonicTime,
 ) {
     private val actions = ArrayList<Action>()
-    private val pendingRecords = PendingRecords(state, settings) { actions.add(it) }
-    private val contacts = WorkerContacts(state, settings)
     private val durations = DurationEstimator()
+    private val backlogs = Backlogs(state, durations)
+    private val pendingRecords = PendingRecords(state, settings, backlogs::exceedObjective) { actions.add(it) }
+    private val contacts = WorkerContacts(state, settings)
     private val slowWorkers = SlowWorkerDetector(state, contacts, durations)
     private val runs =
         RunControl(state, settings, contacts, durations, slowWorkers, pendingRecords::record) { actions.add(it) }
@@ -44,6 +46,7 @@
     private val firstOrders = HashSet<VmId>()
     private val advice = AdviceCache()
     private val lastingTaskWaits = LastingTaskWaits(state, ::exclusionOf) { actions.add(it) }
+    private val shares = TenantShares()
     private val cappedTenants = CappedTenants(state) { actions.add(it) }
     private var batchInProgress: RecordBatch? = null
     private var needsPlan = true
@@ -65,7 +68,7 @@
      */
     public fun handle(event: Event, now: MonotonicTime, nowMs: Long): List<Action> {
         when (event) {
-            is Event.JobSubmitted -> pendingRecords.submit(event)
+            is Event.JobSubmitted -> pendingRecords.submit(event, now)
             is Event.CancelRequested -> pendingRecords.submit(event)
             is Event.CatalogSubmitted -> pendingRecords.submit(event)
             is Event.WaveSubmitted -> pendingRecords.submit(event, nowMs)
@@ -321,6 +324,7 @@
         val pendingClaims = pendingRecords.hasClaims
         if (pendingClaims) return
         val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { pendingRecords.isBeingCancelled(it.job.id) }
+        if (state.catalog?.tenants.orEmpty().isNotEmpty()) backlogs.update(waiting)
         if (waiting.isEmpty()) {
             lastingTaskWaits.update(waiting, emptyList(), now)
             cappedTenants.update(emptyList())
@@ -337,6 +341,7 @@
             isStopping = runs::isStopping,
             spares = pools.spareCapacities,
             caps = TenantCaps(state, pendingRecords.catalogs),
+            aboveShare = tenantsAboveShare(waiting, now),
         )
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
         pools.updateShortages(plan.unplaced, now)
@@ -346,6 +351,16 @@
         plan.evictions.forEach { runs.evacuate(it.run, it.incarnation, cause = "room for ${it.beneficiary}", now) }
     }
 
+    private fun tenantsAboveShare(waiting: List<WaitingStep>, now: MonotonicTime): Set<TenantName> {
+        val tenants = state.catalog?.tenants.orEmpty()
+        if (tenants.isEmpty()) return emptySet()
+        val usage = state.usageByTenant()
+        val present = waiting.mapNotNullTo(HashSet(usage.keys)) { it.job.owner?.tenant }
+        val weights = tenants.filter { it.name in present }.associate { it.name to it.weight }
+        val capacity = state.workers.values.fold(Resources.None) { sum, worker -> sum + worker.profile.capacity }
+        return shares.update(usage, weights, capacity, now)
+    }
+
     private fun isCordoned(worker: WorkerProfile): Boolean =
         waves.isCordoned(worker) || pools.isCordoned(worker) || pendingRecords.isLeaving(worker.vm)
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -1,15 +1,22 @@
 package org.auburnstream.scheduling
 
 import org.auburnstream.model.JobId
+import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.VmId
 import kotlin.time.Duration.Companion.seconds
 
-/** Queues records for the next batch, and replies to calls once their records are committed. */
+/**
+ * Queues records for the next batch, and replies to calls once their records are committed.
+ *
+ * @property wouldBeLate whether a new job of a queue would wait so long that it misses its objective.
+ */
 internal class PendingRecords(
     private val state: SchedulerState,
     private val settings: SchedulingSettings,
+    private val wouldBeLate: (Queue, JobDescription) -> Boolean = { _, _ -> false },
     private val emit: (Action) -> Unit,
 ) {
+    private val rates = TenantRates()
     private var records = ArrayList<Record>()
     private var calls = ArrayList<CallId>()
     private val pendingJobs = HashMap<JobId, Record.JobAccepted>()
@@ -42,8 +49,7 @@
         records.add(record)
     }
 
-    fun submit(event: Event.JobSubmitted) {
-        val owner = event.tenant?.let(::JobOwner)
+    fun submit(event: Event.JobSubmitted, now: MonotonicTime) {
         val known = state.jobs[event.id]
         val pending = pendingJobs[event.id]
         val isForeign = when {
@@ -53,18 +59,32 @@
         }
         if (isForeign) return emit(Action.Answer(event.call, Reply.NotPermitted))
         if (known != null) return replyAccepted(event.call)
-        if (pending == null) {
-            if (isOverloaded(event.queue)) {
-                val reply = Reply.NotAccepted(RefusalReason.OVERLOADED, OVERLOAD_PAUSE)
-                return emit(Action.Answer(event.call, reply))
-            }
-            val record = Record.JobAccepted(event.id, event.queue, event.description, owner)
-            pendingJobs[event.id] = record
-            records.add(record)
-        }
+        if (pending == null && !accept(event, now)) return
         calls.add(event.call)
     }
 
+    /** Queues the record of a new job, or refuses it. */
+    private fun accept(event: Event.JobSubmitted, now: MonotonicTime): Boolean {
+        val tenant = event.tenant?.let { state.catalog?.tenant(it) }
+        val isExcess = tenant != null && !rates.take(tenant, now)
+        val refusal = when {
+            isExcess && wouldBeLate(event.queue, event.description) ->
+                Reply.NotAccepted(RefusalReason.BEYOND_WEIGHT, rates.pause(tenant, now))
+            isOverloaded(event.queue, isExcess) -> Reply.NotAccepted(RefusalReason.OVERLOADED, OVERLOAD_PAUSE)
+            else -> null
+        }
+        if (refusal != null) {
+            if (tenant != null && !isExcess) rates.giveBack(tenant.name)
+            emit(Action.Answer(event.call, refusal))
+            return false
+        }
+        val owner = event.tenant?.let { JobOwner(it, isExcess) }
+        val record = Record.JobAccepted(event.id, event.queue, event.description, owner)
+        pendingJobs[event.id] = record
+        records.add(record)
+        return true
+    }
+
     fun submit(event: Event.CancelRequested) {
         val job = state.jobs[event.id]
         val pending = pendingJobs[event.id]
@@ -161,6 +181,10 @@
     fun batchRejected() {
         val reply = Reply.NotAccepted(RefusalReason.NO_LEADER, LEADER_PAUSE)
         batchCalls.forEach { emit(Action.Answer(it, reply)) }
+        for (record in batchRecords) {
+            val owner = (record as? Record.JobAccepted)?.owner ?: continue
+            if (!owner.isExcess) rates.giveBack(owner.tenant)
+        }
         val kept = batchRecords.filter(::isObserved)
         retries = kept + retries
         // The batch may have been too large.
@@ -201,7 +225,9 @@
     private fun isForeign(event: Event.JobSubmitted, queue: QueueName, owner: JobOwner?): Boolean =
         owner?.tenant != event.tenant && !(event.queue.isPublic && event.queue.name == queue)
 
-    private fun isOverloaded(queue: Queue): Boolean = state.waitingJobs(queue.name) >= settings.maxWaitingJobs
+    /** Whether the queue is full; the jobs beyond a tenant's weight do not count for one that is within. */
+    private fun isOverloaded(queue: Queue, isExcess: Boolean): Boolean =
+        state.waitingJobs(queue.name) { isExcess || it.owner?.isExcess != true } >= settings.maxWaitingJobs
 
     private fun replyAccepted(call: CallId) = emit(Action.Answer(call, Reply.Accepted))
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -15,6 +15,7 @@
  * @param mayRun whether the advice service permits a worker to run a step.
  * @param isStopping whether a run in progress was ordered to stop.
  * @property caps limits of what each tenant may have running; a task beyond them is no demand for capacity.
+ * @property aboveShare tenants that use far more than their weighted share.
  * @property spares capacities of the VMs that are switched off, or null if they are not known yet.
  */
 internal class Planner(
@@ -25,6 +26,7 @@
     isStopping: (RunId, WorkerIncarnation) -> Boolean,
     private val spares: List<Resources>? = emptyList(),
     private val caps: TenantCaps = TenantCaps(state),
+    private val aboveShare: Set<TenantName> = emptySet(),
 ) {
     private val placement = TaskPlacement(state, mayRun)
     private val eviction = EvictionChoice(state, isStopping)
@@ -46,7 +48,7 @@
         private val capacities = CapacityTracker(state, isUsable)
         private val probed = CapacityTracker(state, mayProbe)
         private val reservations = Reservations(state, capacities, nowMs)
-        val order = WaitingOrder(reservations, nowMs)
+        val order = WaitingOrder(reservations, capacities, nowMs, aboveShare)
 
         val isFull: Boolean
             get() = claims.size >= limit
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -92,9 +92,13 @@
         return job.isDone(id.step.occurrence) || task(id)?.isDone == true
     }
 
-    /** Returns the number of active jobs of [queue] that have started no task, without jobs that have a schedule. */
-    public fun waitingJobs(queue: QueueName): Int =
-        activeJobs.values.count { it.queue.name == queue && !it.hasStarted && it.description.schedule == null }
+    /**
+     * Returns the number of active jobs of [queue] that have started no task, without jobs that have a schedule and
+     * those that [isCounted] excludes.
+     */
+    public fun waitingJobs(queue: QueueName, isCounted: (Job) -> Boolean = { true }): Int = activeJobs.values.count {
+        it.queue.name == queue && !it.hasStarted && it.description.schedule == null && isCounted(it)
+    }
 
     /**
      * Returns the VMs for which an order may have been sent within [withinMs] before the latest batch, and the VMs
