Count refused calls, running work and waiting jobs by tenant

Cause: a refused call could be traced neither to its tenant nor to its cause, and no metric showed what a tenant has running. A catalog without tenants records nothing.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -26,6 +26,7 @@
 import org.auburnstream.dispatch.log.LineLog
 import org.auburnstream.dispatch.loop.EventLoop
 import org.auburnstream.dispatch.metrics.NodeMetrics
+import org.auburnstream.dispatch.metrics.TenantMetrics
 import org.auburnstream.dispatch.operators.OperatorRequests
 import org.auburnstream.model.DaemonId
 import org.auburnstream.model.GroupId
@@ -56,6 +57,7 @@
  *
  * Every control process accepts reports of workers and requests of operators; a follower forwards them to the leader.
  *
+ * @property tenants metrics by tenant, or null for none.
  * @property onFatal called with the reason when the process cannot continue.
  */
 public class ControlNode(
@@ -64,6 +66,7 @@
     private val handler: RequestHandler,
     private val gateway: Gateway,
     private val metrics: NodeMetrics,
+    private val tenants: TenantMetrics? = null,
     private val onFatal: (String) -> Unit,
 ) {
     private val log = LineLog("control")
@@ -111,6 +114,7 @@
         loop.every("housekeeping", HOUSEKEEPING_INTERVAL, ::housekeeping)
         metrics.gauge("auburnstream_jobs_active", "Accepted jobs that are not over.") { replica.state.active.size }
         metrics.gauge("auburnstream_workers", "Workers that are known.") { replica.state.workers.size }
+        tenants?.show { replica.state }
         metrics.gauge("auburnstream_leads", "1 while this process leads.") { if (leads) 1 else 0 }
         metrics.gauge("auburnstream_replica_leads", "1 while the replica leads, whether or not it schedules.") {
             if (::group.isInitialized && group.status.value.role == ReplicaRole.LEADER) 1 else 0
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/metrics/NodeMetrics.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.dispatch.metrics
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -80,6 +81,27 @@
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(read().toDouble()) }.register(registry)
     }
 
+    /** Registers the gauge [name], whose values by [label] are read with [read] at each scrape. */
+    internal fun gauges(name: String, help: String, label: String, read: () -> Map<String, Number>) {
+        GaugeWithCallback.builder().name(name).help(help).labelNames(label)
+            .callback { gauge -> read().forEach { (key, value) -> gauge.call(value.toDouble(), key) } }
+            .register(registry)
+    }
+
+    /** Registers the counter [name], whose values by [labels] are read with [read] at each scrape. */
+    internal fun counters(
+        name: String,
+        help: String,
+        labels: List<String>,
+        read: () -> List<Pair<List<String>, Long>>,
+    ) {
+        CounterWithCallback.builder().name(name).help(help).labelNames(*labels.toTypedArray())
+            .callback { counter ->
+                read().forEach { (keys, value) -> counter.call(value.toDouble(), *keys.toTypedArray()) }
+            }
+            .register(registry)
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public fun scrape(): ByteArray {
         val out = ByteArrayOutputStream()
