Answer a call with the batch that has its record

Cause: a call that asked again for what was in the batch being committed was answered with the next batch. If the first one was rejected, the call was told that its job, catalog, wave or cancel is accepted though nothing had it; if no further record came, it was never answered. Change: such a call belongs to the batch in flight.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -29,7 +29,7 @@
     private val pendingWorkers = HashMap<WorkerIncarnation, Boolean>()
     private var pendingCatalog: Long? = null
     private val pendingWaves = HashSet<Long>()
-    private var batchCalls: List<CallId> = emptyList()
+    private var batchCalls = ArrayList<CallId>()
     private var batchRecords: List<Record> = emptyList()
     private var retries: List<Record> = emptyList()
     private var retryBatchSize = 0
@@ -65,9 +65,9 @@
         if (isForeign) return emit(Action.Answer(event.call, Reply.NotPermitted))
         if (known != null) return replyAccepted(event.call)
         if (pending == null && !accept(event, now)) return
-        // The job may already be in the batch that is being committed, because an earlier call asked for it.
-        if (pending == null || batchRecords.none { it === pending }) unproposed.add(event.call)
-        calls.add(event.call)
+        val isProposed = pending != null && batchRecords.any { it === pending }
+        if (!isProposed) unproposed.add(event.call)
+        await(event.call, isProposed)
     }
 
     /** Queues the record of a new job, or refuses it. */
@@ -109,7 +109,7 @@
                 unproposed.add(event.call)
             }
         }
-        calls.add(event.call)
+        await(event.call, batchRecords.any { it is Record.JobCancelled && it.id == event.id })
     }
 
     fun submit(event: Event.CatalogSubmitted) {
@@ -120,7 +120,7 @@
             pendingCatalog = event.catalog.version
             records.add(Record.CatalogAccepted(event.catalog, event.document))
         }
-        calls.add(event.call)
+        await(event.call, catalogs.none { it.version >= event.catalog.version })
     }
 
     fun submit(event: Event.WaveSubmitted, nowMs: Long) {
@@ -129,7 +129,7 @@
             val dueMs = nowMs + event.duration.inWholeMilliseconds
             records.add(Record.WaveAccepted(event.wave, event.vms, dueMs, maxOf(1, event.cap)))
         }
-        calls.add(event.call)
+        await(event.call, batchRecords.any { it is Record.WaveAccepted && it.wave == event.wave })
     }
 
     fun submit(event: Event.WorkerReported) {
@@ -151,7 +151,13 @@
             pendingWorkers[incarnation] = event.isLeaving
             records.add(Record.WorkerRegistered(profile, event.isLeaving))
         }
-        calls.add(event.call)
+        val isQueued = records.any { it is Record.WorkerRegistered && it.profile.incarnation == incarnation }
+        await(event.call, isProposed = !isQueued)
+    }
+
+    /** Replies to [call] with the batch that has its record: the one that is being committed, or else the next one. */
+    private fun await(call: CallId, isProposed: Boolean) {
+        if (isProposed) batchCalls.add(call) else calls.add(call)
     }
 
     /** Records that [incarnation] has ended, and answers its deregistrations once that is committed. */
@@ -228,7 +234,7 @@
                 else -> Unit
             }
         }
-        batchCalls = emptyList()
+        batchCalls = ArrayList()
         batchRecords = emptyList()
     }
 
