Take a resend of a job without an owner for the same job

Cause: a job that was accepted while its queue was public has no owner; sent again with a key after the queue had become private, it was answered 403, though reads and cancels of it were permitted. Found by review, whose trial showed it. Change: a job without an owner is no other tenant's. Result: TenantKeysTest and KeyChangeTest pass; no test of its own.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -240,7 +240,7 @@
 
     /** Whether a known job with the event's id, of [queue] and [owner], is not the job that the event resends. */
     private fun isForeign(event: Event.JobSubmitted, queue: QueueName, owner: JobOwner?): Boolean =
-        owner?.tenant != event.tenant && !(event.queue.isPublic && event.queue.name == queue)
+        owner != null && owner.tenant != event.tenant && !(event.queue.isPublic && event.queue.name == queue)
 
     /** Whether the queue is full; the jobs beyond a tenant's weight do not count for one that is within. */
     private fun isOverloaded(queue: Queue, isExcess: Boolean): Boolean =
