Fail a job whose last run ends with its worker after the other run failed

Cause: if the first run of a copied task failed in the last attempt and the worker of the copy then ended, no run was left, none could start, and the job stayed active for good. Change: the end of a worker asks whether an attempt is left, for steps that may have copies.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -282,7 +282,11 @@
         workerTable.remove(incarnation.worker)
         endedTable.remove(incarnation.worker)
         endedTable[incarnation.worker] = EndedIncarnation(incarnation.startedMs, atMs)
-        claimTable[incarnation]?.keys?.toList()?.forEach { release(it, incarnation) }
+        for (run in claimTable[incarnation]?.keys?.toList().orEmpty()) {
+            release(run, incarnation)
+            // The other run of the task may have failed in its last attempt.
+            if (stepOf(run.task)?.mayHaveCopies == true) failIfExhausted(run.task, atMs)
+        }
     }
 
     private fun finishMove(vm: VmId, move: Move) {
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopyClaimsTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/CopyClaimsTest.kt
@@ -106,6 +106,15 @@
         assertEquals(JobPhase.FAILED, state.phase())
     }
 
+    @Test
+    fun aJobNeverEndsBecauseTheWorkerOfItsLastRunEnds() {
+        val state = stateOf(step, attempts = 1).copied()
+        state.end(1, 0, RunEnd.FAILED)
+        assertEquals(JobPhase.ACTIVE, state.phase())
+        state.commit(Record.WorkerEnded(incarnations[1]))
+        assertEquals(JobPhase.FAILED, state.phase())
+    }
+
     @Test
     fun aCopyDecidedBeforeTheEndHasNoEffect() {
         for (end in RunEnd.entries) {
