Start a task larger than its tenant's cap while the tenant uses little else

Cause: such a task never started, though one task beyond the cap is tolerated, and a job that never starts is lost. Change: one such task starts while its tenant uses at most half of the cap; gangs still need the cap as a whole.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantCaps.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantCaps.kt
@@ -79,10 +79,17 @@
             wanted = wanted.plusCapped(demand, tasks)
         }
 
-        fun slots(demand: Resources, limit: Int): Int = demand.timesIn(cap - running, limit)
+        fun slots(demand: Resources, limit: Int): Int = slotsBeside(running, demand, limit)
 
         fun slotsBesideWanted(demand: Resources, limit: Int): Int =
-            demand.timesIn(cap - running.plusCapped(wanted, 1), limit)
+            slotsBeside(running.plusCapped(wanted, 1), demand, limit)
+
+        /** Returns how many of [limit] tasks fit under the cap; of tasks larger than the cap one, beside little else. */
+        private fun slotsBeside(used: Resources, demand: Resources, limit: Int): Int {
+            if (demand.fitsIn(cap)) return demand.timesIn(cap - used, limit)
+            // Such a task would never start, while the operator tolerates one task beyond the cap.
+            return if (limit > 0 && used.plusCapped(used, 1).fitsIn(cap)) 1 else 0
+        }
     }
 
     private companion object {
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/TenantCapsTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/TenantCapsTest.kt
@@ -60,6 +60,18 @@
         assertEquals(1, fleet.eventCounts["tenant_capped"])
     }
 
+    /** The operator tolerates one task beyond the cap, and a task that never starts would be lost. */
+    @Test
+    fun aTaskLargerThanTheCapStartsAlone() {
+        val fleet = fleet(Resources(millicores = 3_000))
+        fleet.submit("large", task.copy(count = 2, demand = Resources(3_500, 100)), tenant = small)
+        fleet.submit("gang", task.copy(count = 2, demand = Resources(2_000, 100), gang = true), tenant = small)
+
+        assertEquals(3_500, fleet.peak(small, 5.seconds), "peak")
+        assertEquals(JobPhase.COMPLETE, fleet.phase("large"))
+        assertEquals(JobPhase.ACTIVE, fleet.phase("gang"))
+    }
+
     @Test
     fun unansweredStartsCountTowardsTheCap() {
         repeat(10) { seed ->
