Copy runs beside tenants at their cap, and near the data only

Cause: tasks that waited for their tenant's cap switched off copies for the whole service, and a copy could start far from its data, where it takes several times as long. Change: only tasks that wait for room count, and a step with data gets copies on the rack of its data. Result: CopiesTest and CopyClaimsTest pass; neither case has a test of its own.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -337,13 +337,13 @@
         val waiting = waitingSteps.find(state, nowMs, earlyMs).filterNot { pendingRecords.isBeingCancelled(it.job.id) }
         val isUsable = { worker: Worker -> contacts.isUsable(worker, now) && !isCordoned(worker.profile) }
         val caps = TenantCaps(state, pendingRecords.catalogs)
-        val claims = place(waiting, isUsable, caps, now, nowMs)
+        val plan = place(waiting, isUsable, caps, now, nowMs)
         // Looking through all runs in progress after each commit would take the leader's time.
         if (!needsCopyDecisions) return
         needsCopyDecisions = false
         copies.decide(
             waiting = waiting,
-            claims = claims,
+            plan = plan,
             caps = caps,
             isUsable = isUsable,
             mayRun = { step, queue, worker -> mayRun(step, queue, worker, now) },
@@ -353,20 +353,20 @@
         ).forEach(pendingRecords::record)
     }
 
-    /** Plans the runs of the steps [waiting], and returns their claims. */
+    /** Plans the runs of the steps [waiting]. */
     private fun place(
         waiting: List<WaitingStep>,
         isUsable: (Worker) -> Boolean,
         caps: TenantCaps,
         now: MonotonicTime,
         nowMs: Long,
-    ): List<Record.RunClaimed> {
+    ): Plan {
         if (state.catalog?.tenants.orEmpty().isNotEmpty()) backlogs.update(waiting)
         if (waiting.isEmpty()) {
             lastingTaskWaits.update(waiting, emptyList(), now)
             cappedTenants.update(emptyList())
             pools.updateShortages(emptyMap(), now)
-            return emptyList()
+            return Plan(emptyList(), emptyList(), emptyMap())
         }
         val mayProbe = { worker: Worker -> contacts.mayProbe(worker, now) && !isCordoned(worker.profile) }
         askAdvice(waiting, isUsable, mayProbe, now)
@@ -386,7 +386,7 @@
         cappedTenants.update(plan.capped)
         plan.claims.forEach(pendingRecords::record)
         plan.evictions.forEach { runs.evacuate(it.run, it.incarnation, cause = "room for ${it.beneficiary}", now) }
-        return plan.claims
+        return plan
     }
 
     private fun tenantsAboveShare(waiting: List<WaitingStep>, now: MonotonicTime): Set<TenantName> {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyControl.kt
@@ -27,14 +27,14 @@
     /**
      * Returns the claims of the copies to start after a plan.
      *
-     * @param waiting steps with tasks ready to start, and [claims] those of their tasks that the plan has placed.
+     * @param waiting steps with tasks ready to start, some of which the [plan] has placed.
      * @param caps limits of what each tenant may have running, which contain the claims of the plan.
      * @param isUsable whether a worker accepts new tasks.
      * @param mayRun whether the advice service permits a worker to run a step of a queue.
      */
     fun decide(
         waiting: List<WaitingStep>,
-        claims: List<Record.RunClaimed>,
+        plan: Plan,
         caps: TenantCaps,
         isUsable: (Worker) -> Boolean,
         mayRun: (StepId, Queue, WorkerProfile) -> Boolean,
@@ -43,11 +43,11 @@
         nowMs: Long,
     ): List<Record.RunClaimed> {
         open.values.removeAll { (state.task(it.first.task)?.claims?.size ?: 0) < 2 }
-        val runs = copyableRuns(without = servicesWithWaitingTasks(waiting, claims))
+        val runs = copyableRuns(without = servicesWithWaitingTasks(waiting, plan))
         if (runs.isEmpty()) return emptyList()
         val capacities = CapacityTracker(state) { isUsable(it) && !isSlower(it, now) }
         val steps = waiting.associateBy { it.id }
-        for (claim in claims) {
+        for (claim in plan.claims) {
             val step = steps[claim.run.task.step]?.description ?: continue
             capacities.at(claim.incarnation)?.reserve(claim.run.task.step, step)
         }
@@ -112,9 +112,12 @@
         )
     }
 
-    private fun servicesWithWaitingTasks(waiting: List<WaitingStep>, claims: List<Record.RunClaimed>): Set<ServiceId> {
-        val placed = claims.groupingBy { it.run.task.step }.eachCount()
-        return waiting.filter { it.tasks.size > (placed[it.id] ?: 0) }.mapTo(HashSet()) { it.queue.service }
+    /** Returns the services with tasks that wait for room; tasks that wait for their tenant's cap need none. */
+    private fun servicesWithWaitingTasks(waiting: List<WaitingStep>, plan: Plan): Set<ServiceId> {
+        val settled = HashMap<StepId, Int>()
+        plan.claims.forEach { settled.merge(it.run.task.step, 1, Int::plus) }
+        plan.capped.forEach { settled.merge(it.step.id, it.tasks, Int::plus) }
+        return waiting.filter { it.tasks.size > (settled[it.id] ?: 0) }.mapTo(HashSet()) { it.queue.service }
     }
 
     /** Returns the runs of tasks that may have copies, by service, [without] some services. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyPlanner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyPlanner.kt
@@ -112,7 +112,9 @@
         val step = candidate.step
         if (!mayStart(candidate.job, step)) return null
         val id = candidate.run.task.step
-        val fitting = room.filter { it.fits(id, step) && mayRun(candidate, it.worker) }
+        // Far from its data a copy takes several times as long as a run near them.
+        val near = room.filter { step.dataRack == null || it.rack == step.dataRack }
+        val fitting = near.filter { it.fits(id, step) && mayRun(candidate, it.worker) }
         val slots = room.sumOf { step.reserved.timesIn(it.free, MAX_SLOTS) }
         if (slots < MIN_FREE_SLOTS) return null
         return fitting.filter { it.worker.incarnation.worker != candidate.worker.worker }
