Grant the longest lease to a worker that may get late orders for its earlier incarnation

Cause: a late order may give a restarted worker the longest lease while the leader believes in a brief one. Change: such a worker gets the longest lease until those orders have expired. Result: LeaseLengthTest and LeaseAcrossLeadersTest pass; the case itself has no test.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/LeaseLength.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/LeaseLength.kt
@@ -36,6 +36,10 @@
     /** Returns the length of a lease that [contact]'s worker gets at [now]. */
     fun lengthAt(contact: WorkerContact, now: MonotonicTime): Duration {
         if (settings.briefLease == settings.maxLease) return settings.maxLease
+        // A late order for the earlier incarnation may still grant the longest lease to this one.
+        val worker = state.worker(contact.incarnation)
+        val isRestarted = worker?.earlier != null && now - worker.registeredAt < settings.lateOrderLifetime
+        if (isRestarted) return settings.maxLease
         val runs = state.claimsAt(contact.incarnation).map { (run, step) ->
             val queue = state.jobs[run.task.step.job]?.queue?.name
             val estimateMs = if (queue == null) step.estimateMs else durations.estimate(queue, step.estimateMs)
