Deny access to a job only once the leadership is confirmed

Cause: a leader that wakes with an old catalog answered 403 at once, while it holds back acknowledgements. Change: both wait for the confirmation. Result: LeadershipTest passes; the case has no test of its own.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -153,9 +153,10 @@
         }
     }
 
-    /** Passes the reply to its caller; a leader that may have been replaced acknowledges nothing until confirmed. */
+    /** Passes the reply to its caller; a leader that may have been replaced tells nothing of its state until confirmed. */
     private fun answer(action: Action.Answer) {
-        if (action.reply == Reply.Accepted && !isConfirmed()) {
+        val dependsOnState = action.reply == Reply.Accepted || action.reply == Reply.NotPermitted
+        if (dependsOnState && !isConfirmed()) {
             deferredActions.add(action)
             return
         }
