--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/ClientMemory.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/ClientMemory.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.dispatch.http
 
 import org.auburnstream.model.MonotonicTime
+import java.util.PriorityQueue
 
 /**
  * Budget of the bytes that clients make one process hold: heads, bodies, copies of them and answers that are not read.
@@ -30,8 +31,12 @@
         Holding(address, since, onRefused)
 
     private fun makeRoom(own: Holding, bytes: Long, isOwnUnfinished: Boolean): Boolean {
-        val excess = heldBytes - own.bytes + bytes - limitBytes
-        if (excess <= 0 || heldBytes == own.bytes) return true
+        // The rest is kept for ordinary small requests.
+        val limit = if (bytes <= MAX_RUNNING_SMALL_BYTES) limitBytes else limitBytes / 4 * 3
+        val missing = heldBytes - own.bytes + bytes - limit
+        if (missing <= 0 || heldBytes == own.bytes) return true
+        // More than is missing, so that the choice is not made again for each piece that arrives.
+        val excess = missing + limitBytes / SPARE_SHARE
         val unfinished = holdings.filter { it !== own && !it.hasBegun }.map(Holding::toHeld)
         val newcomer = if (isOwnUnfinished) Held(own, own.address, bytes, own.since) else null
         val chosen = chooseRefused(unfinished, newcomer, excess)
@@ -64,10 +69,12 @@
             return isGranted
         }
 
-        /** Holds [bytes] of an answer that is not read yet. */
-        fun awaitReader(bytes: Long) {
-            set(bytes)
+        /** Holds [bytes] of an answer that is not read yet; returns false if its connection has to be closed. */
+        fun awaitReader(bytes: Long): Boolean {
             hasBegun = false
+            val isGranted = bytes <= this.bytes || makeRoom(this, bytes, isOwnUnfinished = true)
+            set(bytes)
+            return isGranted
         }
 
         fun close() = set(0)
@@ -84,6 +91,10 @@
     private companion object {
         /** Leaves the rest of the heap to copies in transit, the state and the runtime. */
         const val SHARE_OF_HEAP = 4
+        const val SPARE_SHARE = 16
+
+        /** Size of a small request with its copies while it runs. */
+        const val MAX_RUNNING_SMALL_BYTES = 4 * SMALL_MESSAGE_BYTES
 
         fun defaultLimitBytes(): Long = Runtime.getRuntime().maxMemory() / SHARE_OF_HEAP
     }
@@ -108,15 +119,17 @@
     val order = compareByDescending<Held<T>> { bytesByAddress[it.address] }
         .thenByDescending { it.bytes }
         .thenBy { it.since.nanoseconds }
+    val large = PriorityQueue(maxOf(1, all.size), order)
+    all.filterTo(large) { it.bytes > SMALL_MESSAGE_BYTES }
     val refused = ArrayList<Held<T>>()
     var freed = 0L
-    for (held in all.filter { it.bytes > SMALL_MESSAGE_BYTES }.sortedWith(order)) {
+    while (freed < excess) {
+        val held = large.poll() ?: return null
         if (held === newcomer) return null
         refused += held
         freed += held.bytes
-        if (freed >= excess) return refused
     }
-    return null
+    return refused
 }
 
 /** Size of ordinary small requests, which are not refused for the room of others. */
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpParser.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpParser.kt
@@ -51,6 +51,10 @@
     val isInMessage: Boolean
         get() = result != null || part != Part.HEAD || headSize > 0 || restStart < rest.size
 
+    /** Whether bytes that follow the current message wait to be parsed. */
+    val hasRest: Boolean
+        get() = restStart < rest.size
+
     /** Number of bytes that the parser holds. */
     val heldBytes: Long
         get() = 0L + head.size + body.size + rest.size
@@ -139,6 +143,11 @@
     }
 
     private fun growHead(maxBytes: Int): Boolean {
+        // The limit may have become smaller since the head began.
+        if (headSize >= maxBytes + HEAD_END.size) {
+            reject(HEAD_TOO_LARGE, "head too large")
+            return false
+        }
         val size = (head.size * 2).coerceIn(INITIAL_HEAD_BYTES, maxOf(INITIAL_HEAD_BYTES, maxBytes + HEAD_END.size))
         if (!mayHold(heldBytes - head.size + size)) return false
         head = head.copyOf(size)
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -75,9 +75,14 @@
         openConnections.toList().forEach { it.close() }
     }
 
-    /** Closes the connection that has waited longest for its first request, or else an idle one, or [newcomer]. */
+    /**
+     * Closes the connection that has waited longest for its first request, or else an idle one, one whose next request
+     * is not complete, or [newcomer].
+     */
     private fun closeForNewcomer(newcomer: ServerConnection) {
-        val leaving = unproven.firstOrNull { it !== newcomer } ?: openConnections.firstOrNull { it.isIdle }
+        val leaving = unproven.firstOrNull { it !== newcomer }
+            ?: openConnections.firstOrNull { it.isIdle }
+            ?: openConnections.firstOrNull { it !== newcomer && it.isWithoutWork }
         (leaving ?: newcomer).close()
     }
 
@@ -98,8 +103,11 @@
         var isBusy = false
             private set
 
+        val isWithoutWork: Boolean
+            get() = !isBusy && !isAnswerUnread
+
         val isIdle: Boolean
-            get() = !isBusy && !isAnswerUnread && !parser.isInMessage
+            get() = isWithoutWork && !parser.isInMessage
 
         private val mayStart: Boolean
             get() = !isBusy && !isEnding && !isAnswerUnread
@@ -117,7 +125,8 @@
                 openConnections.remove(this)
                 unproven.remove(this)
                 parser.clear()
-                release()
+                // The work of a request goes on without its caller, and holds its bytes until it is answered.
+                if (!isBusy) release()
             },
         )
 
@@ -137,7 +146,13 @@
             lastActivityAt = loop.now
             if (messageStartedAt == null) messageStartedAt = lastActivityAt
             if (!parser.append(bytes)) hasDropped = true
-            if (isBusy || isAnswerUnread) connection?.pauseReading(isPaused = true) else processNext()
+            if (isBusy || isAnswerUnread) connection?.pauseReading(isPaused = true) else goOn()
+        }
+
+        /** Takes the next message, and reads no further while whole requests may wait to be parsed. */
+        private fun goOn() {
+            processNext()
+            if (mayStart) connection?.pauseReading(isPaused = parser.hasRest)
         }
 
         private fun reserve(bytes: Long): Boolean {
@@ -183,7 +198,10 @@
             } catch (e: Exception) {
                 logger.error("event=request_handler_failed path={} cause=\"{}\"", parsed.request.path, e.toString(), e)
                 // Nobody else answers the request, and a connection that waits for an answer has no timeout.
-                if (!isAnswered) close()
+                if (!isAnswered) {
+                    isBusy = false
+                    close()
+                }
             }
         }
 
@@ -191,7 +209,7 @@
             isBusy = false
             lastActivityAt = loop.now
             val connection = connection ?: return
-            if (connection.isClosed) return
+            if (connection.isClosed) return release()
             val staysOpen = keepsAlive && !isDraining && !hasDropped
             connection.write(*encode(response, staysOpen))
             if (!staysOpen) {
@@ -199,7 +217,11 @@
                 parser.clear()
             }
             isAnswerUnread = connection.queuedBytes > 0
-            if (isAnswerUnread) holding?.awaitReader(parser.heldBytes + connection.queuedBytes) else settle()
+            if (!isAnswerUnread) {
+                settle()
+            } else if (holding?.awaitReader(parser.heldBytes + connection.queuedBytes) == false) {
+                return loop.post { close() }
+            }
             if (!staysOpen) return if (hasDropped) connection.closeAfterPeer() else connection.closeWhenFlushed()
             if (!isAnswerUnread) resume(connection)
         }
@@ -220,10 +242,11 @@
         }
 
         private fun resume(connection: Connection) {
-            connection.pauseReading(isPaused = false)
+            connection.pauseReading(isPaused = parser.hasRest)
             if (!parser.isInMessage) return
-            if (messageStartedAt == null) messageStartedAt = loop.now
-            loop.post { if (!connection.isClosed && mayStart) processNext() }
+            // What the server itself did not read meanwhile is not the client's delay.
+            messageStartedAt = loop.now
+            loop.post { if (!connection.isClosed && mayStart) goOn() }
         }
 
         private fun reject(status: Int, detail: String) {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/PeerNetwork.kt
@@ -260,7 +260,8 @@
         )
 
         fun send(frame: Frame) {
-            connection?.write(frame.encode())
+            val current = connection ?: return
+            if (current.queuedBytes > MAX_QUEUED_BYTES) current.close() else current.write(frame.encode())
         }
 
         fun close() {
@@ -276,7 +277,8 @@
                     from = id
                     if (status.isNotEmpty()) send(Frame(FrameKind.STATUS, 0, status))
                 }
-                FrameKind.PING -> send(Frame(FrameKind.PONG, 0, EMPTY))
+                // Whatever is queued shows as well that this process lives, once it is read.
+                FrameKind.PING -> if (connection?.queuedBytes == 0) send(Frame(FrameKind.PONG, 0, EMPTY))
                 FrameKind.CALL -> onCall(frame.payload) { send(Frame(FrameKind.REPLY, frame.number, it)) }
                 FrameKind.CONSENSUS, FrameKind.PROPOSAL -> from?.let { deliver(it, frame) }
                 FrameKind.REPLY, FrameKind.STATUS, FrameKind.PONG -> Unit
