--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeaderOutage.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/LeaderOutage.kt
@@ -48,7 +48,7 @@
         idleSince = null
     }
 
-    /** Records that a leader is connected at [now]; one that stays so for an election's time serves, as far as is known. */
+    /** Records that a leader is connected at [now]; one that stays so for [ELECTION_TIME] ends the outage. */
     fun connected(now: MonotonicTime) {
         val since = connectedSince ?: now.also { connectedSince = it }
         if (idleSince == null && now - since >= ELECTION_TIME) served()
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Leadership.kt
@@ -153,7 +153,7 @@
         }
     }
 
-    /** Passes the reply to its caller; a leader that may have been replaced tells nothing of its state until confirmed. */
+    /** Passes the reply to its caller; a leader that may have been replaced tells nothing of its state before. */
     private fun answer(action: Action.Answer) {
         val dependsOnState = action.reply == Reply.Accepted || action.reply == Reply.NotPermitted
         if (dependsOnState && !isConfirmed()) {
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/ClientMemory.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/ClientMemory.kt
@@ -31,8 +31,7 @@
         Holding(address, since, onRefused)
 
     private fun makeRoom(own: Holding, bytes: Long, isOwnUnfinished: Boolean): Boolean {
-        // The rest is kept for ordinary small requests.
-        val limit = if (bytes <= MAX_RUNNING_SMALL_BYTES) limitBytes else limitBytes / 4 * 3
+        val limit = if (bytes <= MAX_RUNNING_SMALL_BYTES) limitBytes else limitBytes - limitBytes / SMALL_SHARE
         val missing = heldBytes - own.bytes + bytes - limit
         if (missing <= 0 || heldBytes == own.bytes) return true
         // More than is missing, so that the choice is not made again for each piece that arrives.
@@ -93,6 +92,9 @@
         const val SHARE_OF_HEAP = 4
         const val SPARE_SHARE = 16
 
+        /** Part of the budget that is kept for ordinary small requests. */
+        const val SMALL_SHARE = 4
+
         /** Size of a small request with its copies while it runs. */
         const val MAX_RUNNING_SMALL_BYTES = 4 * SMALL_MESSAGE_BYTES
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantCaps.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantCaps.kt
@@ -84,7 +84,7 @@
         fun slotsBesideWanted(demand: Resources, limit: Int): Int =
             slotsBeside(running.plusCapped(wanted, 1), demand, limit)
 
-        /** Returns how many of [limit] tasks fit under the cap; of tasks larger than the cap one, beside little else. */
+        /** Returns how many of [limit] tasks fit under the cap; of tasks larger than it one, beside little else. */
         private fun slotsBeside(used: Resources, demand: Resources, limit: Int): Int {
             if (demand.fitsIn(cap)) return demand.timesIn(cap - used, limit)
             // Such a task would never start, while the operator tolerates one task beyond the cap.
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantRates.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantRates.kt
@@ -56,8 +56,8 @@
 
     internal companion object {
         /**
-         * Time whose jobs a full bucket holds: a few seconds at several times the weight, so that a tenant whose mean is
-         * within its weight is so in its peaks as well.
+         * Time whose jobs a full bucket holds: a few seconds at several times the weight, so that a tenant whose mean
+         * is within its weight is so in its peaks as well.
          */
         val BURST: Duration = 20.seconds
 
