Sum up the runs of tenants once a tick, and for their caps only when tasks wait

Cause: each plan, some dozens a second, summed up all claims twice and all waiting steps once more for tenants, also when nothing waited. Change: shares and backlogs are updated once a tick; the caps sum up the claims when the first task is looked at.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -54,6 +54,8 @@
     private var needsPlan = true
     private var needsVmDecisions = false
     private var needsCopyDecisions = false
+    private var needsTenantShares = false
+    private var aboveShare = emptySet<TenantName>()
 
     /** Whether a batch was rejected since the last tick; the next batch waits, because the log may be overloaded. */
     private var isBackingOff = false
@@ -155,6 +157,7 @@
         }
         needsVmDecisions = true
         needsCopyDecisions = true
+        needsTenantShares = true
         // Holds, pauses and due times can end between two ticks without a record.
         needsPlan = true
         nextTick = now + TICK_INTERVAL
@@ -361,7 +364,7 @@
         now: MonotonicTime,
         nowMs: Long,
     ): Plan {
-        if (state.catalog?.tenants.orEmpty().isNotEmpty()) backlogs.update(waiting)
+        updateTenantShares(waiting, now)
         if (waiting.isEmpty()) {
             lastingTaskWaits.update(waiting, emptyList(), now)
             cappedTenants.update(emptyList())
@@ -378,7 +381,7 @@
             isStopping = runs::isStopping,
             spares = pools.spareCapacities,
             caps = caps,
-            aboveShare = tenantsAboveShare(waiting, now),
+            aboveShare = aboveShare,
         )
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
         pools.updateShortages(plan.unplaced, now)
@@ -389,14 +392,17 @@
         return plan
     }
 
-    private fun tenantsAboveShare(waiting: List<WaitingStep>, now: MonotonicTime): Set<TenantName> {
+    /** Updates what the order of the tenants depends on, once a tick, because it sums up all runs and waiting steps. */
+    private fun updateTenantShares(waiting: List<WaitingStep>, now: MonotonicTime) {
         val tenants = state.catalog?.tenants.orEmpty()
-        if (tenants.isEmpty()) return emptySet()
+        if (!needsTenantShares || tenants.isEmpty()) return
+        needsTenantShares = false
+        backlogs.update(waiting)
         val usage = state.usageByTenant()
         val present = waiting.mapNotNullTo(HashSet(usage.keys)) { it.job.owner?.tenant }
         val weights = tenants.filter { it.name in present }.associate { it.name to it.weight }
         val capacity = state.workers.values.fold(Resources.None) { sum, worker -> sum + worker.profile.capacity }
-        return shares.update(usage, weights, capacity, now)
+        aboveShare = shares.update(usage, weights, capacity, now)
     }
 
     private fun isCordoned(worker: WorkerProfile): Boolean =
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantCaps.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/TenantCaps.kt
@@ -17,14 +17,18 @@
  */
 internal class TenantCaps(private val state: SchedulerState, pending: List<Catalog> = emptyList()) {
     private val catalogs = listOfNotNull(state.catalog) + pending
-    private val ledgers = HashMap<TenantName, Ledger>()
 
-    init {
+    /** Summed up only when a plan has tasks to place. */
+    private val ledgers: Map<TenantName, Ledger> by lazy(LazyThreadSafetyMode.NONE) {
+        val ledgers = HashMap<TenantName, Ledger>()
         val capped = catalogs.flatMap { it.tenants }.filter { it.cap != Resources.None }
         capped.forEach { ledgers.getOrPut(it.name) { Ledger() }.tighten(it.cap) }
         if (ledgers.isNotEmpty()) {
-            state.forEachClaim { job, description -> ledgerOf(job)?.run(description.demand, 1) }
+            state.forEachClaim { job, description ->
+                job.owner?.let { ledgers[it.tenant] }?.run(description.demand, 1)
+            }
         }
+        ledgers
     }
 
     /** Whether the tenant of [job] may start one more task of a step. */
