Log for how long lasting tasks are held by lost workers, and by which lease

Change: lasting_tasks_held, one line a second for all workers that have been silent for 3 s, with the tasks counted by what holds them (lease, earlier_leader, late_orders); run_claimed has down_ms for a lasting task that starts again. Result: HeldLastingTasksTest passes; no decision depends on it.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -31,6 +31,7 @@
     private val paces = PaceOrders(state, emit)
     private val leases = LeaseLengths(state, settings, durations)
     private val startedJobs = StartedJobs(state, record)
+    private val heldLastingTasks = HeldLastingTasks(state, settings, contacts, emit)
     val closedLeases = ClosedLeases(state, settings, contacts, record)
 
     val restartedWorkers = RestartedWorkers(state, settings, contacts, ::stop, emit)
@@ -93,6 +94,7 @@
             "worker" to claim.incarnation,
             "lease_end_ms" to until,
             "clock_age_ms" to contact.clock.readingAge(now)?.inWholeMilliseconds,
+            *heldLastingTasks.startFields(claim.run, now),
         )
         emit(
             Action.Start(
@@ -237,6 +239,7 @@
     fun runEnded(end: Record.RunEnded, now: MonotonicTime) {
         contacts.unansweredStarts.remove(end.run, end.incarnation.worker)
         pendingEnds.remove(end.run to end.incarnation)
+        heldLastingTasks.runLost(end.run, now)
         val contact = contacts.find(end.incarnation)
         val startedAt = contact?.orders?.remove(end.run)?.startedAt
         val job = end.run.task.step.job
@@ -292,6 +295,7 @@
             resendStops(contact, now)
             queryStatus(contact, now)
         }
+        heldLastingTasks.tick(now)
         // A new leader also queries idle workers, so that it does not have to wait for their next reports.
         state.workers.values.map { it to contacts.of(it.profile.incarnation, now) }
             .filter { (worker, contact) -> needsQuery(worker, contact) }
@@ -456,6 +460,7 @@
     ) {
         if (!pendingEnds.add(run to incarnation)) return
         log("run_not_there", "run" to run, "worker" to incarnation, "cause" to cause, *inputs)
+        contacts.find(incarnation)?.let { heldLastingTasks.runLost(run, it.lastKnownAt) }
         record(Record.RunReleased(run, incarnation))
     }
 
