Show that a lasting task stays down for as long as workers grant leases

Cause: where workers grant leases of more than 6 s, a lost worker holds its lasting tasks for longer than they may be down: the leader grants all that the worker allows, a later leader assumes it, and a lease that the worker got for other runs holds a lasting task that starts there after it.

--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/LastingTaskNotRestartedTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/LastingTaskNotRestartedTest.kt
@@ -69,6 +69,64 @@
         }
     }
 
+    /** Workers of some deployments grant leases that are longer than a lasting task may be down. */
+    @Test
+    fun aLastingTaskStaysDownForTheLongestLeaseThatItsLostWorkerGrants() {
+        for (maxLease in LONG_LEASES) {
+            repeat(SEEDS) { seed ->
+                val fleet = busyFleet(seed, SchedulingSettings(maxLease = maxLease))
+                loseWorkerOf(fleet, seed)
+
+                assertRunsAgain(fleet, seed, MAX_DOWN_TIME)
+            }
+        }
+    }
+
+    @Test
+    fun aLastingTaskStaysDownForTheLongestLeaseThatAnEarlierLeaderMayHaveGranted() {
+        for (maxLease in LONG_LEASES) {
+            repeat(SEEDS) { seed ->
+                val fleet = busyFleet(seed, SchedulingSettings(maxLease = maxLease))
+                loseWorkerOf(fleet, seed)
+                replaceLeader(fleet, seed)
+
+                assertRunsAgain(fleet, seed, MAX_DOWN_TIME)
+            }
+        }
+    }
+
+    @Test
+    fun aLastingTaskStaysDownForTheLongestLeaseWhileLeadersChange() {
+        for (maxLease in LONG_LEASES) {
+            repeat(SEEDS) { seed ->
+                val fleet = busyFleet(seed, SchedulingSettings(maxLease = maxLease))
+                loseWorkerOf(fleet, seed)
+                repeat(4) { number ->
+                    fleet.at((number * 3_000 + seed * 20).milliseconds) { replaceLeader(fleet, seed) }
+                }
+
+                // There may be no leader at the end of the allowed time.
+                assertRunsAgain(fleet, seed, MAX_DOWN_TIME + ELECTION_TIME)
+            }
+        }
+    }
+
+    @Test
+    fun aLastingTaskStaysDownForALeaseThatItsWorkerGotBeforeItForALongRun() {
+        for (maxLease in LONG_LEASES) {
+            repeat(SEEDS) { seed ->
+                val fleet = VirtualFleet.withWorkers(4, seed, SchedulingSettings(maxLease = maxLease))
+                fleet.submit("long", step.copy(count = 4, lasting = false, demand = brief.demand, estimateMs = 15_000))
+                fleet.run(6.seconds + (seed * 97).milliseconds)
+                fleet.submit("lasting", step)
+                fleet.runUntilStarted(taskOf(seed), limit = 2.seconds)
+                loseWorkerOf(fleet, seed)
+
+                assertRunsAgain(fleet, seed, MAX_DOWN_TIME)
+            }
+        }
+    }
+
     private fun busyFleet(seed: Int, settings: SchedulingSettings = SchedulingSettings()): VirtualFleet {
         val fleet = VirtualFleet.withWorkers(5, seed, settings)
         fleet.workers.values.forEach { it.clockRate = fleet.random.nextDouble(0.98, 1.0) }
@@ -101,6 +159,7 @@
 
     private companion object {
         const val SEEDS = 40
+        val LONG_LEASES = listOf(8.seconds, 10.seconds, 30.seconds)
 
         /** A lost run may stay unknown for 6 s; from then on its task may wait for 3 s while there is room. */
         val MAX_DOWN_TIME: Duration = 9.seconds
