Grant no longer lease than a lost lasting task can bear

Cause: the leader granted all that workers allow, and a later leader waits for all of it from its own start. A lost worker then holds its lasting tasks for 9.6 to 10.6 s under one leader and for over 12 s if the leader is lost with it; 9 s are promised. Nothing compared the two. A lease belongs to the worker and never shortens, so one that was granted for other runs holds a lasting task that starts there after it as well.

Change: one length for all leases, the shorter of what workers grant and 6 s. The wait for an earlier leader follows from it. What workers grant still counts where a late order may have granted it: for a worker that restarted within the lifetime of such orders, no longer for one that ever did. The settings refuse a lease that, with an election and the restart of the task, takes longer than the promise.

With it, leases of two lengths go: brief runs keep 6 s, others get 6 s instead of 10 s.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -29,7 +29,6 @@
     val ending: Set<Pair<RunId, WorkerIncarnation>>
         get() = pendingEnds
     private val paces = PaceOrders(state, emit)
-    private val leases = LeaseLengths(state, settings, durations)
     private val startedJobs = StartedJobs(state, record)
     private val heldLastingTasks = HeldLastingTasks(state, settings, contacts, emit)
     val closedLeases = ClosedLeases(state, settings, contacts, record)
@@ -86,8 +85,7 @@
         val progress = job.step(claim.run.task.step)
         val saved = if (description.gang) progress.saved else progress.tasks[claim.run.task.index].saved
         // Status queries renew the lease in time. If each start extended it, unanswered starts would delay its expiry.
-        val length = leases.lengthAt(contact, now)
-        val until = contact.clock.reuseOrGrant(now, length, minimum = length / 2)
+        val until = contact.clock.reuseOrGrant(now, settings.lease, minimum = settings.lease / 2)
         log(
             "run_claimed",
             "run" to claim.run,
@@ -215,8 +213,8 @@
             return
         }
         if (contact.answeredQueryAt == null) {
-            val isRestarted = state.worker(event.incarnation)?.earlier != null
-            contact.assumeEarlierLeases(answer.clockMs, sentAt, isRestarted, settings)
+            val mayHaveLateLease = contacts.mayHaveLateLease(event.incarnation, now)
+            contact.assumeEarlierLeases(answer.clockMs, sentAt, mayHaveLateLease, settings)
         }
         contact.answeredQueryAt = sentAt
         contact.running = answer.running
@@ -410,7 +408,7 @@
         val mayRenew = contact.clock.isKnown && !contact.isRenewalUnanswered && !contact.isSuperseded &&
             !contacts.isLeaseClosed(worker, contact)
         if (mayRenew) contact.isRenewalUnanswered = true
-        val until = if (mayRenew) contact.clock.grant(now, leases.lengthAt(contact, now)) else null
+        val until = if (mayRenew) contact.clock.grant(now, settings.lease) else null
         // A later incarnation numbers its ends from the start, so the earlier one's number would drop unread ends.
         val lastRecordedEnd = if (contact.isSuperseded) 0 else worker.lastRecordedEnd
         val timeout = contacts.answerTimeout.after(contact.failedQueries)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -9,20 +9,24 @@
  *
  * Unless a property gives another reason, the default times suit a group whose members are a millisecond apart.
  *
- * @property maxLease longest lease that a worker grants.
- * @property briefLease lease of a worker whose runs are all brief, at most [maxLease]: several renewals, each up to
- *   [lookWait] after the other, and an election of the control group.
+ * @property maxLease longest lease that a worker grants, to this system's orders or to late ones.
+ * @property maxDownTime time from the loss of a worker until its lasting tasks have to run elsewhere, also when the
+ *   leader is lost with it.
+ * @property lease length of the leases that are granted, at most [maxLease]. It holds for every run of a worker and
+ *   never shortens, so what a lasting task can bear ([maxDownTime]) limits it for all. It covers several renewals, each
+ *   up to [lookWait] after the other, and an election of the control group.
  * @property clockSlowness fraction by which a worker's clock may run slow.
  * @property reportInterval time between two reports of a worker.
  * @property stopTime longest time from the order to stop a run to the end of the run.
  * @property earlyStart time by which an occurrence may start before it is due; the scheduler uses half of it.
  * @property predecessorOrderTime time for which orders of an earlier leader for a VM may still arrive.
  * @property maxClockSkew maximum difference between the clocks of two leaders.
+ * @property electionTime longest time from the loss of a leader until the next one leads.
  * @property predecessorTime time from the start of a leadership until every lease that an earlier leader granted has
- *   expired: the longest lease on a slow clock and a margin. A leader grants leases only while a quorum has confirmed
+ *   expired: a lease on a slow clock and a margin. A leader grants leases only while a quorum has confirmed
  *   it within the shortest election timeout, so none is granted after the next leader is elected.
  * @property lookWait time for which a worker delays the answer to a status query while no run ends. Each answer renews
- *   the lease, so a worker that falls silent keeps its runs for [maxLease] less this time.
+ *   the lease, so a worker that falls silent keeps its runs for [lease] less this time.
  * @property servingLookWait the same as [lookWait] for a worker whose tasks' progress or tail latencies are needed more
  *   often.
  * @property orderTimeout longest time after which the outcome of an unanswered order counts as unknown.
@@ -38,14 +42,16 @@
  */
 public data class SchedulingSettings(
     val maxLease: Duration = 6.seconds,
-    val briefLease: Duration = minOf(maxLease, 6.seconds),
+    val maxDownTime: Duration = 9.seconds,
+    val lease: Duration = minOf(maxLease, 6.seconds),
     val clockSlowness: Double = 0.02,
     val reportInterval: Duration = 1500.milliseconds,
     val stopTime: Duration = 900.milliseconds,
     val earlyStart: Duration = 250.milliseconds,
     val predecessorOrderTime: Duration = 3.seconds,
     val maxClockSkew: Duration = 5.seconds,
-    val predecessorTime: Duration = maxLease * (1 + 2 * clockSlowness) + 500.milliseconds,
+    val electionTime: Duration = 1_300.milliseconds,
+    val predecessorTime: Duration = lease * (1 + 2 * clockSlowness) + 500.milliseconds,
     val lookWait: Duration = 1.seconds,
     val servingLookWait: Duration = 1.seconds,
     val orderTimeout: Duration = 1.seconds,
@@ -61,4 +67,21 @@
     /** Longest time for which orders sent to an earlier worker incarnation can keep a run active on a later one. */
     internal val lateOrderLifetime: Duration
         get() = orderDelay + maxLease * (1 + 2 * clockSlowness)
+
+    init {
+        require(lease <= maxLease) { "lease is $lease; grant at most maxLease, $maxLease, as workers shorten it" }
+        require(predecessorTime > lease * (1 + 2 * clockSlowness)) {
+            "predecessorTime is $predecessorTime; a lease, $lease, takes longer on a slow clock"
+        }
+        // A loss beside an election waits longest: the next leader counts the whole lease from its own start.
+        val wait = electionTime + predecessorTime + RESTART_TIME
+        require(wait <= maxDownTime) {
+            "a lost lasting task may start after $wait, later than maxDownTime, $maxDownTime; shorten lease, $lease"
+        }
+    }
+
+    private companion object {
+        /** Time from the end of the last lease until the task runs elsewhere: a tick, two commits and an order. */
+        val RESTART_TIME = 500.milliseconds
+    }
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -90,15 +90,18 @@
      *
      * An earlier leader grants none after the start of this leadership, and the end of a lease does not move with the
      * time at which its order arrives. Only a late order for an earlier incarnation, in the lifetime of whose clock its
-     * end was set, may give a restarted worker a lease until the fence is raised.
+     * end was set, may give a restarted worker the longest lease that it grants, until the fence is raised.
      */
-    fun assumeEarlierLeases(clockMs: Long, sentAt: MonotonicTime, isRestarted: Boolean, settings: SchedulingSettings) {
-        if (isRestarted || settings.briefLease == settings.maxLease) {
-            return clock.assumeGranted(clockMs, settings.maxLease)
-        }
+    fun assumeEarlierLeases(
+        clockMs: Long,
+        sentAt: MonotonicTime,
+        mayHaveLateLease: Boolean,
+        settings: SchedulingSettings,
+    ) {
+        if (mayHaveLateLease) return clock.assumeGranted(clockMs, settings.maxLease)
         // The clock was read after the query was sent, and has run at least this far since the contact began.
         val passed = (sentAt - since) * (1 - settings.clockSlowness)
-        clock.assumeGranted(clockMs, minOf(settings.maxLease, settings.predecessorTime - passed))
+        clock.assumeGranted(clockMs, minOf(settings.lease, settings.predecessorTime - passed))
     }
 
     /** Records an unanswered status query; idle workers are queried with exponential backoff. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
@@ -34,6 +34,11 @@
         return until != null && now < until
     }
 
+    /** Whether a late order for an earlier incarnation may have given [incarnation] the longest lease by [now]. */
+    fun mayHaveLateLease(incarnation: WorkerIncarnation, now: MonotonicTime): Boolean = state.worker(incarnation)?.let {
+        it.earlier != null && now - it.registeredAt < settings.lateOrderLifetime
+    } ?: false
+
     /** Removes the contacts of ended incarnations that have no claims. */
     fun prune(now: MonotonicTime) {
         unansweredStarts.prune(now)
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/LastingTaskNotRestartedTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/LastingTaskNotRestartedTest.kt
@@ -127,6 +127,24 @@
         }
     }
 
+    @Test
+    fun aLastingTaskStaysDownForTheLongestLeaseBecauseItsWorkerRestartedLongAgo() {
+        for (maxLease in LONG_LEASES) {
+            repeat(SEEDS) { seed ->
+                val fleet = VirtualFleet.withWorkers(5, seed, SchedulingSettings(maxLease = maxLease))
+                fleet.workers.values.toList().forEach { fleet.restart(it, after = 500.milliseconds) }
+                fleet.run(45.seconds)
+                fleet.submit("lasting", step)
+                fleet.run(2.seconds + (seed * 97).milliseconds)
+                fleet.changeLeader()
+                fleet.run(500.milliseconds)
+                loseWorkerOf(fleet, seed)
+
+                assertRunsAgain(fleet, seed, MAX_DOWN_TIME)
+            }
+        }
+    }
+
     private fun busyFleet(seed: Int, settings: SchedulingSettings = SchedulingSettings()): VirtualFleet {
         val fleet = VirtualFleet.withWorkers(5, seed, settings)
         fleet.workers.values.forEach { it.clockRate = fleet.random.nextDouble(0.98, 1.0) }
