Run the virtual fleets with workers that grant short and long leases in turn

Cause: all tests but one ran with the default of 6 s, so none saw the bound of a deployment whose workers grant 10 s. Change: without settings of its own, a fleet takes 6 s for even seeds and 10 s for odd ones.

--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -19,7 +19,7 @@
  * their connection, crash and restart. A change of the leader discards the coordinator with its pending work, except
  * for orders in transit.
  */
-internal class VirtualFleet(seed: Int, private val settings: SchedulingSettings = SchedulingSettings()) {
+internal class VirtualFleet(seed: Int, private val settings: SchedulingSettings = settingsOf(seed)) {
     val random = Random(seed)
 
     /** Longest lease that a worker grants. */
@@ -423,11 +423,15 @@
     private class ScheduledAction(val at: MonotonicTime, val order: Long, val action: () -> Unit)
 
     companion object {
+        /** Returns settings of a deployment whose workers grant short leases, or long ones, in turn. */
+        fun settingsOf(seed: Int): SchedulingSettings =
+            SchedulingSettings(maxLease = if (seed % 2 == 0) 6.seconds else 10.seconds)
+
         /** Returns a fleet whose [workers] of one service have reported. */
         fun withWorkers(
             workers: Int,
             seed: Int = 1,
-            settings: SchedulingSettings = SchedulingSettings(),
+            settings: SchedulingSettings = settingsOf(seed),
         ): VirtualFleet {
             val fleet = VirtualFleet(seed, settings)
             fleet.start()
