--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -428,11 +428,7 @@
             SchedulingSettings(maxLease = if (seed % 2 == 0) 6.seconds else 10.seconds)
 
         /** Returns a fleet whose [workers] of one service have reported. */
-        fun withWorkers(
-            workers: Int,
-            seed: Int = 1,
-            settings: SchedulingSettings = settingsOf(seed),
-        ): VirtualFleet {
+        fun withWorkers(workers: Int, seed: Int = 1, settings: SchedulingSettings = settingsOf(seed)): VirtualFleet {
             val fleet = VirtualFleet(seed, settings)
             fleet.start()
             repeat(workers) { fleet.addWorker("w$it") }
