Show that a lasting task waits for a worker lost after its restart and before its first report

Cause: when a later incarnation answers a status query before it has reported, the claims stay with the earlier one for orderDelay and the longest lease, though their starts were answered by the earlier incarnation and cannot arrive again.

--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/RestartedWorkerLostTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/RestartedWorkerLostTest.kt
@@ -35,6 +35,25 @@
         }
     }
 
+    @Test
+    fun aLastingTaskStaysDownWhenItsRestartedWorkerIsLostBeforeItsFirstReport() {
+        repeat(SEEDS) { seed ->
+            val fleet = VirtualFleet.withWorkers(5, seed)
+            fleet.submit("lasting", step)
+            // The only start of the task is answered long before the restart.
+            fleet.run(12.seconds + (seed * 97).milliseconds)
+            val worker = fleet.workers.values.first { it.runs(taskOf(seed)) }
+            fleet.restart(worker, after = 100.milliseconds, firstReport = 1_400.milliseconds)
+            // The later incarnation answers a status query and is lost before it has reported. Its loss disturbs the
+            // calm, so the allowed time counts from then, though the task has been down since the restart.
+            fleet.at(1_200.milliseconds) {
+                fleet.workers.getValue(worker.profile.incarnation.worker).crash(silent = true)
+            }
+
+            assertRunsAgain(fleet, seed, lostAfter = 1_200.milliseconds)
+        }
+    }
+
     private fun grantsLease(action: Action): Boolean =
         action is Action.Start || (action is Action.Look && action.untilMs != null)
 
