Grant no lease that only a late order may have granted

What callers would see: a task that runs twice where workers grant more than 6 s.

Cause: at the first answer of a worker that restarted lately, a leader assumes the worker's longest lease, as a late order may have granted it. A start that follows reused the assumed end as its own and so granted it in fact (9.88 s of 10 s).

Change: a start never asks for more than a lease of its own length. Such a worker's leases are assumed to be the worker's longest for as long as late orders may arrive, as they were before, without asking for them. Where workers grant 6 s nothing changes.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -409,6 +409,9 @@
             !contacts.isLeaseClosed(worker, contact)
         if (mayRenew) contact.isRenewalUnanswered = true
         val until = if (mayRenew) contact.clock.grant(now, settings.lease) else null
+        if (mayRenew && contacts.mayHaveLateLease(contact.incarnation, now)) {
+            contact.clock.assumeGranted(contact.clock.earliestMs(now), settings.maxLease)
+        }
         // A later incarnation numbers its ends from the start, so the earlier one's number would drop unread ends.
         val lastRecordedEnd = if (contact.isSuperseded) 0 else worker.lastRecordedEnd
         val timeout = contacts.answerTimeout.after(contact.failedQueries)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -9,7 +9,8 @@
  *
  * Unless a property gives another reason, the default times suit a group whose members are a millisecond apart.
  *
- * @property maxLease longest lease that a worker grants, to this system's orders or to late ones.
+ * @property maxLease longest lease that a worker grants. Leaders ask for [lease] only, but an order for an earlier
+ *   incarnation that is carried out late may get all of it, as the clock of the worker has begun anew.
  * @property maxDownTime time from the loss of a worker until its lasting tasks have to run elsewhere, also when the
  *   leader is lost with it.
  * @property lease length of the leases that are granted, at most [maxLease]. It holds for every run of a worker and
@@ -21,7 +22,7 @@
  * @property earlyStart time by which an occurrence may start before it is due; the scheduler uses half of it.
  * @property predecessorOrderTime time for which orders of an earlier leader for a VM may still arrive.
  * @property maxClockSkew maximum difference between the clocks of two leaders.
- * @property electionTime longest time from the loss of a leader until the next one leads.
+ * @property electionTime longest time from the loss of a leader until the next one leads, if no vote is repeated.
  * @property predecessorTime time from the start of a leadership until every lease that an earlier leader granted has
  *   expired: a lease on a slow clock and a margin. A leader grants leases only while a quorum has confirmed
  *   it within the shortest election timeout, so none is granted after the next leader is elected.
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerClock.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerClock.kt
@@ -45,9 +45,18 @@
         return until
     }
 
-    /** Returns the end of the latest granted lease if at least [minimum] of it is left, else grants [duration]. */
-    fun reuseOrGrant(now: MonotonicTime, duration: Duration, minimum: Duration): Long =
-        grantedUntilMs?.takeIf { it - earliestMs(now) >= minimum.inWholeMilliseconds } ?: grant(now, duration)
+    /**
+     * Returns the end of the latest granted lease if at least [minimum] of it is left, else grants [duration].
+     *
+     * The end is never later than that of a new lease: others may have granted longer ones, see [assumeGranted], and a
+     * later leader assumes that this one did not.
+     */
+    fun reuseOrGrant(now: MonotonicTime, duration: Duration, minimum: Duration): Long {
+        val earliestMs = earliestMs(now)
+        return grantedUntilMs?.takeIf { it - earliestMs >= minimum.inWholeMilliseconds }
+            ?.coerceAtMost(earliestMs + duration.inWholeMilliseconds)
+            ?: grant(now, duration)
+    }
 
     /** Returns an upper bound of the time from [now] until every granted lease has expired; zero if none is known. */
     fun timeUntilExpiry(now: MonotonicTime): Duration {
@@ -59,7 +68,7 @@
     fun hasExpired(now: MonotonicTime): Boolean =
         grantedUntilMs?.let { earliestMs(now) > it + EXPIRY_MARGIN_MS } ?: true
 
-    /** Accounts for leases of [duration] that earlier leaders may have granted until the clock showed [clockMs]. */
+    /** Accounts for leases of [duration] that others may have granted until the clock showed [clockMs]. */
     fun assumeGranted(clockMs: Long, duration: Duration) = recordGrant(clockMs + duration.inWholeMilliseconds)
 
     private fun recordGrant(untilMs: Long) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
@@ -34,10 +34,11 @@
         return until != null && now < until
     }
 
-    /** Whether a late order for an earlier incarnation may have given [incarnation] the longest lease by [now]. */
-    fun mayHaveLateLease(incarnation: WorkerIncarnation, now: MonotonicTime): Boolean = state.worker(incarnation)?.let {
-        it.earlier != null && now - it.registeredAt < settings.lateOrderLifetime
-    } ?: false
+    /** Whether a late order for an earlier incarnation may have given [incarnation] a lease of the worker's maximum. */
+    fun mayHaveLateLease(incarnation: WorkerIncarnation, now: MonotonicTime): Boolean {
+        val worker = state.worker(incarnation) ?: return false
+        return worker.earlier != null && now - worker.registeredAt < settings.lateOrderLifetime
+    }
 
     /** Removes the contacts of ended incarnations that have no claims. */
     fun prune(now: MonotonicTime) {
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/LeaseAcrossLeadersTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/LeaseAcrossLeadersTest.kt
@@ -61,6 +61,31 @@
         }
     }
 
+    /** A leader assumes that a late order gave a restarted worker the worker's longest lease. */
+    @Test
+    fun aTaskRunsTwiceBecauseAStartGrantsTheLeaseThatALateOrderMayHaveGranted() {
+        for (isCutBeforeTheNextLeader in listOf(true, false)) {
+            repeat(100) { seed ->
+                val fleet = VirtualFleet.withWorkers(4, seed, SchedulingSettings(maxLease = 10.seconds))
+                fleet.restart(fleet.workers.getValue(WorkerId("w0")), after = 500.milliseconds)
+                fleet.run(18.seconds + (seed * 40).milliseconds)
+                fleet.changeLeader()
+                fleet.run(100.milliseconds)
+                fleet.submit("lasting", lasting.copy(count = 3, maxPerWorker = 1))
+                fleet.run(200.milliseconds)
+                fleet.loseLeader()
+                if (isCutBeforeTheNextLeader) cut(fleet.workers.getValue(WorkerId("w0")))
+                fleet.run(1.seconds)
+                fleet.changeLeader()
+                fleet.run(20.milliseconds)
+                cut(fleet.workers.getValue(WorkerId("w0")))
+                fleet.run(40.seconds)
+
+                assertEquals(emptyList(), fleet.violations, "seed $seed")
+            }
+        }
+    }
+
     @Test
     fun aRecordedTimeThatIsTooShortIsNoticed() {
         val violations = (0 until 10).flatMap { seed ->
@@ -104,6 +129,11 @@
         }
     }
 
+    private fun cut(worker: VirtualWorker) {
+        worker.isReachable = false
+        worker.canSend = false
+    }
+
     private fun cutOff(fleet: VirtualFleet, random: Random) {
         val worker = fleet.workers.values.random(random)
         // A worker may receive orders whose answers are lost.
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/LeaseLengthTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/LeaseLengthTest.kt
@@ -22,6 +22,12 @@
             repeat(10) { seed ->
                 val fleet = harshFleet(seed, SchedulingSettings(maxLease = maxLease))
                 val longest = minOf(maxLease, 6.seconds).inWholeMilliseconds
+                // A restarted worker may have a lease that a late order granted.
+                repeat(3) { number ->
+                    fleet.at((9_000 + number * 13_000).milliseconds) {
+                        fleet.restart(fleet.workers.values.elementAt(number), after = 300.milliseconds)
+                    }
+                }
                 val granted = ArrayList<Long>()
                 fleet.mutate = { action ->
                     val (worker, untilMs) = when (action) {
@@ -65,7 +71,7 @@
     fun aBriefTaskOfADarkWorkerWaitsForTheLongestLease() {
         repeat(20) { seed ->
             val fleet = VirtualFleet.withWorkers(2, seed, settings)
-            // The leader assumes that an earlier one granted the longest lease just before it.
+            // The leader assumes that an earlier one granted a lease just before it.
             fleet.run(5.seconds)
             fleet.submit("job", brief)
             val task = TaskId(StepId(JobId("job"), 0, 0), 0)
@@ -99,7 +105,7 @@
     }
 
     @Test
-    fun aTaskRunsTwiceWhenLeasesOfBothLengthsExpire() {
+    fun aTaskRunsTwiceWhenWorkersGrantMoreThanTheLeader() {
         repeat(40) { seed ->
             val fleet = harshFleet(seed)
             fleet.run(80.seconds)
