Count the down time of a lasting task from the last word of its run

Change: the time is kept until the task has started, and noted when claims move to a later incarnation and when a worker ends; lease_left_ms is the time until the release at the latest. No decision changes.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/HeldLastingTasks.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/HeldLastingTasks.kt
@@ -8,7 +8,7 @@
  * Logs how long lasting tasks have been down: those held by the claims of silent workers, and each that starts again.
  *
  * The time counts from the last answer of the worker that had the run, or from the start of this leadership if it has
- * had none. One line covers all workers, however many are silent.
+ * had none; for a run that has ended, from the commit of its end. One line covers all workers, however many are silent.
  */
 internal class HeldLastingTasks(
     private val state: SchedulerState,
@@ -19,14 +19,25 @@
     private val downSince = HashMap<TaskId, MonotonicTime>()
     private var nextLogAt = MonotonicTime.Zero
 
-    /** Remembers that the lasting task of [run] has been down since [since], the last time that it was known to run. */
+    /** Notes that [run] was lost or did not start, and is not known to have run after [since]. */
     fun runLost(run: RunId, since: MonotonicTime) {
         if (state.stepOf(run.task)?.lasting == true) downSince.putIfAbsent(run.task, since)
     }
 
-    /** Returns for how long the task of [run], which starts at [now], was down, for the log; empty if not known. */
-    fun startFields(run: RunId, now: MonotonicTime): Array<Pair<String, Any?>> {
-        val since = downSince.remove(run.task) ?: return emptyArray()
+    /** Notes that all runs at [incarnation] are lost with it. */
+    fun workerEnds(incarnation: WorkerIncarnation) {
+        val since = contacts.find(incarnation)?.runsKnownAt ?: return
+        state.claimsAt(incarnation).keys.forEach { runLost(it, since) }
+    }
+
+    /** Notes that [run] has started. */
+    fun runStarted(run: RunId) {
+        downSince.remove(run.task)
+    }
+
+    /** Returns for how long [task] has been down at [now], for the log; empty if not known. */
+    fun downFields(task: TaskId, now: MonotonicTime): Array<Pair<String, Any?>> {
+        val since = downSince[task] ?: return emptyArray()
         return arrayOf("down_ms" to (now - since).inWholeMilliseconds)
     }
 
@@ -50,16 +61,26 @@
     }
 
     private fun hold(incarnation: WorkerIncarnation, now: MonotonicTime): Hold? {
-        val contact = contacts.find(incarnation)?.takeIf { it.failedQueries > 0 } ?: return null
-        val silence = now - contact.lastKnownAt
+        val contact = contacts.find(incarnation)?.takeIf { it.failedQueries > 0 || it.isSuperseded } ?: return null
+        val silence = now - contact.runsKnownAt
         val runs = state.claimsAt(incarnation).filterValues { it.lasting }.keys
         if (silence < MIN_SILENCE || runs.isEmpty()) return null
+        val lateOrders = contacts.timeUntilLateOrdersExpire(contact, now)
+        val lease = leaseLeft(contact, now)
         val cause = when {
-            contacts.mayRunLateOrders(contact, now) -> "late_orders"
+            lateOrders > lease -> "late_orders"
             contact.answeredQueryAt == null -> "earlier_leader"
             else -> "lease"
         }
-        return Hold(incarnation, runs, silence, contact.timeUntilExpiry(now, settings), cause)
+        return Hold(incarnation, runs, silence, maxOf(lease, lateOrders), cause)
+    }
+
+    private fun leaseLeft(contact: WorkerContact, now: MonotonicTime): Duration {
+        val closed = state.worker(contact.incarnation)?.timeUntilClosedLeaseExpires(now)
+        return when {
+            contact.answeredQueryAt != null || closed == null -> contact.timeUntilExpiry(now, settings)
+            else -> maxOf(closed, contact.clock.timeUntilExpiry(now))
+        }
     }
 
     private class Hold(
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
@@ -14,6 +14,7 @@
     private val settings: SchedulingSettings,
     private val contacts: WorkerContacts,
     private val stop: (RunId, WorkerIncarnation, MonotonicTime) -> Unit,
+    private val runLost: (RunId, MonotonicTime) -> Unit,
     private val emit: (Action) -> Unit,
 ) {
     /** Sends the stops that the later incarnations of restarted workers have to answer. */
@@ -55,6 +56,7 @@
         if (state.worker(later.incarnation)?.earlier != earlier.incarnation) return
         later.earlierOrdersUntil = now + settings.lateOrderLifetime
         val claims = state.claimsAt(later.incarnation).keys
+        claims.forEach { runLost(it, earlier.runsKnownAt) }
         // Claims without an order are those of earlier leaders; the fence of the first status query excludes them.
         val ordered = earlier.orders.keys.filter { it in claims && it !in later.orders }
         log("worker_replaced", "worker" to later.incarnation, "earlier" to earlier.incarnation, "runs" to ordered.size)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -33,7 +33,7 @@
     private val heldLastingTasks = HeldLastingTasks(state, settings, contacts, emit)
     val closedLeases = ClosedLeases(state, settings, contacts, record)
 
-    val restartedWorkers = RestartedWorkers(state, settings, contacts, ::stop, emit)
+    val restartedWorkers = RestartedWorkers(state, settings, contacts, ::stop, heldLastingTasks::runLost, emit)
 
     /**
      * Runs whose claims are in the batch being committed.
@@ -46,6 +46,7 @@
     /** Remembers the claims of [batch], which is about to be committed. */
     fun batchSubmitted(batch: RecordBatch) {
         unsentClaims = batch.records.filterIsInstance<Record.RunClaimed>().map { it.run }.toSet()
+        batch.records.filterIsInstance<Record.WorkerEnded>().forEach { heldLastingTasks.workerEnds(it.incarnation) }
     }
 
     /** Forgets the claims of the last batch, whose start orders are sent now or which was rejected. */
@@ -92,7 +93,7 @@
             "worker" to claim.incarnation,
             "lease_end_ms" to until,
             "clock_age_ms" to contact.clock.readingAge(now)?.inWholeMilliseconds,
-            *heldLastingTasks.startFields(claim.run, now),
+            *heldLastingTasks.downFields(claim.run.task, now),
         )
         emit(
             Action.Start(
@@ -145,6 +146,7 @@
             OrderResult.DONE -> {
                 order.startedAt = order.startedAt ?: now
                 startedJobs.recordStart(event.run)
+                heldLastingTasks.runStarted(event.run)
                 if (order.isStopRequested) sendStop(event.run, event.incarnation, order, now)
                 queryNow(contact, now)
             }
@@ -224,6 +226,7 @@
         recordEnds(contact, answer)
         reconcile(contact, answer, sentAt, now)
         paces.decide(contact, answer, now)
+        contact.runsKnownAt = now
         contact.nextQueryAt = now
         closedLeases.reopen(contact)
     }
@@ -237,8 +240,8 @@
     fun runEnded(end: Record.RunEnded, now: MonotonicTime) {
         contacts.unansweredStarts.remove(end.run, end.incarnation.worker)
         pendingEnds.remove(end.run to end.incarnation)
-        heldLastingTasks.runLost(end.run, now)
         val contact = contacts.find(end.incarnation)
+        heldLastingTasks.runLost(end.run, now)
         val startedAt = contact?.orders?.remove(end.run)?.startedAt
         val job = end.run.task.step.job
         if (end.end == RunEnd.DONE && startedAt != null) recordDuration(end.run, now - startedAt)
@@ -343,6 +346,7 @@
         val order = contact.orders.getOrPut(run) { Order(now) }
         if (order.startedAt == null) order.startedAt = sentAt
         startedJobs.recordStart(run)
+        heldLastingTasks.runStarted(run)
         contacts.unansweredStarts.remove(run, contact.incarnation.worker)
     }
 
@@ -461,7 +465,7 @@
     ) {
         if (!pendingEnds.add(run to incarnation)) return
         log("run_not_there", "run" to run, "worker" to incarnation, "cause" to cause, *inputs)
-        contacts.find(incarnation)?.let { heldLastingTasks.runLost(run, it.lastKnownAt) }
+        contacts.find(incarnation)?.let { heldLastingTasks.runLost(run, it.runsKnownAt) }
         record(Record.RunReleased(run, incarnation))
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -7,6 +7,7 @@
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -429,7 +430,11 @@
 
     /** Whether no lease is in force at [now] that was granted before [leaseClosedAt]. */
     internal fun hasClosedLeaseExpired(now: MonotonicTime): Boolean =
-        leaseLeftMs?.let { now - leaseClosedAt > it.milliseconds } ?: false
+        timeUntilClosedLeaseExpires(now)?.let { it < Duration.ZERO } ?: false
+
+    /** Returns the time until no such lease is in force, or null if the worker gets leases. */
+    internal fun timeUntilClosedLeaseExpires(now: MonotonicTime): Duration? =
+        leaseLeftMs?.let { it.milliseconds - (now - leaseClosedAt) }
 }
 
 /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -49,9 +49,8 @@
     /** Time at which [running] was received, or null. */
     var listedAt: MonotonicTime? = null
 
-    /** Latest time at which [running] was known, or the start of the contact if it was never received. */
-    val lastKnownAt: MonotonicTime
-        get() = listedAt ?: since
+    /** Time up to which the runs are known: that of the latest answered status query, or the start of the contact. */
+    var runsKnownAt: MonotonicTime = since
 
     /** Time until which the worker counts as full because it refused an order for lack of capacity, or null. */
     var atCapacityUntil: MonotonicTime? = null
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
@@ -27,11 +27,15 @@
         worker.earlier != null && byIncarnation[worker.profile.incarnation]?.answeredQueryAt == null
 
     /** Whether runs ordered for an earlier incarnation may run at [contact], even if its leases have expired. */
-    fun mayRunLateOrders(contact: WorkerContact, now: MonotonicTime): Boolean {
+    fun mayRunLateOrders(contact: WorkerContact, now: MonotonicTime): Boolean =
+        timeUntilLateOrdersExpire(contact, now) > Duration.ZERO
+
+    /** Returns the time until no run ordered for an earlier incarnation can run at [contact]; zero or less if none. */
+    fun timeUntilLateOrdersExpire(contact: WorkerContact, now: MonotonicTime): Duration {
         val worker = state.worker(contact.incarnation)
         val until = contact.earlierOrdersUntil
             ?: worker?.takeIf(::isUnfenced)?.let { it.registeredAt + settings.lateOrderLifetime }
-        return until != null && now < until
+        return if (until == null) Duration.ZERO else until - now
     }
 
     /** Whether a late order for an earlier incarnation may have given [incarnation] a lease of the worker's maximum. */
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/HeldLastingTasksTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/HeldLastingTasksTest.kt
@@ -47,6 +47,25 @@
         assertTrue(downTimes.single() <= 7_000, "down for $downTimes ms")
     }
 
+    @Test
+    fun theLogTellsHowLongATaskOfARestartedWorkerWasDown() {
+        val fleet = fleet()
+        fleet.restart(fleet.workers.values.first(), after = 4.seconds)
+        fleet.run(12.seconds)
+
+        assertTrue(downTimes.single() in 4_000..6_000, "down for $downTimes ms")
+    }
+
+    @Test
+    fun theLogTellsTheWholeDownTimeOfATaskWhoseStartIsRefused() {
+        val fleet = fleet()
+        fleet.workers.values.first().crash(silent = true)
+        fleet.workers.values.last().acceptsTicket = { false }
+        fleet.run(12.seconds)
+
+        assertTrue(downTimes.size > 1 && downTimes == downTimes.sorted(), "down for $downTimes ms")
+    }
+
     private fun fleet(): VirtualFleet {
         val fleet = VirtualFleet.withWorkers(4)
         fleet.mutate = { action ->
