Give each incarnation of a worker a fence of its own

Orders name a worker's id, so the next incarnation may carry out what was sent to the one before, and the fencing token was the same for both. A status query with the earlier one's last end dropped ends of the later one, which counts them from 1 anew; the runs were then listed nowhere and counted as never started. And nothing showed that the late orders were over, so a restarted worker that fell silent kept its runs claimed for 18.24 s.

The token of an order to a worker is the term, then an epoch that begins with each incarnation that the leader learns of. What was sent before is refused once that incarnation has answered a query of its epoch, so the stops of late starts, their list and the wait are gone. Runs that the earlier incarnation had listed are released when the restart is known. A query drops ends only within 250 ms of an answer of the incarnation, with nothing unanswered since.

The InvariantCheckerTest sends its faulty orders with the highest epoch, as a worker would refuse those of another worker.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/Gateway.kt
@@ -12,13 +12,13 @@
 /** Sends the actions of the coordinator to workers, the advice service and the platform, and reports the answers. */
 public fun interface Gateway {
     /**
-     * Executes [action] with the fencing token [fence].
+     * Executes [action] for the leader of [term], which is part of the fencing tokens of its orders.
      *
      * @param isConfirmed whether the leadership that decided the action is still confirmed; an order to a receiver that
      *   does not check fencing tokens must not be sent once it is not, however long the order was queued.
      * @param answered called exactly once, asynchronously, with the answer or with the event for a missing answer.
      */
-    public fun carryOut(action: Action, fence: Long, isConfirmed: () -> Boolean, answered: (Event) -> Unit)
+    public fun carryOut(action: Action, term: Long, isConfirmed: () -> Boolean, answered: (Event) -> Unit)
 }
 
 /** Serves requests of callers, workers and operators on the leader. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -19,6 +19,7 @@
     /**
      * Orders [worker] to start [run].
      *
+     * @property epoch epoch of the order's [OrderFence].
      * @property untilMs end of the lease on the worker's clock.
      * @property saved saved state to resume from; empty if there is none.
      * @property ticket permission from the advice service, or null if the queue needs none.
@@ -26,6 +27,7 @@
      */
     public data class Start(
         val worker: WorkerProfile,
+        val epoch: Int,
         val run: RunId,
         val payload: String,
         val untilMs: Long,
@@ -34,20 +36,29 @@
         val answerTimeout: Duration,
     ) : Action
 
-    /** Orders [worker] to stop [run]; the order counts as unanswered after [answerTimeout]. */
-    public data class Stop(val worker: WorkerProfile, val run: RunId, val answerTimeout: Duration) : Action
+    /**
+     * Orders [worker] to stop [run].
+     *
+     * @property epoch epoch of the order's [OrderFence].
+     * @property answerTimeout time after which the order counts as unanswered.
+     */
+    public data class Stop(val worker: WorkerProfile, val epoch: Int, val run: RunId, val answerTimeout: Duration) :
+        Action
 
     /**
      * Queries the status of [worker] and renews its lease.
      *
+     * @property epoch epoch of the query's [OrderFence].
      * @property number increases with each query to one worker; the answers of earlier queries are ignored.
      * @property untilMs end of the renewed lease on the worker's clock, or null to leave the lease unchanged.
-     * @property lastRecordedEnd number of the last end that is recorded, which the worker can drop.
+     * @property lastRecordedEnd number of the last end that the worker can drop because it is recorded; 0 if the query
+     *   may reach a later incarnation, which counts its ends anew.
      * @property wait longest time for which the worker may delay its answer while nothing changes.
      * @property answerTimeout time after [wait] after which the query counts as unanswered.
      */
     public data class Look(
         val worker: WorkerProfile,
+        val epoch: Int,
         val number: Long,
         val untilMs: Long?,
         val lastRecordedEnd: Long,
@@ -55,8 +66,8 @@
         val answerTimeout: Duration,
     ) : Action
 
-    /** Limits [run] to [percent] of its full speed. */
-    public data class Pace(val worker: WorkerProfile, val run: RunId, val percent: Int) : Action
+    /** Limits [run] to [percent] of its full speed; [epoch] is that of the order's [OrderFence]. */
+    public data class Pace(val worker: WorkerProfile, val epoch: Int, val run: RunId, val percent: Int) : Action
 
     /** Asks the advice service which of [workers] may run [step]. */
     public data class AskAdvice(val step: StepId, val workers: List<WorkerId>) : Action
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PaceOrders.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PaceOrders.kt
@@ -17,7 +17,7 @@
         control.decide(answer.running, claims, now).forEach { (run, percent) ->
             control.applied(run, percent)
             emit(Action.Note("run_paced", listOf("run" to run, "worker" to contact.incarnation, "percent" to percent)))
-            emit(Action.Pace(worker.profile, run, percent))
+            emit(Action.Pace(worker.profile, contact.epoch, run, percent))
         }
     }
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
@@ -3,83 +3,99 @@
 import org.auburnstream.model.MonotonicTime
 
 /**
- * Makes a restarted worker refuse the orders that were sent for its earlier incarnation.
+ * Raises the fence of a worker that has restarted under its id, and releases the runs that ended with its earlier
+ * incarnation.
  *
- * Orders name the worker and not its incarnation, so the later incarnation may carry them out. The claims of the
- * earlier incarnation move to the later one and are released only once it has refused their runs. A stop order makes it
- * refuse a run.
+ * Orders name the worker and not its incarnation, so the later incarnation may carry out the earlier one's orders until
+ * it has answered a status query with a raised fence. The claims of the earlier incarnation move to the later one. A
+ * run that the earlier one has listed is released at once, any other when the answer to that query does not list it.
  */
 internal class RestartedWorkers(
     private val state: SchedulerState,
     private val settings: SchedulingSettings,
     private val contacts: WorkerContacts,
-    private val stop: (RunId, WorkerIncarnation, MonotonicTime) -> Unit,
+    private val release: (RunId, WorkerIncarnation, String, Array<Pair<String, Any?>>) -> Unit,
     private val runLost: (RunId, MonotonicTime) -> Unit,
     private val emit: (Action) -> Unit,
 ) {
-    /** Sends the stops that the later incarnations of restarted workers have to answer. */
+    /** Raises the fences of workers whose later incarnations have registered. */
     fun tick(now: MonotonicTime) {
-        for (earlier in contacts.all.toList()) {
-            val later = state.workers[earlier.incarnation.worker]?.profile?.incarnation ?: continue
-            if (later.startedMs > earlier.incarnation.startedMs) stopEarlierRuns(earlier, contacts.of(later, now), now)
-        }
-        for (worker in contacts.unansweredStarts.workers) {
-            state.workers[worker]?.let { refuseLateStarts(it.profile, now) }
+        for (contact in contacts.all.toList()) {
+            val current = state.workers[contact.incarnation.worker] ?: continue
+            val later = current.profile.incarnation
+            if (later.startedMs > contact.incarnation.startedMs) replace(contact, contacts.of(later, now))
         }
     }
 
     /**
-     * Handles a status query to [contact] that was answered by a later incarnation, started at [startedMs].
-     *
-     * The runs of the earlier incarnation are stopped; the claims move once the later incarnation has reported.
+     * Handles an [answer] that a later incarnation gave to a status query to [contact].
      *
      * @param unsentClaims runs whose start orders are not sent yet.
      */
     fun laterIncarnationAnswered(
         contact: WorkerContact,
-        startedMs: Long,
+        answer: StatusAnswer,
         unsentClaims: Set<RunId>,
         now: MonotonicTime,
     ) {
+        val startedMs = checkNotNull(answer.startedMs) { "an answer without a start names no later incarnation" }
+        contact.failedQueries = 0
         contact.nextQueryAt = now + settings.retryInterval
-        if (contact.isSuperseded) return
-        contact.isSuperseded = true
-        contact.earlierOrdersUntil = now + settings.lateOrderLifetime
-        log("later_life_answered", "worker" to contact.incarnation, "born_ms" to startedMs)
-        state.claimsAt(contact.incarnation).keys
-            .filter { it !in unsentClaims }
-            .forEach { stop(it, contact.incarnation, now) }
+        val claims = state.claimsAt(contact.incarnation).keys.filter { it !in unsentClaims }
+        val known = contact.successor
+        if (known?.startedMs != startedMs) {
+            contact.successor = Successor(startedMs, seenAt = now)
+            contacts.raiseFence(contact)
+            contact.nextQueryAt = now
+            log(
+                "later_life_answered",
+                "worker" to contact.incarnation,
+                "born_ms" to startedMs,
+                "epoch" to contact.epoch,
+                "claims" to claims.size,
+            )
+            return claims.filter { contact.orders[it]?.isListed == true }
+                .forEach { releaseLost(it, contact.incarnation) }
+        }
+        if (known.fencedAt == null) known.fencedAt = now
+        if (!answer.hasAllEnds) return
+        val present = answer.running.map { it.run }.toSet() + answer.ended.map { it.run }
+        claims.filter { it !in present }.forEach { releaseLost(it, contact.incarnation) }
     }
 
-    private fun stopEarlierRuns(earlier: WorkerContact, later: WorkerContact, now: MonotonicTime) {
+    /** Handles the first [answer] of the incarnation of [contact], which has raised its fence. */
+    fun fenceRaised(contact: WorkerContact, answer: StatusAnswer) {
+        val earlier = state.worker(contact.incarnation)?.earlier ?: return
+        log(
+            "worker_fenced",
+            "worker" to contact.incarnation,
+            "earlier" to earlier,
+            "epoch" to contact.epoch,
+            "running" to answer.running.size,
+            "ended" to answer.ended.size,
+        )
+    }
+
+    private fun replace(earlier: WorkerContact, later: WorkerContact) {
         contacts.remove(earlier.incarnation)
+        contacts.raiseFence(later)
         if (state.worker(later.incarnation)?.earlier != earlier.incarnation) return
-        later.earlierOrdersUntil = now + settings.lateOrderLifetime
-        val claims = state.claimsAt(later.incarnation).keys
+        val claims = state.claimsAt(later.incarnation).keys.toList()
         claims.forEach { runLost(it, earlier.runsKnownAt) }
-        // Claims without an order are those of earlier leaders; the fence of the first status query excludes them.
-        val ordered = earlier.orders.keys.filter { it in claims && it !in later.orders }
-        log("worker_replaced", "worker" to later.incarnation, "earlier" to earlier.incarnation, "runs" to ordered.size)
-        ordered.forEach { stop(it, later.incarnation, now) }
+        val (ended, unclear) = claims.partition { earlier.orders[it]?.isListed == true }
+        log(
+            "worker_replaced",
+            "worker" to later.incarnation,
+            "earlier" to earlier.incarnation,
+            "epoch" to later.epoch,
+            "ended" to ended.size,
+            "unclear" to unclear.size,
+        )
+        ended.forEach { releaseLost(it, later.incarnation) }
     }
 
-    private fun refuseLateStarts(worker: WorkerProfile, now: MonotonicTime) {
-        val claims = state.claimsAt(worker.incarnation).keys
-        for (start in contacts.unansweredStarts.notRefusedBy(worker.incarnation)) {
-            // Claimed runs are stopped through their own orders.
-            val timeout = contacts.answerTimeout.after(0)
-            val isRecent = start.stopSentAt?.let { now - it < timeout } ?: false
-            if (start.run in claims || isRecent) continue
-            start.stopSentAt = now
-            log(
-                "late_start_refused",
-                "run" to start.run,
-                "worker" to worker.incarnation,
-                "sent_for" to start.incarnation,
-            )
-            emit(Action.Stop(worker, start.run, timeout))
-        }
-    }
+    private fun releaseLost(run: RunId, incarnation: WorkerIncarnation) =
+        release(run, incarnation, "worker restarted", emptyArray())
 
     private fun log(event: String, vararg fields: Pair<String, Any?>) = emit(Action.Note(event, fields.toList()))
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -12,8 +12,8 @@
  * stop refuses a start that arrives after it, so the next status query shows the state of the run. The first status
  * query that a worker answers decides the claims of earlier leaders, because the query raises the worker's fence.
  *
- * Orders name a worker and not its incarnation. When a worker restarts, the runs ordered for its earlier incarnation
- * are stopped at the later incarnation, and a run is released only once the later incarnation has refused it.
+ * Orders name a worker and not its incarnation. When a worker restarts, its fence is raised, see [OrderFence], and a
+ * run ordered for the earlier incarnation is released once it cannot run at the later one.
  */
 internal class RunControl(
     private val state: SchedulerState,
@@ -33,7 +33,8 @@
     private val heldLastingTasks = HeldLastingTasks(state, settings, contacts, emit)
     val closedLeases = ClosedLeases(state, settings, contacts, record)
 
-    val restartedWorkers = RestartedWorkers(state, settings, contacts, ::stop, heldLastingTasks::runLost, emit)
+    val restartedWorkers =
+        RestartedWorkers(state, settings, contacts, ::release, heldLastingTasks::runLost, emit)
 
     /**
      * Runs whose claims are in the batch being committed.
@@ -82,7 +83,6 @@
         if (isStopping(claim.run, claim.incarnation)) return release(claim.run, claim.incarnation, "gang not whole")
         val order = Order(now)
         contact.orders[claim.run] = order
-        contacts.unansweredStarts.add(claim.run, claim.incarnation, now)
         val progress = job.step(claim.run.task.step)
         val saved = if (description.gang) progress.saved else progress.tasks[claim.run.task.index].saved
         // Status queries renew the lease in time. If each start extended it, unanswered starts would delay its expiry.
@@ -98,6 +98,7 @@
         emit(
             Action.Start(
                 worker.profile,
+                contact.epoch,
                 claim.run,
                 job.description.payload,
                 until,
@@ -129,7 +130,6 @@
 
     /** Handles a worker's answer to a start order. */
     fun startAnswered(event: Event.StartAnswered, now: MonotonicTime) {
-        if (event.answer != null) contacts.unansweredStarts.remove(event.run, event.incarnation.worker)
         val contact = contacts.find(event.incarnation) ?: return
         val order = contact.orders[event.run] ?: return
         val answer = event.answer
@@ -176,7 +176,6 @@
         val answer = event.answer?.takeIf { it.result != OrderResult.UNSENT } ?: return
         contact.recordContact(now, answer.clockMs)
         if (answer.result == OrderResult.OTHER_LIFE) return recordWorkerEnd(event.incarnation)
-        if (answer.result == OrderResult.DONE) contacts.unansweredStarts.markRefused(event.run, event.incarnation)
         val order = contact.orders[event.run] ?: return
         if (answer.result == OrderResult.DONE && order.stoppedAt == null) order.stoppedAt = now
         // The worker does not answer a query in progress because of a stop of a run that it does not have.
@@ -201,7 +200,7 @@
         }
         if (answer.otherIncarnation) return recordWorkerEnd(event.incarnation)
         if (answer.startedMs != null && answer.startedMs != event.incarnation.startedMs) {
-            return restartedWorkers.laterIncarnationAnswered(contact, answer.startedMs, unsentClaims, now)
+            return restartedWorkers.laterIncarnationAnswered(contact, answer, unsentClaims, now)
         }
         if (contact.failedQueries > 0) {
             log("worker_answers", "worker" to event.incarnation, "failed_looks" to contact.failedQueries)
@@ -218,6 +217,7 @@
             val mayHaveLateLease = contacts.mayHaveLateLease(event.incarnation, now)
             contact.assumeEarlierLeases(answer.clockMs, sentAt, mayHaveLateLease, settings)
         }
+        if (contact.answeredQueryAt == null) restartedWorkers.fenceRaised(contact, answer)
         contact.answeredQueryAt = sentAt
         contact.running = answer.running
         contact.listedAt = now
@@ -238,7 +238,6 @@
 
     /** Handles the committed end of a run. */
     fun runEnded(end: Record.RunEnded, now: MonotonicTime) {
-        contacts.unansweredStarts.remove(end.run, end.incarnation.worker)
         pendingEnds.remove(end.run to end.incarnation)
         val contact = contacts.find(end.incarnation)
         heldLastingTasks.runLost(end.run, now)
@@ -281,7 +280,7 @@
     /** Releases runs whose leases have expired, and resends stops and status queries that are due. */
     fun tick(now: MonotonicTime) {
         restartedWorkers.tick(now)
-        contacts.prune(now)
+        contacts.prune()
         for (incarnation in state.claimedIncarnations.toList()) {
             val contact = contacts.of(incarnation, now)
             val worker = state.worker(incarnation)
@@ -337,7 +336,9 @@
         }
         running.keys.filter { it !in claims && (it to incarnation) !in pendingEnds }.forEach { run ->
             emit(state.unknownRunNote(run, incarnation))
-            state.worker(incarnation)?.let { emit(Action.Stop(it.profile, run, contacts.answerTimeout.after(0))) }
+            state.worker(incarnation)?.let {
+                emit(Action.Stop(it.profile, contact.epoch, run, contacts.answerTimeout.after(0)))
+            }
         }
     }
 
@@ -345,9 +346,9 @@
     private fun confirmStart(contact: WorkerContact, run: RunId, sentAt: MonotonicTime, now: MonotonicTime) {
         val order = contact.orders.getOrPut(run) { Order(now) }
         if (order.startedAt == null) order.startedAt = sentAt
+        order.isListed = true
         startedJobs.recordStart(run)
         heldLastingTasks.runStarted(run)
-        contacts.unansweredStarts.remove(run, contact.incarnation.worker)
     }
 
     /** Stops the runs that [run]'s end makes obsolete: copies of a task that is done, and the other gang members. */
@@ -374,12 +375,13 @@
 
     private fun sendStop(run: RunId, incarnation: WorkerIncarnation, order: Order, now: MonotonicTime) {
         val worker = state.worker(incarnation) ?: return
+        val epoch = contacts.find(incarnation)?.epoch ?: return
         val timeout = contacts.answerTimeout.after(maxOf(0, order.stopsSent - 1))
         val isRecent = order.stopSentAt?.let { now - it < timeout } ?: false
         if (isRecent) return
         order.stopSentAt = now
         order.stopsSent += 1
-        emit(Action.Stop(worker.profile, run, contacts.answerTimeout.after(order.stopsSent - 1)))
+        emit(Action.Stop(worker.profile, epoch, run, contacts.answerTimeout.after(order.stopsSent - 1)))
     }
 
     private fun resendStops(contact: WorkerContact, now: MonotonicTime) {
@@ -413,15 +415,12 @@
             !contacts.isLeaseClosed(worker, contact)
         if (mayRenew) contact.isRenewalUnanswered = true
         val until = if (mayRenew) contact.clock.grant(now, settings.lease) else null
-        if (mayRenew && contacts.mayHaveLateLease(contact.incarnation, now)) {
-            contact.clock.assumeGranted(contact.clock.earliestMs(now), settings.maxLease)
-        }
         // A later incarnation numbers its ends from the start, so the earlier one's number would drop unread ends.
-        val lastRecordedEnd = if (contact.isSuperseded) 0 else worker.lastRecordedEnd
+        val lastRecordedEnd = if (contact.isCurrent(now)) worker.lastRecordedEnd else 0
         val timeout = contacts.answerTimeout.after(contact.failedQueries)
         contact.queryNumber += 1
         val wait = queryWait(contact, now)
-        emit(Action.Look(worker.profile, contact.queryNumber, until, lastRecordedEnd, wait, timeout))
+        emit(Action.Look(worker.profile, contact.epoch, contact.queryNumber, until, lastRecordedEnd, wait, timeout))
     }
 
     /** Returns how long the worker may delay its answer while nothing changes. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -404,7 +404,7 @@
  * @property profile latest profile reported by the worker.
  * @property isLeaving whether the worker has announced that it shuts down.
  * @property lastRecordedEnd number of the last run end that is recorded.
- * @property earlier latest earlier incarnation of the same worker, or null if none is known.
+ * @property earlier latest earlier incarnation of the same worker whose orders this one may carry out, or null if none.
  */
 @Serializable
 public class Worker internal constructor(
@@ -413,6 +413,7 @@
     @SerialName("endsNoted") public var lastRecordedEnd: Long = 0,
     public val earlier: WorkerIncarnation? = null,
 ) {
+
     /** Time after [leaseClosedAt] within which every lease of the worker expires, in ms; null while it gets leases. */
     internal var leaseLeftMs: Long? = null
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -65,9 +65,13 @@
     val remoteDataFactor: Double = 2.0,
     val paceTime: Duration = 100.milliseconds,
 ) {
+    /** Longest time until a lease that a worker grants has expired. */
+    internal val longestLease: Duration
+        get() = maxLease * (1 + 2 * clockSlowness)
+
     /** Longest time for which orders sent to an earlier worker incarnation can keep a run active on a later one. */
     internal val lateOrderLifetime: Duration
-        get() = orderDelay + maxLease * (1 + 2 * clockSlowness)
+        get() = orderDelay + longestLease
 
     init {
         require(lease <= maxLease) { "lease is $lease; grant at most maxLease, $maxLease, as workers shorten it" }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -2,14 +2,24 @@
 
 import org.auburnstream.model.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Tracks one leader's communication with one worker incarnation: orders, status queries, clock, leases, health. */
-internal class WorkerContact(val incarnation: WorkerIncarnation, val since: MonotonicTime, clockSlowness: Double) {
+internal class WorkerContact(
+    val incarnation: WorkerIncarnation,
+    val since: MonotonicTime,
+    clockSlowness: Double,
+    epoch: Int,
+) {
     val clock = WorkerClock(clockSlowness)
     val orders = HashMap<RunId, Order>()
     val health = WorkerHealth()
     val speed = WorkerSpeed()
 
+    /** Epoch of the [OrderFence] of the orders to the worker. */
+    var epoch: Int = epoch
+        private set
+
     /** Sequence number of the latest report. */
     var sequence = Long.MIN_VALUE
 
@@ -55,8 +65,12 @@
     /** Time until which the worker counts as full because it refused an order for lack of capacity, or null. */
     var atCapacityUntil: MonotonicTime? = null
 
+    /** Later incarnation that has answered in place of this one, or null. */
+    var successor: Successor? = null
+
     /** Whether a later incarnation of the worker has answered in its place. */
-    var isSuperseded = false
+    val isSuperseded: Boolean
+        get() = successor != null
 
     /** Whether the worker has sent a deregistration and shuts down soon. */
     var isDeregistering = false
@@ -65,9 +79,6 @@
     val isClosed: Boolean
         get() = isSuperseded || isDeregistering
 
-    /** Time until which runs ordered for an earlier incarnation may run here, or null if there were none. */
-    var earlierOrdersUntil: MonotonicTime? = null
-
     /** Whether this leader grants no lease because it has decided a [Record.LeaseClosed] that still holds. */
     var isLeaseClosed = false
 
@@ -78,6 +89,24 @@
     val needsQuery: Boolean
         get() = lastContactAt == null || isUnreachable
 
+    /** Begins [epoch] for the orders to the worker; a query in progress counts as obsolete. */
+    fun beginEpoch(epoch: Int) {
+        this.epoch = epoch
+        pendingQueryAt = null
+    }
+
+    /**
+     * Whether a status query sent at [now] reaches this incarnation and no later one.
+     *
+     * A worker takes longer than [EVIDENCE_TIME] to restart and to end a run. An order or query without an answer may
+     * be the first sign of its restart.
+     */
+    fun isCurrent(now: MonotonicTime): Boolean {
+        val heardAt = listedAt ?: return false
+        val isDoubtful = isSuperseded || failedQueries > 0 || lostAnswerAt?.let { it >= heardAt } == true
+        return !isDoubtful && now - heardAt <= EVIDENCE_TIME
+    }
+
     /** Records a report or answer received at [now] with the reading [clockMs] of the worker's clock. */
     fun recordContact(now: MonotonicTime, clockMs: Long?) {
         lastContactAt = now
@@ -147,9 +176,22 @@
     private companion object {
         // About half a minute at the default interval; a report triggers the next query at once.
         const val MAX_DOUBLINGS = 7
+
+        val EVIDENCE_TIME: Duration = 250.milliseconds
     }
 }
 
+/**
+ * Later incarnation of a worker that has answered in place of an earlier one and has not reported yet.
+ *
+ * @property startedMs start of the incarnation in Unix milliseconds.
+ * @property seenAt time of its first answer.
+ */
+internal class Successor(val startedMs: Long, val seenAt: MonotonicTime) {
+    /** Time of its first answer in the epoch that was begun for it, or null; it carries out no earlier order then. */
+    var fencedAt: MonotonicTime? = null
+}
+
 /** State of the start and stop orders that this leader has sent for a run. */
 internal class Order(val sentAt: MonotonicTime) {
     /** Time at which the worker is known to have started the run, or null. */
@@ -164,12 +206,16 @@
     /** Time at which the first stop was answered, or null. */
     var stoppedAt: MonotonicTime? = null
     var isStopRequested = false
+
+    /** Whether the worker's incarnation has listed the run as in progress, so that the run ends with it. */
+    var isListed = false
 }
 
 /** Whether a run not listed in [answer], to a status query sent at [queriedAt], can never run at the worker again. */
 internal fun Order?.isAbsenceConclusive(queriedAt: MonotonicTime, answer: StatusAnswer): Boolean {
     if (!answer.hasAllEnds) return false
-    // The fence raised by the query keeps the worker from carrying out an earlier leader's orders.
+    // The fence raised by the query keeps the worker from carrying out the orders of an earlier leader or for an
+    // earlier incarnation.
     if (this == null) return true
     val since = stoppedAt ?: startedAt
     return since != null && since <= queriedAt
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
@@ -7,14 +7,15 @@
 /** Holds one leader's [WorkerContact] for each worker incarnation, and decides which workers accept new tasks. */
 internal class WorkerContacts(private val state: SchedulerState, private val settings: SchedulingSettings) {
     private val byIncarnation = HashMap<WorkerIncarnation, WorkerContact>()
-    val unansweredStarts = UnansweredStarts(settings.orderDelay)
+    private var lastEpoch = 0
     val answerTimeout = AnswerTimeout(settings.shortestOrderTimeout, settings.orderTimeout)
 
     val all: Collection<WorkerContact>
         get() = byIncarnation.values
 
-    fun of(incarnation: WorkerIncarnation, now: MonotonicTime): WorkerContact =
-        byIncarnation.getOrPut(incarnation) { WorkerContact(incarnation, now, settings.clockSlowness) }
+    fun of(incarnation: WorkerIncarnation, now: MonotonicTime): WorkerContact = byIncarnation.getOrPut(incarnation) {
+        WorkerContact(incarnation, now, settings.clockSlowness, nextEpoch())
+    }
 
     fun find(incarnation: WorkerIncarnation): WorkerContact? = byIncarnation[incarnation]
 
@@ -22,19 +23,40 @@
         byIncarnation.remove(incarnation)
     }
 
-    /** Whether [worker] may still carry out orders that earlier leaders sent for its earlier incarnation. */
+    /** Raises the fence of the worker of [contact] above all orders that this leader has sent. */
+    fun raiseFence(contact: WorkerContact) = contact.beginEpoch(nextEpoch())
+
+    private fun nextEpoch(): Int {
+        check(lastEpoch < OrderFence.MAX_EPOCH) { "all $lastEpoch epochs of the term are used; lead in a new term" }
+        lastEpoch += 1
+        return lastEpoch
+    }
+
+    /** Whether [worker] may still carry out orders that were sent for its earlier incarnation. */
     fun isUnfenced(worker: Worker): Boolean =
         worker.earlier != null && byIncarnation[worker.profile.incarnation]?.answeredQueryAt == null
 
-    /** Whether runs ordered for an earlier incarnation may run at [contact], even if its leases have expired. */
+    /** Whether runs ordered for an earlier incarnation may run at the worker, even if its leases have expired. */
     fun mayRunLateOrders(contact: WorkerContact, now: MonotonicTime): Boolean =
         timeUntilLateOrdersExpire(contact, now) > Duration.ZERO
 
-    /** Returns the time until no run ordered for an earlier incarnation can run at [contact]; zero or less if none. */
+    /**
+     * Returns the time until no run ordered for an earlier incarnation can run at the worker; zero or less if none can.
+     *
+     * For a superseded [contact], the runs are those at its successor.
+     */
     fun timeUntilLateOrdersExpire(contact: WorkerContact, now: MonotonicTime): Duration {
-        val worker = state.worker(contact.incarnation)
-        val until = contact.earlierOrdersUntil
-            ?: worker?.takeIf(::isUnfenced)?.let { it.registeredAt + settings.lateOrderLifetime }
+        val successor = contact.successor
+        val fencedAt = successor?.fencedAt
+        val until = when {
+            // Its leases are not renewed. While it answers, the claims wait for its report.
+            fencedAt != null && contact.failedQueries > 0 -> fencedAt + settings.longestLease
+            successor != null -> successor.seenAt + settings.lateOrderLifetime
+            else ->
+                state.worker(contact.incarnation)?.takeIf(::isUnfenced)?.let {
+                    it.registeredAt + settings.lateOrderLifetime
+                }
+        }
         return if (until == null) Duration.ZERO else until - now
     }
 
@@ -45,8 +67,7 @@
     }
 
     /** Removes the contacts of ended incarnations that have no claims. */
-    fun prune(now: MonotonicTime) {
-        unansweredStarts.prune(now)
+    fun prune() {
         byIncarnation.keys.removeAll { state.worker(it) == null && state.claimsAt(it).isEmpty() }
     }
 
@@ -73,7 +94,7 @@
             contact.isUnreachable -> Exclusion.UNREACHABLE
             isLeaseClosed(worker, contact) -> Exclusion.LEASE_CLOSED
             contact.isClosed -> Exclusion.CLOSED
-            mayRunEarlierOrders(worker, contact) -> Exclusion.EARLIER_ORDERS
+            isUnfenced(worker) -> Exclusion.EARLIER_ORDERS
             contact.atCapacityUntil?.let { now < it } == true -> Exclusion.AT_CAPACITY
             !isCapacityKnown(worker, contact) -> Exclusion.CAPACITY_UNKNOWN
             contact.health.isQuarantined(now) -> Exclusion.QUARANTINED
@@ -84,10 +105,6 @@
     /** Whether no lease may be granted to [worker] until it has answered a status query and that is committed. */
     fun isLeaseClosed(worker: Worker, contact: WorkerContact): Boolean = worker.isLeaseClosed || contact.isLeaseClosed
 
-    /** Whether [worker] may still carry out orders that were sent for an earlier incarnation. */
-    private fun mayRunEarlierOrders(worker: Worker, contact: WorkerContact): Boolean =
-        isUnfenced(worker) || unansweredStarts.notRefusedBy(contact.incarnation).isNotEmpty()
-
     /**
      * Whether the state shows the free capacity of [worker].
      *
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantCheckerTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantCheckerTest.kt
@@ -42,7 +42,7 @@
     @Test
     fun aTaskHasOneRunAtATime() = check(Invariant.TWICE, { submit("job", small) }) { action ->
         val others = workers.values.map { it.profile }
-        if (action is Action.Start) others.map { action.copy(worker = it) } else listOf(action)
+        if (action is Action.Start) others.map { action.to(it) } else listOf(action)
     }
 
     @Test
@@ -66,7 +66,7 @@
                     fleet.at(14.seconds) { worker.isReachable = true }
                     val other = fleet.workers.values.first { it !== worker }
                     fleet.at(delay) {
-                        fleet.inject(action.copy(worker = other.profile, run = action.run.copy(number = 9)))
+                        fleet.inject(action.to(other.profile).copy(run = action.run.copy(number = 9)))
                     }
                 }
                 // Only the injected order starts the task again.
@@ -132,13 +132,13 @@
 
     @Test
     fun noWorkerExceedsItsCapacity() = check(Invariant.ROOM, { submit("job", small.copy(count = 8)) }) { action ->
-        listOf(if (action is Action.Start) action.copy(worker = workers.values.first().profile) else action)
+        listOf(if (action is Action.Start) action.to(workers.values.first().profile) else action)
     }
 
     @Test
     fun noWorkerExceedsTheStepsMaxPerWorker() =
         check(Invariant.ROOM, { submit("job", small.copy(maxPerWorker = 1)) }) { action ->
-            listOf(if (action is Action.Start) action.copy(worker = workers.values.first().profile) else action)
+            listOf(if (action is Action.Start) action.to(workers.values.first().profile) else action)
         }
 
     @Test
@@ -192,7 +192,7 @@
     }) { action ->
         if (action !is Action.OrderUpkeep) return@check listOf(action)
         val stops = workers.values.filter { it.isUp }.flatMap { worker ->
-            worker.rows().map { Action.Stop(worker.profile, it.run, answerTimeout = 1.seconds) }
+            worker.rows().map { Action.Stop(worker.profile, OrderFence.MAX_EPOCH, it.run, answerTimeout = 1.seconds) }
         }
         stops + action
     }
@@ -224,4 +224,8 @@
 
     private fun later(order: Action.Start, index: Int = 0): Action.Start =
         order.copy(run = order.run.copy(number = order.run.number + 10 + index), untilMs = order.untilMs + 60_000)
+
+    /** Returns the order for [worker], which accepts it whatever it was sent before. */
+    private fun Action.Start.to(worker: WorkerProfile): Action.Start =
+        copy(worker = worker, epoch = OrderFence.MAX_EPOCH)
 }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -253,10 +253,14 @@
                 replies[action.call] = action.reply
                 invariants.replyReceived(action.call, action.reply)
             }
-            is Action.Start -> order(action.worker, action.answerTimeout, { it.start(action, fenceOf(from)) }) {
-                feed(Event.StartAnswered(action.worker.incarnation, action.run, it), from)
+            is Action.Start -> {
+                order(action.worker, action.answerTimeout, { it.start(action, fenceOf(from, action.epoch)) }) {
+                    feed(Event.StartAnswered(action.worker.incarnation, action.run, it), from)
+                }
             }
-            is Action.Stop -> order(action.worker, action.answerTimeout, { it.stop(action.run, fenceOf(from)) }) {
+            is Action.Stop -> order(action.worker, action.answerTimeout, {
+                it.stop(action.run, fenceOf(from, action.epoch))
+            }) {
                 feed(Event.StopAnswered(action.worker.incarnation, action.run, it), from)
             }
             is Action.Look -> look(action, from)
@@ -350,6 +354,8 @@
 
     private fun fenceOf(from: Int): Long = fences.getValue(from)
 
+    private fun fenceOf(from: Int, epoch: Int): Long = OrderFence.of(fenceOf(from), epoch).value
+
     private fun order(
         to: WorkerProfile,
         timeout: Duration,
@@ -389,6 +395,16 @@
         at(networkDelay()) {
             if (isLost) return@at
             val worker = recipientOf(action.worker)
+            if (worker?.delaysNextDrop == true && action.lastRecordedEnd > 0) {
+                worker.delaysNextDrop = false
+                at(LATE_DROP) {
+                    if (worker.isUp) worker.look(action.copy(wait = Duration.ZERO), fenceOf(from, action.epoch)) { }
+                    worker.canSend = true
+                }
+                // The ends of the last moments are listed in no answer.
+                at(LATE_DROP - 500.milliseconds) { worker.canSend = false }
+                return@at
+            }
             val isOther = worker != null && worker.profile.incarnation.worker != incarnation.worker
             val answered = { answer: StatusAnswer ->
                 at(networkDelay()) {
@@ -402,7 +418,7 @@
                     StatusAnswer(otherIncarnation = true),
                 )
             } else {
-                worker?.look(action, fenceOf(from), answered)
+                worker?.look(action, fenceOf(from, action.epoch), answered)
             }
         }
         at(action.wait + action.answerTimeout) {
@@ -455,5 +471,6 @@
                 timeoutMs = 3_000,
             )
         val SECOND = 1.seconds
+        val LATE_DROP = 2_500.milliseconds
     }
 }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -20,6 +20,9 @@
 
     /** Whether reports and answers of the worker arrive; independent of whether it receives orders. */
     var canSend = true
+
+    /** Whether the next status query that drops ends gets no answer and is executed seconds later. */
+    var delaysNextDrop = false
     var isUp = true
         private set
 
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/WorkerClockTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/WorkerClockTest.kt
@@ -53,7 +53,7 @@
 
     @Test
     fun aLeaseCountsAsExpiredBeforeTheWorkersTimerHasRunOut() {
-        val contact = WorkerContact(INCARNATION, MonotonicTime.Zero, SLOWNESS)
+        val contact = WorkerContact(INCARNATION, MonotonicTime.Zero, SLOWNESS, epoch = 1)
         contact.recordContact(MonotonicTime.Zero, clockMs = 1_000)
         contact.answeredQueryAt = MonotonicTime.Zero
         val until = contact.clock.grant(MonotonicTime.Zero, lease)
