Record that a restarted worker is fenced, for later leaders

WorkerFenced is committed once the incarnation has answered under its fence and no late lease can outlast a new one. Later leaders then wait for leases only.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -272,6 +272,8 @@
                 // Logged as run_claimed when its start order is sent, just after the commit.
                 is Record.RunClaimed -> Unit
                 is Record.MoveConfirmed, is Record.UpkeepConfirmed, is Record.EndsRecorded, is Record.JobStarted -> Unit
+                // Logged as worker_fenced when the worker answers.
+                is Record.WorkerFenced -> Unit
             }
         }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -211,7 +211,7 @@
 
     private fun isObserved(record: Record): Boolean = when (record) {
         is Record.RunEnded, is Record.RunReleased, is Record.EndsRecorded -> true
-        is Record.LeaseClosed, is Record.LeaseReopened -> true
+        is Record.LeaseClosed, is Record.LeaseReopened, is Record.WorkerFenced -> true
         is Record.UpkeepConfirmed, is Record.UpkeepRefused, is Record.MoveConfirmed, is Record.MoveRefused -> true
         // Callers and workers retry these requests, because the reply was that nothing was accepted.
         is Record.CatalogAccepted, is Record.JobAccepted, is Record.JobCancelled, is Record.WaveAccepted -> false
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -121,6 +121,11 @@
     @SerialName("lo")
     public data class LeaseReopened(@SerialName("l") val incarnation: WorkerIncarnation) : Record
 
+    /** The incarnation has raised its fence above the orders for its earlier incarnations, and carries out none. */
+    @Serializable
+    @SerialName("wf")
+    public data class WorkerFenced(@SerialName("l") val incarnation: WorkerIncarnation) : Record
+
     /** The operator's maintenance wave of [vms] was accepted, at most [cap] at a time, to complete by [dueMs]. */
     @Serializable
     @SerialName("u")
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
@@ -16,14 +16,18 @@
     private val contacts: WorkerContacts,
     private val release: (RunId, WorkerIncarnation, String, Array<Pair<String, Any?>>) -> Unit,
     private val runLost: (RunId, MonotonicTime) -> Unit,
+    private val record: (Record) -> Unit,
     private val emit: (Action) -> Unit,
 ) {
-    /** Raises the fences of workers whose later incarnations have registered. */
+    /** Raises the fences of workers whose later incarnations have registered, and records the raised ones. */
     fun tick(now: MonotonicTime) {
         for (contact in contacts.all.toList()) {
             val current = state.workers[contact.incarnation.worker] ?: continue
             val later = current.profile.incarnation
-            if (later.startedMs > contact.incarnation.startedMs) replace(contact, contacts.of(later, now))
+            when {
+                later.startedMs > contact.incarnation.startedMs -> replace(contact, contacts.of(later, now))
+                later == contact.incarnation -> recordFence(contact, current, now)
+            }
         }
     }
 
@@ -64,7 +68,8 @@
     }
 
     /** Handles the first [answer] of the incarnation of [contact], which has raised its fence. */
-    fun fenceRaised(contact: WorkerContact, answer: StatusAnswer) {
+    fun fenceRaised(contact: WorkerContact, answer: StatusAnswer, now: MonotonicTime) {
+        contact.fencedAt = now
         val earlier = state.worker(contact.incarnation)?.earlier ?: return
         log(
             "worker_fenced",
@@ -94,6 +99,19 @@
         ended.forEach { releaseLost(it, later.incarnation) }
     }
 
+    /**
+     * Records that no order for an earlier incarnation can be carried out, so that later leaders need not wait for one.
+     *
+     * A lease that such an order granted before the fence was raised may last longer than one that a leader grants.
+     */
+    private fun recordFence(contact: WorkerContact, worker: Worker, now: MonotonicTime) {
+        val fencedAt = contact.fencedAt ?: return
+        val isDue = worker.earlier != null && !contact.isFenceRecorded && now - fencedAt >= settings.lateLeaseExcess
+        if (!isDue) return
+        contact.isFenceRecorded = true
+        record(Record.WorkerFenced(contact.incarnation))
+    }
+
     private fun releaseLost(run: RunId, incarnation: WorkerIncarnation) =
         release(run, incarnation, "worker restarted", emptyArray())
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -34,7 +34,7 @@
     val closedLeases = ClosedLeases(state, settings, contacts, record)
 
     val restartedWorkers =
-        RestartedWorkers(state, settings, contacts, ::release, heldLastingTasks::runLost, emit)
+        RestartedWorkers(state, settings, contacts, ::release, heldLastingTasks::runLost, record, emit)
 
     /**
      * Runs whose claims are in the batch being committed.
@@ -217,7 +217,7 @@
             val mayHaveLateLease = contacts.mayHaveLateLease(event.incarnation, now)
             contact.assumeEarlierLeases(answer.clockMs, sentAt, mayHaveLateLease, settings)
         }
-        if (contact.answeredQueryAt == null) restartedWorkers.fenceRaised(contact, answer)
+        if (contact.answeredQueryAt == null) restartedWorkers.fenceRaised(contact, answer, now)
         contact.answeredQueryAt = sentAt
         contact.running = answer.running
         contact.listedAt = now
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -207,6 +207,7 @@
                 it.leaseClosedAt = now
             }
             is Record.LeaseReopened -> worker(record.incarnation)?.leaseLeftMs = null
+            is Record.WorkerFenced -> worker(record.incarnation)?.earlier = null
             is Record.WaveAccepted -> waveTable.getOrPut(record.wave) {
                 Wave(record.wave, record.vms.distinct(), record.dueMs, record.cap)
             }
@@ -411,7 +412,7 @@
     public var profile: WorkerProfile,
     public var isLeaving: Boolean,
     @SerialName("endsNoted") public var lastRecordedEnd: Long = 0,
-    public val earlier: WorkerIncarnation? = null,
+    public var earlier: WorkerIncarnation? = null,
 ) {
 
     /** Time after [leaseClosedAt] within which every lease of the worker expires, in ms; null while it gets leases. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -73,6 +73,10 @@
     internal val lateOrderLifetime: Duration
         get() = orderDelay + longestLease
 
+    /** Time after which a lease granted by a late order is over before one that is granted now. */
+    internal val lateLeaseExcess: Duration
+        get() = (maxLease - lease) * (1 + 2 * clockSlowness)
+
     init {
         require(lease <= maxLease) { "lease is $lease; grant at most maxLease, $maxLease, as workers shorten it" }
         require(predecessorTime > lease * (1 + 2 * clockSlowness)) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -72,6 +72,12 @@
     val isSuperseded: Boolean
         get() = successor != null
 
+    /** Whether the record that no earlier order can be carried out any more was decided. */
+    var isFenceRecorded = false
+
+    /** Time at which the first status query was answered, or null. */
+    var fencedAt: MonotonicTime? = null
+
     /** Whether the worker has sent a deregistration and shuts down soon. */
     var isDeregistering = false
 
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/RestartedWorkerLostTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/RestartedWorkerLostTest.kt
@@ -54,6 +54,26 @@
         }
     }
 
+    /** The next leader has read a snapshot, so it cannot tell from its own clock how long ago the worker restarted. */
+    @Test
+    fun aLastingTaskStaysDownWhenItsWorkerIsLostWithTheLeaderLongAfterItsRestart() {
+        repeat(SEEDS) { seed ->
+            val fleet = VirtualFleet.withWorkers(5, seed)
+            fleet.workers.values.toList().forEach { fleet.restart(it, after = 500.milliseconds) }
+            fleet.run(30.seconds)
+            fleet.submit("lasting", step)
+            fleet.run(2.seconds + (seed * 53).milliseconds)
+            fleet.workers.values.first { it.runs(taskOf(seed)) }.crash(silent = true)
+            fleet.loseLeader()
+            fleet.at(1.seconds) {
+                fleet.state.restore(fleet.state.image(), fleet.now)
+                fleet.changeLeader()
+            }
+
+            assertRunsAgain(fleet, seed)
+        }
+    }
+
     private fun grantsLease(action: Action): Boolean =
         action is Action.Start || (action is Action.Look && action.untilMs != null)
 
