--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -254,6 +254,7 @@
                 invariants.replyReceived(action.call, action.reply)
             }
             is Action.Start -> {
+                invariants.startSent(action.run)
                 order(action.worker, action.answerTimeout, { it.start(action, fenceOf(from, action.epoch)) }) {
                     feed(Event.StartAnswered(action.worker.incarnation, action.run, it), from)
                 }
