Accept a configuration of any size that the listener takes

What shared its batch was refused with it.

The listener takes 4 MiB, a link 2 MiB, a command of the log 1 MiB; the command held the configuration twice, decoded and as text. Beyond the bound it was refused as "no leader, come back", though it never fits. Each attempt built the tree of the whole document on a heap of 96 MB.

A link takes what the listener takes; the bounds are checked against each other at start.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -23,6 +23,7 @@
 import org.auburnstream.dispatch.http.HttpResponse
 import org.auburnstream.dispatch.http.HttpServer
 import org.auburnstream.dispatch.http.HttpTimeouts
+import org.auburnstream.dispatch.link.Frame
 import org.auburnstream.dispatch.link.PeerNetwork
 import org.auburnstream.dispatch.log.LineLog
 import org.auburnstream.dispatch.loop.EventLoop
@@ -33,6 +34,7 @@
 import org.auburnstream.model.GroupId
 import org.auburnstream.model.MonotonicTime
 import org.auburnstream.scheduling.CallId
+import org.auburnstream.scheduling.Catalog
 import org.auburnstream.scheduling.Event
 import org.auburnstream.scheduling.RecordBatch
 import org.auburnstream.scheduling.Reply
@@ -58,6 +60,7 @@
  *
  * Every control process accepts reports of workers and requests of operators; a follower forwards them to the leader.
  *
+ * @property decodeCatalog decodes the text of a catalog that [handler] has accepted.
  * @property tenants metrics by tenant, or null for none.
  * @property onFatal called with the reason when the process cannot continue.
  */
@@ -67,6 +70,7 @@
     private val handler: RequestHandler,
     private val gateway: Gateway,
     private val metrics: NodeMetrics,
+    private val decodeCatalog: (String) -> Catalog,
     private val memory: ClientMemory = ClientMemory(),
     private val tenants: TenantMetrics? = null,
     private val onFatal: (String) -> Unit,
@@ -85,7 +89,8 @@
         onCall = ::onForwardedRequest,
         maxIncoming = settings.maxOpenFiles / 4,
     )
-    private val replica = StateReplica(SchedulerState(settings.retention.inWholeMilliseconds)) { loop.now }
+    private val replica =
+        StateReplica(SchedulerState(settings.retention.inWholeMilliseconds, decodeCatalog)) { loop.now }
     private lateinit var group: ReplicatedGroupRunner
     private val server = HttpServer(
         loop = loop,
@@ -116,6 +121,13 @@
     private var isChangingMembers = false
     private val suspension = SuspensionDetector()
 
+    init {
+        val batchBytes = settings.scheduling.maxBatchBytes
+        require(batchBytes <= CONSENSUS_SETTINGS.maxCommandBytes) {
+            "maxBatchBytes is $batchBytes; the log takes ${CONSENSUS_SETTINGS.maxCommandBytes} in one command"
+        }
+    }
+
     /** Starts the process; reads the store and joins the group in the background. */
     public fun start() {
         network.addKnownPeers(settings.seeds)
@@ -465,6 +477,12 @@
         /** Large enough for a catalog of several thousand queues and for a worker's report. */
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
 
+        init {
+            check(MAX_BODY_BYTES + 2 * MAX_HEAD_BYTES <= Frame.MAX_PAYLOAD_BYTES) {
+                "a link takes ${Frame.MAX_PAYLOAD_BYTES} bytes, less than a request that is forwarded"
+            }
+        }
+
         /** A forwarded request and what the scheduler decodes from it. */
         const val FORWARDED_COPIES = 2L
         val HOUSEKEEPING_INTERVAL: Duration = 500.milliseconds
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/Frames.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/link/Frames.kt
@@ -41,8 +41,8 @@
     companion object {
         const val HEADER_BYTES = 13
 
-        /** Upper limit for a snapshot part, a batch of entries and a forwarded request. */
-        const val MAX_PAYLOAD_BYTES = 2 * 1024 * 1024
+        /** Upper limit for a snapshot part, a batch of entries and a forwarded request or its answer. */
+        const val MAX_PAYLOAD_BYTES = 4 * 1024 * 1024 + 64 * 1024
     }
 }
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/OperatorRequests.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/OperatorRequests.kt
@@ -135,6 +135,7 @@
         Reply.NoSuchJob -> notFound("job $id")
         Reply.NotPermitted -> malformed("the id $id belongs to a job of a tenant; choose another id")
         Reply.Unknown -> null
+        is Reply.TooLarge -> malformed("the job takes ${reply.bytes} bytes, at most ${reply.maxBytes}; split it")
         is Reply.NotAccepted -> error(
             ApiErrorType.UNAVAILABLE,
             "the order for job $id was not stored: ${reply.reason.name.lowercase().replace('_', ' ')}",
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/group/ControlGroupFixture.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/group/ControlGroupFixture.kt
@@ -187,6 +187,7 @@
                 handler = SubmissionHandler(name),
                 gateway = { _, _, _, _ -> },
                 metrics = metrics,
+                decodeCatalog = { SubmissionHandler.catalog },
                 onFatal = { fatal += "$name: $it" },
             )
             process.start(node::start)
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/group/SubmissionHandler.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/group/SubmissionHandler.kt
@@ -72,7 +72,7 @@
         private const val REQUEST_TIME_MS = 1_000L
         private val service = ServiceId("print")
         private val queue = Queue(QueueName("plates"), "host", "/plates/", service, attempts = 2, timeoutMs = 3_000)
-        private val catalog = Catalog(version = 1, listOf(queue), listOf(ServiceTerms(service)))
+        val catalog = Catalog(version = 1, listOf(queue), listOf(ServiceTerms(service)))
         private val step = StepDescription(count = 1, demand = Resources(1_000, 1_000))
         private val job = JobDescription("payload", listOf(step))
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -96,6 +96,9 @@
     /** The outcome is unknown: the request may or may not be committed. */
     public data object Unknown : Reply
 
+    /** Nothing was stored: the request takes up to [bytes] in the log, which takes [maxBytes]; it never fits. */
+    public data class TooLarge(val bytes: Int, val maxBytes: Int) : Reply
+
     /** There is no such job. */
     public data object NoSuchJob : Reply
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -250,6 +250,12 @@
                 is Record.JobAccepted -> logAccepted(record)
                 is Record.JobCancelled -> log("job_cancelled", "job" to record.id)
                 is Record.CatalogAccepted -> log("catalog_accepted", "version" to record.catalog.version)
+                is Record.CatalogReplaced -> log(
+                    "catalog_accepted",
+                    "version" to record.version,
+                    "queues" to state.catalog?.queues?.size,
+                    "log_bytes" to record.maxSize(),
+                )
                 is Record.WorkerRegistered -> log(
                     "worker_seen",
                     "worker" to record.profile.incarnation,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -18,7 +18,7 @@
 ) {
     private val rates = TenantRates()
     private var records = ArrayList<Record>()
-    private var calls = ArrayList<CallId>()
+    private var calls = ArrayList<WaitingCall>()
 
     /** Callers' calls whose own records are in no batch yet. */
     val unproposedCalls: Set<CallId>
@@ -45,7 +45,7 @@
 
     /** Catalogs that are queued. */
     val catalogs: List<Catalog>
-        get() = records.mapNotNull { (it as? Record.CatalogAccepted)?.catalog }
+        get() = records.mapNotNull { (it as? Record.CatalogReplaced)?.catalog }
 
     /** Whether a cancellation of the job is queued or being committed. */
     fun isBeingCancelled(id: JobId): Boolean = id in pendingCancels
@@ -54,6 +54,17 @@
         records.add(record)
     }
 
+    /** Queues [record] for [call], or replies that it never fits into a batch; returns whether it is queued. */
+    private fun add(record: Record, call: CallId): Boolean {
+        val bytes = record.maxSize()
+        if (bytes > settings.maxBatchBytes) {
+            emit(Action.Answer(call, Reply.TooLarge(bytes, settings.maxBatchBytes)))
+            return false
+        }
+        records.add(record)
+        return true
+    }
+
     fun submit(event: Event.JobSubmitted, now: MonotonicTime) {
         val known = state.jobs[event.id]
         val pending = pendingJobs[event.id]
@@ -87,8 +98,11 @@
         }
         val owner = event.tenant?.let { JobOwner(it, isExcess) }
         val record = Record.JobAccepted(event.id, event.queue, event.description, owner)
+        if (!add(record, event.call)) {
+            if (tenant != null && !isExcess) rates.giveBack(tenant.name)
+            return false
+        }
         pendingJobs[event.id] = record
-        records.add(record)
         return true
     }
 
@@ -117,17 +131,19 @@
         val newest = maxOf(stored, pendingCatalog ?: Long.MIN_VALUE)
         if (event.catalog.version <= stored) return replyAccepted(event.call)
         if (event.catalog.version > newest) {
+            val document = CatalogDocument.of(event.document)
+            if (!add(Record.CatalogReplaced(event.catalog.version, document, event.catalog), event.call)) return
             pendingCatalog = event.catalog.version
-            records.add(Record.CatalogAccepted(event.catalog, event.document))
         }
         await(event.call, catalogs.none { it.version >= event.catalog.version })
     }
 
     fun submit(event: Event.WaveSubmitted, nowMs: Long) {
         if (event.wave in state.waves) return replyAccepted(event.call)
-        if (pendingWaves.add(event.wave)) {
+        if (event.wave !in pendingWaves) {
             val dueMs = nowMs + event.duration.inWholeMilliseconds
-            records.add(Record.WaveAccepted(event.wave, event.vms, dueMs, maxOf(1, event.cap)))
+            if (!add(Record.WaveAccepted(event.wave, event.vms, dueMs, maxOf(1, event.cap)), event.call)) return
+            pendingWaves.add(event.wave)
         }
         await(event.call, batchRecords.any { it is Record.WaveAccepted && it.wave == event.wave })
     }
@@ -148,8 +164,8 @@
         if (isCurrent) return replyAccepted(event.call)
         val pending = pendingWorkers[incarnation]
         if (pending == null || (event.isLeaving && !pending)) {
+            if (!add(Record.WorkerRegistered(profile, event.isLeaving), event.call)) return
             pendingWorkers[incarnation] = event.isLeaving
-            records.add(Record.WorkerRegistered(profile, event.isLeaving))
         }
         val isQueued = records.any { it is Record.WorkerRegistered && it.profile.incarnation == incarnation }
         await(event.call, isProposed = !isQueued)
@@ -157,27 +173,38 @@
 
     /** Replies to [call] with the batch that has its record: the one that is being committed, or else the next one. */
     private fun await(call: CallId, isProposed: Boolean) {
-        if (isProposed) batchCalls.add(call) else calls.add(call)
+        if (isProposed) batchCalls.add(call) else calls.add(WaitingCall(call, records.size))
     }
 
     /** Records that [incarnation] has ended, and answers its deregistrations once that is committed. */
     fun recordDeregistration(incarnation: WorkerIncarnation, deregistrations: List<CallId>) {
         records.add(Record.WorkerEnded(incarnation))
-        calls.addAll(deregistrations)
+        deregistrations.mapTo(calls) { WaitingCall(it, records.size) }
     }
 
     /** Returns the records of the next batch, and remembers the calls to reply to when it is committed. */
     fun takeBatch(): List<Record> {
         if (records.isEmpty()) return emptyList()
-        val taken = records
-        records = ArrayList()
-        batchCalls = calls
-        calls = ArrayList()
-        unproposed.clear()
+        val taken = records.take(fittingRecords())
+        records = ArrayList(records.drop(taken.size))
+        val (answered, waiting) = calls.partition { it.records <= taken.size }
+        batchCalls = answered.mapTo(ArrayList()) { it.call }
+        calls = waiting.mapTo(ArrayList()) { WaitingCall(it.call, it.records - taken.size) }
+        unproposed.removeAll(batchCalls.toSet())
         batchRecords = taken
         return taken
     }
 
+    /** Returns the number of queued records, from the first one, that fit into one batch. */
+    private fun fittingRecords(): Int {
+        var bytes = 0L
+        for ((count, record) in records.withIndex()) {
+            bytes += record.maxSize()
+            if (bytes > settings.maxBatchBytes && count > 0) return count
+        }
+        return records.size
+    }
+
     /** Returns observations from rejected batches for the next batch, which contains no calls. */
     fun takeRetries(): List<Record> {
         batchRecords = retries.take(retryBatchSize)
@@ -214,7 +241,8 @@
         is Record.LeaseClosed, is Record.LeaseReopened, is Record.WorkerFenced -> true
         is Record.UpkeepConfirmed, is Record.UpkeepRefused, is Record.MoveConfirmed, is Record.MoveRefused -> true
         // Callers and workers retry these requests, because the reply was that nothing was accepted.
-        is Record.CatalogAccepted, is Record.JobAccepted, is Record.JobCancelled, is Record.WaveAccepted -> false
+        is Record.CatalogAccepted, is Record.CatalogReplaced, is Record.JobAccepted -> false
+        is Record.JobCancelled, is Record.WaveAccepted -> false
         is Record.WorkerRegistered, is Record.WorkerEnded -> false
         // The next status query shows it again.
         is Record.JobStarted -> false
@@ -230,7 +258,7 @@
                 is Record.JobCancelled -> pendingCancels.remove(record.id)
                 is Record.WorkerRegistered -> pendingWorkers.remove(record.profile.incarnation)
                 is Record.WaveAccepted -> pendingWaves.remove(record.wave)
-                is Record.CatalogAccepted -> if (pendingCatalog == record.catalog.version) pendingCatalog = null
+                is Record.CatalogReplaced -> if (pendingCatalog == record.version) pendingCatalog = null
                 else -> Unit
             }
         }
@@ -248,6 +276,9 @@
 
     private fun replyAccepted(call: CallId) = emit(Action.Answer(call, Reply.Accepted))
 
+    /** Call that is answered once the first [records] of the queued ones are committed. */
+    private class WaitingCall(val call: CallId, val records: Int)
+
     private companion object {
         // A full queue has work for several seconds, and an election takes one or two seconds.
         val OVERLOAD_PAUSE = 5.seconds
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 import org.auburnstream.model.JobId
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
@@ -17,11 +18,24 @@
 /** One change of the replicated scheduling state. */
 @Serializable
 public sealed interface Record {
-    /** The operator's [catalog] was accepted; [document] is its text as sent. */
+    /** The operator's [catalog] was accepted by an earlier build; [document] is its text as sent. */
     @Serializable
     @SerialName("c")
     public data class CatalogAccepted(val catalog: Catalog, val document: String) : Record
 
+    /**
+     * The operator's catalog of [version] was accepted; [document] is its text as sent.
+     *
+     * @property catalog decoded catalog, or null if the record comes from the log, which contains the text only.
+     */
+    @Serializable
+    @SerialName("cr")
+    public data class CatalogReplaced(
+        @SerialName("v") val version: Long,
+        @SerialName("d") val document: CatalogDocument,
+        @Transient val catalog: Catalog? = null,
+    ) : Record
+
     /** A caller's job was accepted. */
     @Serializable
     @SerialName("j")
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -16,15 +16,20 @@
  * Every replica applies the same batches in the same order and therefore holds the same state. Not thread-safe.
  *
  * @property retentionMs time for which the state of an ended job can be read.
+ * @property decodeCatalog decodes the text of a catalog that was accepted.
  */
-public class SchedulerState(private val retentionMs: Long) {
+public class SchedulerState(
+    private val retentionMs: Long,
+    private val decodeCatalog: (String) -> Catalog = { error("there is no decoder for catalogs") },
+) {
     /** Current catalog, or null before the first one is accepted. */
     public var catalog: Catalog? = null
         private set
 
     /** Text of [catalog] as sent by the operator. */
-    public var document: String = ""
-        private set
+    public val document: String
+        get() = storedDocument.text()
+    private var storedDocument = CatalogDocument.of("")
     private val jobTable = LinkedHashMap<JobId, Job>()
     private val workerTable = LinkedHashMap<WorkerId, Worker>()
     private val waveTable = LinkedHashMap<Long, Wave>()
@@ -125,8 +130,8 @@
 
     /** Returns the state for a snapshot. */
     public fun image(): StateImage = StateImage(
-        catalog = catalog,
-        document = document,
+        catalogDocument = storedDocument,
+        decodedCatalog = catalog,
         jobs = jobTable.values.toList(),
         workers = workerTable.values.toList(),
         waves = waveTable.values.toList(),
@@ -152,8 +157,8 @@
         listOf(jobTable, workerTable, waveTable, moveTable, homeTable, orderTable, endedTable, activeJobs, claimTable)
             .forEach { it.clear() }
         finishedJobs.clear()
-        catalog = image.catalog
-        document = image.document
+        storedDocument = image.catalogDocument ?: CatalogDocument.of(image.document)
+        catalog = image.decodedCatalog ?: image.catalog ?: storedDocument.text().ifEmpty { null }?.let(decodeCatalog)
         for (worker in image.workers) {
             worker.registeredAt = now
             worker.leaseClosedAt = now
@@ -187,7 +192,12 @@
 
     private fun apply(record: Record, atMs: Long, now: MonotonicTime) {
         when (record) {
-            is Record.CatalogAccepted -> accept(record)
+            is Record.CatalogAccepted -> accept(record.catalog.version, CatalogDocument.of(record.document)) {
+                record.catalog
+            }
+            is Record.CatalogReplaced -> accept(record.version, record.document) {
+                record.catalog ?: decodeCatalog(record.document.text())
+            }
             is Record.JobAccepted -> accept(record, atMs)
             is Record.JobStarted -> jobTable[record.id]?.hasStarted = true
             is Record.JobCancelled -> activeJobs[record.id]?.let { end(it, JobPhase.CANCELLED, atMs) }
@@ -233,11 +243,11 @@
         else -> null
     }
 
-    private fun accept(record: Record.CatalogAccepted) {
+    private fun accept(version: Long, document: CatalogDocument, decode: () -> Catalog) {
         val current = catalog
-        if (current != null && record.catalog.version <= current.version) return
-        catalog = record.catalog
-        document = record.document
+        if (current != null && version <= current.version) return
+        catalog = decode()
+        storedDocument = document
     }
 
     private fun accept(record: Record.JobAccepted, atMs: Long) {
@@ -463,11 +473,19 @@
         get() = ended.size == vms.size
 }
 
-/** Content of a snapshot of [SchedulerState]. */
+/**
+ * Content of a snapshot of [SchedulerState].
+ *
+ * @property catalog catalog in a snapshot of an earlier build, with its text in [document].
+ * @property catalogDocument text of the catalog, or null in a snapshot of an earlier build.
+ * @property decodedCatalog catalog of an image that was not read from a snapshot.
+ */
 @Serializable
 public class StateImage(
-    public val catalog: Catalog?,
-    public val document: String,
+    public val catalog: Catalog? = null,
+    public val document: String = "",
+    public val catalogDocument: CatalogDocument? = null,
+    @Transient internal val decodedCatalog: Catalog? = null,
     public val jobs: List<Job>,
     public val workers: List<Worker>,
     public val waves: List<Wave>,
--- a/testkit/src/test/kotlin/org/auburnstream/testkit/operators/ControlNodeStandIn.kt
+++ b/testkit/src/test/kotlin/org/auburnstream/testkit/operators/ControlNodeStandIn.kt
@@ -44,6 +44,7 @@
         handler = CatalogHandler,
         gateway = { action, _, _, _ -> error("no order is expected, but $action") },
         metrics = NodeMetrics(),
+        decodeCatalog = { CatalogHandler.catalog },
         onFatal = { error(it) },
     )
     private val server = HttpServer(
@@ -82,7 +83,7 @@
         private val service = ServiceId("print")
         private val queue = Queue(QueueName("plates"), "host", "/plates/", service, attempts = 2, timeoutMs = 3_000)
         private val tenant = Tenant(TenantName("press"), keys = emptyList(), weight = 2.5)
-        private val catalog = Catalog(1, listOf(queue), listOf(ServiceTerms(service)), tenants = listOf(tenant))
+        val catalog = Catalog(1, listOf(queue), listOf(ServiceTerms(service)), tenants = listOf(tenant))
 
         override fun handle(
             listener: ListenerKind,
