Bound the state of jobs by the heap, and drop the work of ended ones

Nothing bounded the sum of what is accepted.

A job that ends drops its payload and images. The estimated state of all jobs may take a tenth of the heap; a job beyond it is refused at once with 503 and a time to come back. Queues are found by name and by host, as each accepted job looks its queue up.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/ControlNode.kt
@@ -258,7 +258,7 @@
         return Leadership(
             term = term,
             state = replica.state,
-            settings = settings.scheduling,
+            settings = settings.scheduling.copy(maxStoredBytes = Runtime.getRuntime().maxMemory() / HEAP_PER_STORED),
             loop = loop,
             gateway = gateway,
             metrics = metrics,
@@ -483,6 +483,9 @@
             }
         }
 
+        /** Heap for each byte of the jobs' state: objects, a snapshot while it is written, the log beside it. */
+        const val HEAP_PER_STORED = 10
+
         /** A forwarded request and what the scheduler decodes from it. */
         const val FORWARDED_COPIES = 2L
         val HOUSEKEEPING_INTERVAL: Duration = 500.milliseconds
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -114,6 +114,9 @@
     /** The queue holds the maximum number of waiting jobs. */
     OVERLOADED,
 
+    /** The jobs that are known take up the memory that is set aside for them. */
+    STORE_FULL,
+
     /** The tenant sends more than its weight, and the job would miss its objective. */
     BEYOND_WEIGHT,
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Catalog.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Catalog.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 import org.auburnstream.model.Resources
 import org.auburnstream.model.ServiceId
 
@@ -24,12 +25,18 @@
     /** Returns the tenant that the key with [digest] identifies, or null if no tenant has the key. */
     public fun tenantOf(digest: KeyDigest): Tenant? = tenants.firstOrNull { digest in it.keys }
 
+    @Transient
+    private val byName = queues.asReversed().associateBy { it.name }
+
+    @Transient
+    private val byHost = queues.groupBy { it.host }
+
     /** Returns the queue [name], or null. */
-    public fun queue(name: QueueName): Queue? = queues.firstOrNull { it.name == name }
+    public fun queue(name: QueueName): Queue? = byName[name]
 
     /** Returns the queue of [host] with the longest prefix that [path] begins with, or null. */
-    public fun route(host: String, path: String): Queue? = queues
-        .filter { it.host == host && path.startsWith(it.prefix) }
+    public fun route(host: String, path: String): Queue? = byHost[host].orEmpty()
+        .filter { path.startsWith(it.prefix) }
         .maxByOrNull { it.prefix.length }
 
     /** Returns the first problem that makes this catalog invalid, or null if it is valid. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -7,6 +7,7 @@
 /**
  * Replicated state of an accepted job.
  *
+ * @property description what the job does; its payload and images are dropped when the job ends.
  * @property queue settings of the queue when the job was accepted, used if the queue is removed from the catalog.
  * @property acceptedMs when the job was accepted, in Unix milliseconds.
  * @property owner tenant that the job belongs to, or null if it belongs to none.
@@ -17,7 +18,7 @@
 public class Job(
     public val id: JobId,
     public val queue: Queue,
-    public val description: JobDescription,
+    public var description: JobDescription,
     public val acceptedMs: Long,
     public val owner: JobOwner? = null,
 ) {
@@ -35,6 +36,16 @@
     internal var nextOccurrence: Int = 0
     internal val done: MutableSet<Int> = HashSet()
 
+    /** Estimated size of the job's part of the state, in bytes. */
+    internal val storedBytes: Int
+        get() = if (isActive) ACTIVE_BYTES + description.size() else ENDED_BYTES + STEP_BYTES * description.steps.size
+
+    /** Drops what only the starts of its tasks need. */
+    internal fun forgetWork() {
+        val steps = description.steps.map { if (it.image.isEmpty()) it else it.copy(image = "") }
+        description = description.copy(payload = "", steps = steps)
+    }
+
     /** Whether the job still has work. */
     public val isActive: Boolean
         get() = phase == JobPhase.ACTIVE
@@ -77,6 +88,12 @@
 
     internal val isWholeDone: Boolean
         get() = nextOccurrence >= description.occurrences
+
+    private companion object {
+        const val ACTIVE_BYTES = 512
+        const val ENDED_BYTES = 512
+        const val STEP_BYTES = 64
+    }
 }
 
 /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -88,6 +88,7 @@
         val refusal = when {
             isExcess && wouldBeLate(event.queue, event.description) ->
                 Reply.NotAccepted(RefusalReason.BEYOND_WEIGHT, rates.pause(tenant, now))
+            isStoreFull(event.description) -> Reply.NotAccepted(RefusalReason.STORE_FULL, OVERLOAD_PAUSE)
             isOverloaded(event.queue, isExcess) -> Reply.NotAccepted(RefusalReason.OVERLOADED, OVERLOAD_PAUSE)
             else -> null
         }
@@ -274,6 +275,12 @@
     private fun isOverloaded(queue: Queue, isExcess: Boolean): Boolean =
         state.waitingJobs(queue.name) { isExcess || it.owner?.isExcess != true } >= settings.maxWaitingJobs
 
+    /** Whether the state of a job with [description] would exceed the limit, beside those known and pending. */
+    private fun isStoreFull(description: JobDescription): Boolean {
+        val pending = pendingJobs.values.sumOf { it.description.size() }
+        return state.storedBytes + pending + description.size() > settings.maxStoredBytes
+    }
+
     private fun replyAccepted(call: CallId) = emit(Action.Answer(call, Reply.Accepted))
 
     /** Call that is answered once the first [records] of the queued ones are committed. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -46,6 +46,10 @@
     private val claimTable = HashMap<WorkerIncarnation, LinkedHashMap<RunId, StepDescription>>()
     private val finishedJobs = ArrayDeque<Job>()
 
+    /** Estimated size of the state of [jobs], in bytes. */
+    public var storedBytes: Long = 0
+        private set
+
     /** Accepted jobs whose retention has not expired. */
     public val jobs: Map<JobId, Job>
         get() = jobTable
@@ -170,6 +174,7 @@
         orderTable.putAll(image.orders)
         endedTable.putAll(image.ended)
         latestMs = image.latestMs
+        storedBytes = image.jobs.sumOf { it.storedBytes.toLong() }
         for (job in image.jobs) {
             jobTable[job.id] = job
             if (job.isActive) activeJobs[job.id] = job
@@ -252,9 +257,12 @@
 
     private fun accept(record: Record.JobAccepted, atMs: Long) {
         if (record.id in jobTable) return
-        val job = Job(record.id, record.queue, record.description, atMs, record.owner)
+        // Most jobs share the settings of the queue in the catalog.
+        val queue = catalog?.queue(record.queue.name)?.takeIf { it == record.queue } ?: record.queue
+        val job = Job(record.id, queue, record.description, atMs, record.owner)
         jobTable[job.id] = job
         activeJobs[job.id] = job
+        storedBytes += job.storedBytes
     }
 
     private fun registerWorker(record: Record.WorkerRegistered, atMs: Long, now: MonotonicTime) {
@@ -372,15 +380,20 @@
     }
 
     private fun end(job: Job, phase: JobPhase, atMs: Long) {
+        storedBytes -= job.storedBytes
         job.phase = phase
         job.endedMs = atMs
+        job.forgetWork()
+        storedBytes += job.storedBytes
         activeJobs.remove(job.id)
         finishedJobs.addLast(job)
     }
 
     private fun removeExpired(atMs: Long) {
         while (finishedJobs.isNotEmpty() && finishedJobs.first().endedMs + retentionMs < atMs) {
-            jobTable.remove(finishedJobs.removeFirst().id)
+            val job = finishedJobs.removeFirst()
+            jobTable.remove(job.id)
+            storedBytes -= job.storedBytes
         }
         endedTable.values.removeAll { it.atMs + ENDED_INCARNATION_RETENTION_MS < atMs }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -38,6 +38,7 @@
  * @property unavailabilityGrace time for which a lasting task may be down before it counts as unavailable.
  * @property upkeepTime duration of the maintenance of a VM.
  * @property maxWaitingJobs maximum number of accepted jobs of one queue that have not started.
+ * @property maxStoredBytes maximum estimated size of the state of all jobs; further ones are refused meanwhile.
  * @property maxBatchBytes maximum size of the records that are committed together, and of each.
  * @property remoteDataFactor factor by which a task takes longer on another rack than its data.
  * @property paceTime time from the order to change the processor share of a run until the share is in force.
@@ -63,6 +64,7 @@
     val unavailabilityGrace: Duration = 4500.milliseconds,
     val upkeepTime: Duration = 2.seconds,
     val maxWaitingJobs: Int = 2_000,
+    val maxStoredBytes: Long = DEFAULT_STORED_BYTES,
     val maxBatchBytes: Int = DEFAULT_BATCH_BYTES,
     val remoteDataFactor: Double = 2.0,
     val paceTime: Duration = 100.milliseconds,
@@ -94,6 +96,7 @@
     private companion object {
         /** Time from the end of the last lease until the task runs elsewhere: a tick, two commits and an order. */
         val RESTART_TIME = 500.milliseconds
+        const val DEFAULT_STORED_BYTES = 8L * 1024 * 1024
         const val DEFAULT_BATCH_BYTES = 1024 * 1024
     }
 }
