--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/HeldLastingTasks.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/HeldLastingTasks.kt
@@ -55,6 +55,7 @@
             "run" to longest.runs.first(),
             "worker" to longest.incarnation,
             "lease_left_ms" to longest.left.inWholeMilliseconds,
+            "leaving" to held.count { state.worker(it.incarnation)?.isLeaving == true },
         )
         val causes = held.groupingBy { it.cause }.fold(0) { sum, hold -> sum + hold.runs.size }
         emit(Action.Note("lasting_tasks_held", fields + causes.toSortedMap().map { (cause, runs) -> cause to runs }))
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/LastingTaskWaits.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/LastingTaskWaits.kt
@@ -42,6 +42,7 @@
             "waited_ms" to waited.inWholeMilliseconds,
             "service" to step.queue.service,
             "workers" to workers.size,
+            "vms_coming" to state.moves.values.count { it.to == step.queue.service },
         )
         emit(Action.Note("lasting_task_waits", fields + counts.toSortedMap().toList()))
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/HeldLastingTasksTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/HeldLastingTasksTest.kt
@@ -21,6 +21,7 @@
 
         assertTrue(lines.size in 2..4, "${lines.size} lines")
         lines.forEach { assertEquals(listOf<Any?>(1, 1, 1), listOf(it["tasks"], it["workers"], it["lease"])) }
+        lines.forEach { assertEquals(0, it["leaving"]) }
         val total = lines.map { it["longest_ms"] as Long + it["lease_left_ms"] as Long }
         assertTrue(total.all { it in 5_000..7_000 }, "silent and left in ms: $total")
         assertTrue(downTimes.single() in total.max() - 500..total.max() + 500, "down for $downTimes ms")
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/LastingTaskWaitsTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/LastingTaskWaitsTest.kt
@@ -25,5 +25,6 @@
         val first = lines.first()
         assertEquals("job.0.0", first["step"].toString())
         assertEquals(listOf<Any?>(1, 2, 2), listOf(first["tasks"], first["workers"], first["no_room"]))
+        assertEquals(0, first["vms_coming"])
     }
 }
