--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -152,6 +152,7 @@
         cpu: Long = 4_000,
         firstReport: Duration = Duration.ZERO,
         address: String = "$name:1",
+        rack: String = "r-1",
     ) {
         val profile = WorkerProfile(
             incarnation = WorkerIncarnation(WorkerId(name), nowMs),
@@ -160,7 +161,7 @@
             dataCentre = DataCentreId("a"),
             vm = vm,
             capacity = Resources(cpu, 16_000),
-            labels = listOf("a", "r-1"),
+            labels = listOf("a", rack),
         )
         val worker = VirtualWorker(profile, this)
         workers[profile.incarnation.worker] = worker
@@ -204,6 +205,21 @@
         return now - since
     }
 
+    /** Runs for [duration] and returns the longest time for which one of [tasks] was not in progress. */
+    fun longestDownTime(tasks: List<TaskId>, duration: Duration): Duration {
+        val end = now + duration
+        val lastRunning = tasks.associateWithTo(HashMap()) { now }
+        var longest = Duration.ZERO
+        while (now < end) {
+            run(10.milliseconds)
+            for (task in tasks) {
+                longest = maxOf(longest, now - lastRunning.getValue(task))
+                if (isRunning(task)) lastRunning[task] = now
+            }
+        }
+        return longest
+    }
+
     fun phase(id: String): JobPhase? = state.jobs[JobId(id)]?.phase
 
     fun runStarted(worker: VirtualWorker, order: Action.Start) {
@@ -456,6 +472,20 @@
             return fleet
         }
 
+        /** Returns a fleet of two services, with each VM of the [donor] in a rack of its own. */
+        fun withTwoServices(seed: Int, borrower: Queue, borrowerVms: Int, donor: Queue, donorVms: Int): VirtualFleet {
+            val fleet = VirtualFleet(seed)
+            fleet.start()
+            val services = listOf(borrower, donor).map { ServiceTerms(it.service) }
+            val catalog = Catalog(version = 1, queues = listOf(borrower, donor), services)
+            fleet.call { Event.CatalogSubmitted(it, catalog, document = "{}") }
+            repeat(borrowerVms) { fleet.addWorker("${borrower.service}$it", borrower.service) }
+            repeat(donorVms) { fleet.addWorker("${donor.service}$it", donor.service, rack = "r-$it") }
+            // The coordinator sends no moves until orders of an earlier leader cannot arrive any more.
+            fleet.run(4.seconds)
+            return fleet
+        }
+
         const val EPOCH_MS = 1_700_000_000_000L
         val SERVICE = ServiceId("s")
         val SPARE = ServiceId("spare")
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualWorker.kt
@@ -26,6 +26,9 @@
     var isUp = true
         private set
 
+    /** Whether the worker's reports announce its shutdown. */
+    private var isLeaving = false
+
     /** Whether the runs that start on this worker fail; a lasting task fails after its estimated duration. */
     var fails = false
     var starts = 0
@@ -108,17 +111,25 @@
         }
     }
 
+    /** Announces a shutdown in this and all later reports, and ends silently after [gone] with all runs left. */
+    fun drain(gone: Duration) {
+        isLeaving = true
+        sendReport()
+        fleet.at(gone) { if (isUp) crash(silent = true) }
+    }
+
     fun report() {
         if (!isUp) return
-        sequence += 1
-        if (isReachable &&
-            canSend
-        ) {
-            fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving = false, clockMs) }
-        }
+        sendReport()
         fleet.at(1_500.milliseconds) { report() }
     }
 
+    private fun sendReport() {
+        sequence += 1
+        if (!isReachable || !canSend) return
+        fleet.call { Event.WorkerReported(it, profile, sequence, isLeaving, clockMs) }
+    }
+
     fun start(order: Action.Start, fence: Long): OrderAnswer {
         if (fence < highestFence) return OrderAnswer(OrderResult.FENCED, clockMs)
         highestFence = fence
