Lend no VM that may be lost, leaves or is on its way to another pool

Callers saw lasting tasks without a run for longer than 9 s, as loans were filled with VMs that never came.

Cause: a VM whose worker was lost looks idle once its runs are released; it was offered, refused as BUSY, and offered again after the pause. The number of silent workers was taken off a pool's surplus, but the choice did not leave them out, idle lost workers are not queried and so were not silent, and workers that had announced their end and VMs whose move had begun still counted as the pool's. PoolControl now asks whether a worker is absent: it shuts down, or has not reported or answered lately.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -42,7 +42,7 @@
         CopyControl(state, settings, contacts, durations, slowWorkers, runs.ending) { actions.add(it) }
     private val orderGuard = StaleOrderGuard(state, settings, now)
     private val waves = WaveControl(state, settings, now, orderGuard)
-    private val pools = PoolControl(state, now, orderGuard, contacts::isSilent)
+    private val pools = PoolControl(state, now, orderGuard, contacts::isAbsent)
 
     /** VMs whose latest move order was the first one, not a repeat. */
     private val firstOrders = HashSet<VmId>()
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -17,12 +17,14 @@
  * otherwise tasks that are spread over all VMs would keep every VM from becoming empty. A borrowed VM is returned once
  * it has been idle for a while. Hysteresis prevents moves for small changes: a shortage must last, and a VM stays for
  * a few times the duration of its move.
+ *
+ * @property isAbsent whether a worker shuts down or may be lost; its VM can neither be lent nor serve its pool.
  */
 internal class PoolControl(
     private val state: SchedulerState,
     private val startedAt: MonotonicTime,
     private val orderGuard: StaleOrderGuard,
-    private val isSilent: (Worker) -> Boolean,
+    private val isAbsent: (Worker, MonotonicTime) -> Boolean,
 ) {
     private val shortages = HashMap<ServiceId, Shortage>()
     private val idleSince = HashMap<VmId, MonotonicTime>()
@@ -147,7 +149,7 @@
 
     private fun trackIdleVms(now: MonotonicTime) {
         val idle = state.workers.values
-            .filter { it.profile.vm != null && !it.isLeaving && state.claimsAt(it.profile.incarnation).isEmpty() }
+            .filter { it.profile.vm != null && state.claimsAt(it.profile.incarnation).isEmpty() && !isAbsent(it, now) }
             .mapNotNull { it.profile.vm }
             .toSet()
         idleSince.keys.retainAll(idle)
@@ -155,7 +157,7 @@
     }
 
     private fun borrow(now: MonotonicTime, decision: PoolDecision, remaining: (RunId, WorkerIncarnation) -> Duration) {
-        val pools = pools()
+        val pools = pools(now)
         val wasDraining = HashSet(draining)
         draining.clear()
         val needs = ArrayList<VmNeed>()
@@ -254,7 +256,7 @@
 
     private fun isAvailableForMove(worker: Worker, vm: VmId, decision: PoolDecision, now: MonotonicTime): Boolean {
         val isTaken = vm in state.moves || vm in draining || decision.hasMoveOf(vm)
-        return !isTaken && !worker.isLeaving && isAllowed(vm, now)
+        return !isTaken && !isAbsent(worker, now) && isAllowed(vm, now)
     }
 
     /** Whether all runs on [worker] are expected to end soon by themselves. */
@@ -287,8 +289,10 @@
         }
     }
 
-    private fun pools(): Map<ServiceId, ServicePool> = state.workers.values.groupBy { it.profile.service }
-        .mapValues { (service, workers) -> ServicePool(service, workers, state, silent = workers.count(isSilent)) }
+    private fun pools(now: MonotonicTime): Map<ServiceId, ServicePool> =
+        state.workers.values.groupBy { it.profile.service }.mapValues { (service, workers) ->
+            ServicePool(service, workers, state) { isAbsent(it, now) }
+        }
 
     private fun borrowSpares(service: ServiceId, count: Int, now: MonotonicTime, decision: PoolDecision): Int {
         val spare = spareService() ?: return 0
@@ -300,7 +304,7 @@
     }
 
     private fun returnBorrowed(now: MonotonicTime, decision: PoolDecision) {
-        val pools = pools()
+        val pools = pools(now)
         for ((vm, home) in state.homes) {
             val worker = state.workers.values.firstOrNull { it.profile.vm == vm } ?: continue
             val pool = pools[worker.profile.service]?.takeIf { it.service != home } ?: continue
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/ServicePool.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/ServicePool.kt
@@ -5,24 +5,27 @@
 /**
  * Snapshot of the VMs of one service with their load and capacity, used to decide on moves between pools.
  *
- * @property silent number of [workers] that do not answer; they may be lost.
+ * @param isAbsent whether a worker shuts down or may be lost.
  */
 internal class ServicePool(
     val service: ServiceId,
     val workers: List<Worker>,
     private val state: SchedulerState,
-    private val silent: Int,
+    isAbsent: (Worker) -> Boolean,
 ) {
     /** Processor time that runs reserve, in millicores. */
     val load: Long = workers.sumOf(state::loadOf)
 
+    private val staying = workers.filter { it.profile.vm !in state.moves }
+
     /** Processor time of the VMs that stay in the pool, in millicores. */
-    val capacity: Long = workers.filter { it.profile.vm !in state.moves && !it.isLeaving }
-        .sumOf { it.profile.capacity.millicores }
+    val capacity: Long = staying.filterNot { it.isLeaving }.sumOf { it.profile.capacity.millicores }
     private val typicalCapacity = workers.maxOf { it.profile.capacity.millicores }
 
-    /** Number of VMs, without those that the current pass has already decided to move away. */
-    var size: Int = workers.size
+    private val absent = staying.count(isAbsent)
+
+    /** Number of VMs, without those that move away or that the current pass has already decided to move away. */
+    var size: Int = staying.size
 
     /**
      * Smallest number of VMs over which lasting tasks can be spread within [StepDescription.mayMiss] tasks per VM.
@@ -34,7 +37,7 @@
 
     /** Number of VMs that the service does not need; negative if it needs more than it has. */
     val surplus: Int
-        get() = size - silent - maxOf(vmsFor((load * (1 + HEADROOM)).toLong()), minSize, MIN_POOL_SIZE)
+        get() = size - absent - maxOf(vmsFor((load * (1 + HEADROOM)).toLong()), minSize, MIN_POOL_SIZE)
 
     /** Returns the number of VMs that provide [millicores], or 0 if it is negative. */
     fun vmsFor(millicores: Long): Int =
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContacts.kt
@@ -71,9 +71,8 @@
         byIncarnation.keys.removeAll { state.worker(it) == null && state.claimsAt(it).isEmpty() }
     }
 
-    /** Whether the latest status query to [worker] failed, or an order could not be sent since the last answer. */
-    fun isSilent(worker: Worker): Boolean =
-        byIncarnation[worker.profile.incarnation]?.let { it.failedQueries > 0 || it.isUnreachable } ?: false
+    /** Whether [worker] shuts down, or has not reported or not answered lately, so that its VM may be lost. */
+    fun isAbsent(worker: Worker, now: MonotonicTime): Boolean = exclusionOf(worker, now) in ABSENT
 
     /** Whether [worker] accepts new tasks: it reported recently, is reachable and healthy, and does not shut down. */
     fun isUsable(worker: Worker, now: MonotonicTime): Boolean = exclusionOf(worker, now) == null
@@ -118,6 +117,13 @@
     private companion object {
         // A report may be late, and one may be sent to a daemon that is down.
         const val MISSED_REPORTS = 2.2
+        val ABSENT = setOf(
+            Exclusion.LEAVING,
+            Exclusion.NOT_MET,
+            Exclusion.REPORTS_MISSING,
+            Exclusion.SILENT,
+            Exclusion.UNREACHABLE,
+        )
     }
 }
 
