Seek room for the lasting tasks of silent workers while their leases run

Callers saw lasting tasks without a run for more than 9 s, although other services had VMs to lend.

Cause: a task that a silent worker holds was no demand until it was released, so its pool went on lending VMs, down to those that run a task of the step each, and the drain of a donor and the move came on top of the lease: 6.5 s and 1.4 to 6 s. The settings allowed 0.5 s for all that follows the lease and compared nothing else.

The planner now keeps places for displaced tasks (those of workers that shut down, or have been silent for searchDelay) and demands VMs for those that have none; a pool keeps as many VMs as the limit per worker of its lasting steps needs. Advice is asked for them as well. The settings compare the time until a VM comes, also under a new leader, with maxDownTime. A demand of lasting tasks alone no longer borrows the headroom for growth besides.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -37,12 +37,13 @@
         RunControl(state, settings, contacts, durations, slowWorkers, pendingRecords::record) { actions.add(it) }
     private val deregistrations = Deregistrations(state, contacts, pendingRecords, runs) { actions.add(it) }
     private val disruptionBudget = DisruptionBudget(state, contacts)
+    private val displacedTasks = DisplacedTasks(state, settings, contacts)
     private val waitingSteps = WaitingSteps(durations)
     private val copies =
         CopyControl(state, settings, contacts, durations, slowWorkers, runs.ending) { actions.add(it) }
     private val orderGuard = StaleOrderGuard(state, settings, now)
     private val waves = WaveControl(state, settings, now, orderGuard)
-    private val pools = PoolControl(state, now, orderGuard, contacts::isAbsent)
+    private val pools = PoolControl(state, settings, now, orderGuard, contacts::isAbsent)
 
     /** VMs whose latest move order was the first one, not a repeat. */
     private val firstOrders = HashSet<VmId>()
@@ -373,14 +374,15 @@
         nowMs: Long,
     ): Plan {
         updateTenantShares(waiting, now)
-        if (waiting.isEmpty()) {
+        val displaced = displacedTasks.find(now)
+        if (waiting.isEmpty() && displaced.isEmpty()) {
             lastingTaskWaits.update(waiting, emptyList(), now)
             cappedTenants.update(emptyList())
             pools.updateShortages(emptyMap(), now)
             return Plan(emptyList(), emptyList(), emptyMap())
         }
         val mayProbe = { worker: Worker -> contacts.mayProbe(worker, now) && !isCordoned(worker.profile) }
-        askAdvice(waiting, isUsable, mayProbe, now)
+        askAdvice(waiting + displaced, isUsable, mayProbe, now)
         val planner = Planner(
             state = state,
             isUsable = isUsable,
@@ -390,6 +392,7 @@
             spares = pools.spareCapacities,
             caps = caps,
             aboveShare = aboveShare,
+            displaced = displaced,
         )
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
         pools.updateShortages(plan.unplaced, now)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -17,6 +17,7 @@
  * @property caps limits of what each tenant may have running; a task beyond them is no demand for capacity.
  * @property aboveShare tenants that use far more than their weighted share.
  * @property spares capacities of the VMs that are switched off, or null if they are not known yet.
+ * @property displaced lasting tasks in progress that will need another worker, see [DisplacedTasks].
  */
 internal class Planner(
     private val state: SchedulerState,
@@ -27,15 +28,17 @@
     private val spares: List<Resources>? = emptyList(),
     private val caps: TenantCaps = TenantCaps(state),
     private val aboveShare: Set<TenantName> = emptySet(),
+    private val displaced: List<WaitingStep> = emptyList(),
 ) {
     private val placement = TaskPlacement(state, mayRun)
     private val eviction = EvictionChoice(state, isStopping)
 
     /** Returns at most [limit] runs to claim at [nowMs], and the runs to stop so that lasting tasks fit. */
     fun plan(nowMs: Long, waiting: List<WaitingStep>, limit: Int): Plan {
-        if (waiting.isEmpty()) return Plan(emptyList(), emptyList(), emptyMap())
+        if (waiting.isEmpty() && displaced.isEmpty()) return Plan(emptyList(), emptyList(), emptyMap())
         val pass = Pass(nowMs, limit)
         pass.order.sort(waiting).asSequence().takeWhile { !pass.isFull }.forEach(pass::add)
+        displaced.forEach(pass::addDisplaced)
         return Plan(pass.claims, pass.evictions, pass.unplaced, pass.capped)
     }
 
@@ -69,6 +72,26 @@
             if (missing > 0 && mayEverFit(step)) addUnplaced(step, placed, missing)
         }
 
+        /**
+         * Keeps places for the displaced tasks of [step], and demands VMs for those that have none.
+         *
+         * Only lasting runs take a place from them, as others end by themselves or can be stopped.
+         */
+        fun addDisplaced(step: WaitingStep) {
+            var missing = step.tasks.size
+            for (capacity in placement.candidates(step, capacities)) {
+                val slots = capacity.slotsWhenDrained(step.id, step.description, limit = missing)
+                repeat(slots) { capacity.occupy(step.id, step.description) }
+                missing -= slots
+            }
+            if (missing == 0 || !mayEverFit(step)) return
+            val demand = UnplacedDemand(
+                lastingMillicores = missing * step.description.reserved.millicores,
+                lastingWorkers = maxOf(1, workersFor(step.description, missing)),
+            )
+            unplaced.merge(step.queue.service, demand, UnplacedDemand::plus)
+        }
+
         private fun addUnplaced(step: WaitingStep, placed: Placement, missing: Int) {
             val wanted = caps.wantable(step.job, step.description, missing)
             if (wanted == 0) return
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -22,6 +22,7 @@
  */
 internal class PoolControl(
     private val state: SchedulerState,
+    private val settings: SchedulingSettings,
     private val startedAt: MonotonicTime,
     private val orderGuard: StaleOrderGuard,
     private val isAbsent: (Worker, MonotonicTime) -> Boolean,
@@ -165,8 +166,9 @@
             val incoming = state.moves.values.count { it.to == service }
             val trend = trends.getOrPut(service) { DemandTrend() }
             trend.observe(pool.load + (shortages[service]?.need?.millicores ?: 0), now)
-            val missing = maxOf(missingFor(service, pool, trend, now), pool.minSize - pool.size) - incoming
-            val forLasting = lastingShortageOf(service, pool, now) - incoming
+            val lasting = lastingShortageOf(service, pool, now)
+            val missing = maxOf(missingFor(service, pool, trend, now), lasting, pool.minSize - pool.size) - incoming
+            val forLasting = lasting - incoming
             if (missing > 0) needs.add(VmNeed(service, missing, forLasting.coerceIn(0, missing)))
         }
         for (service in shortages.keys.filter { it !in pools }) {
@@ -182,9 +184,9 @@
 
     /** Number of additional VMs that the service is expected to need by the time a move started now is over. */
     private fun missingFor(service: ServiceId, pool: ServicePool, trend: DemandTrend, now: MonotonicTime): Int {
-        val expectedGrowth = maxOf((pool.load * ServicePool.HEADROOM).toLong(), trend.growth(MOVE_TIME))
+        val expectedGrowth = maxOf((pool.load * ServicePool.HEADROOM).toLong(), trend.growth(settings.moveTime))
         val demand = unplacedDemandOf(service, now)
-        val missingMillicores = if (demand != null) {
+        val missingMillicores = if (demand != null && demand.millicores > 0) {
             demand.millicores + expectedGrowth
         } else {
             pool.load + expectedGrowth - pool.capacity
@@ -335,9 +337,6 @@
     }
 
     private companion object {
-        /** Time from the order of a move until the VM accepts tasks, including its report and first status query. */
-        val MOVE_TIME: Duration = 2.seconds
-
         /** Time after the start by which the platform knows all VMs. */
         val LIST_DELAY: Duration = 1.seconds
         val LIST_INTERVAL: Duration = 10.seconds
@@ -414,7 +413,7 @@
  * @property millicores processor time that the tasks require.
  * @property workers largest number of workers that one step needs because of its limit of tasks per worker.
  * @property lastingMillicores processor time that the lasting tasks among them require, without those that fit once
- *   evicted runs have stopped.
+ *   evicted runs have stopped, and that displaced tasks will require.
  * @property lastingWorkers smallest number of workers that these lasting tasks need.
  */
 internal class UnplacedDemand(
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -20,6 +20,9 @@
  * @property reportInterval time between two reports of a worker.
  * @property stopTime longest time from the order to stop a run to the end of the run.
  * @property earlyStart time by which an occurrence may start before it is due; the scheduler uses half of it.
+ * @property searchDelay silence of a worker from which on room for its lasting tasks is sought elsewhere.
+ * @property moveTime time from the order of a move until the VM accepts tasks, including its report and first status
+ *   query.
  * @property predecessorOrderTime time for which orders of an earlier leader for a VM may still arrive.
  * @property maxClockSkew maximum difference between the clocks of two leaders.
  * @property electionTime longest time from the loss of a leader until the next one leads, if no vote is repeated.
@@ -51,6 +54,8 @@
     val reportInterval: Duration = 1500.milliseconds,
     val stopTime: Duration = 900.milliseconds,
     val earlyStart: Duration = 250.milliseconds,
+    val searchDelay: Duration = 2.seconds,
+    val moveTime: Duration = 2.seconds,
     val predecessorOrderTime: Duration = 3.seconds,
     val maxClockSkew: Duration = 5.seconds,
     val electionTime: Duration = 1_300.milliseconds,
@@ -91,6 +96,12 @@
         require(wait <= maxDownTime) {
             "a lost lasting task may start after $wait, later than maxDownTime, $maxDownTime; shorten lease, $lease"
         }
+        // A move for the task runs while the lease does, and begins later if a new leader holds back its orders.
+        val move = electionTime + maxOf(searchDelay, predecessorOrderTime) + moveTime + RESTART_TIME
+        require(move <= maxDownTime) {
+            "a VM for a lost lasting task may come after $move, later than maxDownTime, $maxDownTime; shorten " +
+                "searchDelay, $searchDelay"
+        }
     }
 
     private companion object {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/ServicePool.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/ServicePool.kt
@@ -35,18 +35,27 @@
      */
     val minSize: Int = if (state.waves.values.all { it.isComplete }) 0 else minVmsForSpread()
 
+    /** Smallest number of VMs on which the lasting tasks of each step fit. */
+    private val minForLasting = stepsOf { it.lasting && it.maxPerWorker > 0 }
+        .maxOfOrNull { (it.count + it.maxPerWorker - 1) / it.maxPerWorker } ?: 0
+
     /** Number of VMs that the service does not need; negative if it needs more than it has. */
     val surplus: Int
-        get() = size - absent - maxOf(vmsFor((load * (1 + HEADROOM)).toLong()), minSize, MIN_POOL_SIZE)
+        get() = size - absent - maxOf(vmsFor((load * (1 + HEADROOM)).toLong()), minSize, minForLasting, MIN_POOL_SIZE)
 
     /** Returns the number of VMs that provide [millicores], or 0 if it is negative. */
     fun vmsFor(millicores: Long): Int =
         if (typicalCapacity == 0L || millicores <= 0) 0 else ((millicores - 1) / typicalCapacity).toInt() + 1
 
-    private fun minVmsForSpread(): Int = workers.flatMap { state.claimsAt(it.profile.incarnation).entries }
-        .filter { (_, step) -> step.lasting && step.mayMiss > 0 }
-        .distinctBy { it.key.task.step }
-        .maxOfOrNull { (_, step) -> (step.count + step.mayMiss - 1) / step.mayMiss } ?: 0
+    private fun minVmsForSpread(): Int = stepsOf { it.lasting && it.mayMiss > 0 }
+        .maxOfOrNull { (it.count + it.mayMiss - 1) / it.mayMiss } ?: 0
+
+    /** Returns the steps with runs in this pool that match [predicate]. */
+    private fun stepsOf(predicate: (StepDescription) -> Boolean): List<StepDescription> =
+        workers.flatMap { state.claimsAt(it.profile.incarnation).entries }
+            .filter { (_, step) -> predicate(step) }
+            .distinctBy { it.key.task.step }
+            .map { it.value }
 
     companion object {
         /** Fraction by which the load is likely to grow during a move. */
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/LostWorkersVmTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/LostWorkersVmTest.kt
@@ -7,6 +7,7 @@
 import org.auburnstream.model.VmId
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,6 +34,12 @@
         assertRunsAgain(fleet, seed)
     }
 
+    @Test
+    fun settingsWithWhichAVmComesLaterThanALostTaskMayBeDown() {
+        assertFailsWith<IllegalArgumentException> { SchedulingSettings(searchDelay = 6.seconds) }
+        assertFailsWith<IllegalArgumentException> { SchedulingSettings(moveTime = 5.seconds) }
+    }
+
     @Test
     fun aLostVmIsLent() = forEachSeed { seed ->
         val fleet = VirtualFleet.withTwoServices(seed, plates, borrowerVms = 2, proofs, DONOR_VMS)
