Move the lasting tasks of workers that announce their end

Cause: the leader took no step for the lasting tasks of a worker that had announced that it shuts down. The worker ended 6.5 s later, in the millisecond of its deregistration, and its tasks waited for the lease as if it had been lost without notice, then for room.

Those without a place are demand for a VM meanwhile.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -38,6 +38,7 @@
     private val deregistrations = Deregistrations(state, contacts, pendingRecords, runs) { actions.add(it) }
     private val disruptionBudget = DisruptionBudget(state, contacts)
     private val displacedTasks = DisplacedTasks(state, settings, contacts)
+    private val leavingWorkers = LeavingWorkers(state, contacts, disruptionBudget, runs::isStopping)
     private val waitingSteps = WaitingSteps(durations)
     private val copies =
         CopyControl(state, settings, contacts, durations, slowWorkers, runs.ending) { actions.add(it) }
@@ -400,6 +401,9 @@
         cappedTenants.update(plan.capped)
         plan.claims.forEach(pendingRecords::record)
         plan.evictions.forEach { runs.evacuate(it.run, it.incarnation, cause = "room for ${it.beneficiary}", now) }
+        leavingWorkers.decide(plan.places, now).forEach { (run, incarnation) ->
+            runs.evacuate(run, incarnation, cause = "worker shuts down", now)
+        }
         return plan
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/DisruptionBudget.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/DisruptionBudget.kt
@@ -51,6 +51,21 @@
         return null
     }
 
+    /**
+     * Whether [run] of a worker that shuts down may be stopped now so that its task starts elsewhere.
+     *
+     * At least one task of a step may always be on its way, as it ends with its worker otherwise.
+     *
+     * @param planned runs that the same pass has already planned to stop.
+     */
+    fun canRelocate(run: RunId, planned: Set<RunId>): Boolean {
+        val limit = state.stepOf(run.task)?.mayMiss ?: return false
+        val isAway = { other: RunId, incarnation: WorkerIncarnation ->
+            other in planned || !isListedAsWorking(other, incarnation)
+        }
+        return countUnavailable(run.task.step, isAway) < maxOf(1, limit)
+    }
+
     /** Whether a task of the step can start on the worker without exceeding the step's limit there. */
     private fun canTake(profile: WorkerProfile, id: StepId, description: StepDescription): Boolean {
         val others = state.claimsAt(profile.incarnation).keys.count { it.task.step == id }
@@ -63,21 +78,28 @@
             .groupBy { it.key.task.step }
 
     /** Number of tasks of the step that are not working, are [planned] to end, or run on [incarnation]. */
-    private fun countUnavailable(id: StepId, planned: PlannedDisruptions, incarnation: WorkerIncarnation? = null): Int {
+    private fun countUnavailable(id: StepId, planned: PlannedDisruptions, incarnation: WorkerIncarnation? = null): Int =
+        countUnavailable(id) { run, worker ->
+            worker == incarnation || planned.ends(run, worker) || !isWorking(run, worker)
+        }
+
+    /** Number of tasks of the step that have no run, or whose run [isAway]. */
+    private fun countUnavailable(id: StepId, isAway: (RunId, WorkerIncarnation) -> Boolean): Int {
         val job = state.active[id.job] ?: return 0
         val count = job.stepOf(TaskId(id, index = 0))?.count ?: return 0
         val progress = job.occurrences[id.occurrence]?.steps?.get(id.step) ?: return count
         return progress.tasks.withIndex().count { (index, task) ->
             val claim = task.claims.firstOrNull()
-            val run = claim?.let { RunId(TaskId(id, index), it.number) }
-            run == null || claim.incarnation == incarnation || planned.ends(run, claim.incarnation) ||
-                !isWorking(run, claim.incarnation)
+            claim == null || isAway(RunId(TaskId(id, index), claim.number), claim.incarnation)
         }
     }
 
-    private fun isWorking(run: RunId, incarnation: WorkerIncarnation): Boolean {
+    private fun isWorking(run: RunId, incarnation: WorkerIncarnation): Boolean =
+        state.worker(incarnation)?.isLeaving == false && isListedAsWorking(run, incarnation)
+
+    private fun isListedAsWorking(run: RunId, incarnation: WorkerIncarnation): Boolean {
         val contact = contacts.find(incarnation) ?: return false
-        if (contact.failedQueries > 0 || state.worker(incarnation)?.isLeaving != false) return false
+        if (contact.failedQueries > 0) return false
         if (contact.orders[run]?.isStopRequested == true) return false
         return contact.running.any { it.run == run && it.percent >= WORKING_PERCENT }
     }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -39,7 +39,7 @@
         val pass = Pass(nowMs, limit)
         pass.order.sort(waiting).asSequence().takeWhile { !pass.isFull }.forEach(pass::add)
         displaced.forEach(pass::addDisplaced)
-        return Plan(pass.claims, pass.evictions, pass.unplaced, pass.capped)
+        return Plan(pass.claims, pass.evictions, pass.unplaced, pass.capped, pass.places)
     }
 
     /** Places one step after the other, until [limit] runs are claimed. */
@@ -48,6 +48,7 @@
         val evictions = ArrayList<Eviction>()
         val unplaced = HashMap<ServiceId, UnplacedDemand>()
         val capped = ArrayList<CappedStep>()
+        val places = HashMap<StepId, Int>()
         private val capacities = CapacityTracker(state, isUsable)
         private val probed = CapacityTracker(state, mayProbe)
         private val reservations = Reservations(state, capacities, nowMs)
@@ -84,6 +85,7 @@
                 repeat(slots) { capacity.occupy(step.id, step.description) }
                 missing -= slots
             }
+            places[step.id] = step.tasks.size - missing
             if (missing == 0 || !mayEverFit(step)) return
             val demand = UnplacedDemand(
                 lastingMillicores = missing * step.description.reserved.millicores,
@@ -180,12 +182,14 @@
  *
  * @property unplaced demand that no worker has the capacity for, by service.
  * @property capped steps with tasks that wait for their tenant's cap.
+ * @property places number of displaced tasks that other workers have room for, by step.
  */
 internal class Plan(
     val claims: List<Record.RunClaimed>,
     val evictions: List<Eviction>,
     val unplaced: Map<ServiceId, UnplacedDemand>,
     val capped: List<CappedStep> = emptyList(),
+    val places: Map<StepId, Int> = emptyMap(),
 )
 
 /** Step of which [tasks] tasks wait because their tenant would exceed its cap. */
