Promise no place to a displaced task where a gang runs

A run of a worker that shuts down was stopped, and its task was down for 12 s, the whole test, because its place was taken by a gang. Cause: places counted the room of gangs, which are never stopped for a lasting task; and as a place seemed to exist, no VM was demanded. Found by the review. Reservations for gangs and large tasks count as before.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/CapacityTracker.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/CapacityTracker.kt
@@ -41,6 +41,9 @@
     /** Capacity of the lasting runs. */
     private var held = Resources.None
 
+    /** Capacity of the other members of gangs, which end by themselves and are never stopped for other tasks. */
+    private var heldByGangs = Resources.None
+
     val rack: RackId?
         get() = worker.rack
 
@@ -62,27 +65,42 @@
      *
      * Lasting runs never end by themselves, and the step's own runs count towards its limit per worker.
      */
-    fun slotsWhenDrained(step: StepId, description: StepDescription, limit: Int): Int {
+    fun slotsWhenDrained(step: StepId, description: StepDescription, limit: Int): Int =
+        slotsIn(worker.capacity - held, step, description, limit)
+
+    /** Returns the number of lasting tasks of the step, up to [limit], that fit if other runs are stopped for them. */
+    fun slotsForLasting(step: StepId, description: StepDescription, limit: Int): Int =
+        slotsIn(worker.capacity - held - heldByGangs, step, description, limit)
+
+    private fun slotsIn(capacity: Resources, step: StepId, description: StepDescription, limit: Int): Int {
         val label = description.requiredLabel
         if (label != null && label !in worker.labels) return 0
         val own = if (description.maxPerWorker == 0) limit else description.maxPerWorker - taskCount(step)
-        return minOf(own, description.reserved.timesIn(worker.capacity - held, limit)).coerceIn(0, limit)
+        return minOf(own, description.reserved.timesIn(capacity, limit)).coerceIn(0, limit)
     }
 
     fun reserve(step: StepId, description: StepDescription) {
         free -= description.reserved
-        if (description.lasting) held += description.reserved
+        hold(description, description.reserved)
         if (description.fillsUnused) fillerMillicores += description.demand.millicores
         perStep[step] = (perStep[step] ?: 0) + 1
     }
 
     fun release(step: StepId, description: StepDescription) {
         free += description.reserved
-        if (description.lasting) held -= description.reserved
+        hold(description, Resources.None - description.reserved)
         if (description.fillsUnused) fillerMillicores -= description.demand.millicores
         perStep[step] = (perStep[step] ?: 0) - 1
     }
 
+    private fun hold(description: StepDescription, amount: Resources) {
+        if (description.lasting) {
+            held += amount
+        } else if (description.gang) {
+            heldByGangs += amount
+        }
+    }
+
     fun taskCount(step: StepId): Int = perStep[step] ?: 0
 
     /** Leftover processor time for another task with [StepDescription.fillsUnused]. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -76,12 +76,12 @@
         /**
          * Keeps places for the displaced tasks of [step], and demands VMs for those that have none.
          *
-         * Only lasting runs take a place from them, as others end by themselves or can be stopped.
+         * Only lasting runs and gangs take a place from them, as other runs can be stopped.
          */
         fun addDisplaced(step: WaitingStep) {
             var missing = step.tasks.size
             for (capacity in placement.candidates(step, capacities)) {
-                val slots = capacity.slotsWhenDrained(step.id, step.description, limit = missing)
+                val slots = capacity.slotsForLasting(step.id, step.description, limit = missing)
                 repeat(slots) { capacity.reserve(step.id, step.description) }
                 missing -= slots
             }
