Keep the room that evictions free for the lasting task that they are for

A lasting task stayed down for 29.99 s, the whole test, although its pool had room for it twice over, while more than a thousand runs were evicted for it.

Cause: evicted runs end one by one. After the first of them the lasting task did not fit yet, so waiting smaller tasks took what was free, and the eviction began anew. Workers on which runs are stopped for a lasting task now take only lasting tasks in that plan. Besides, a step without a limit per worker found no runs to evict on a worker that already has one of its tasks.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/EvictionChoice.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/EvictionChoice.kt
@@ -14,24 +14,25 @@
     /**
      * Chooses runs to stop so that lasting tasks, which must keep running, fit.
      *
-     * Returns a list for each task that will fit; it is empty where all runs to stop are being stopped already. For a
-     * gang the result has all tasks or none, because stopping runs for a part of it gains nothing.
+     * Returns a vacancy for each task that will fit. For a gang the result has all tasks or none, because stopping runs
+     * for a part of it gains nothing.
      */
-    fun choose(step: WaitingStep, missing: Int, candidates: List<WorkerCapacity>): List<List<Eviction>> {
-        val evictions = ArrayList<List<Eviction>>()
+    fun choose(step: WaitingStep, missing: Int, candidates: List<WorkerCapacity>): List<Vacancy> {
+        val vacancies = ArrayList<Vacancy>()
         val isGang = step.description.gang
         val offers = PriorityQueue(compareBy<EvictionOffer>({ it.victims.size }, { it.order }))
         candidates.filter { it.fitsWhenIdle(step.description) }
             .mapIndexedTo(ArrayList()) { order, candidate -> EvictionOffer(step, candidate, order) }
             .filterTo(offers) { it.fits }
-        while (evictions.size < missing) {
+        while (vacancies.size < missing) {
             val offer = offers.poll() ?: break
-            evictions.add(offer.victims.map { Eviction(it, offer.candidate.worker.incarnation, step.id) })
+            val evictions = offer.victims.map { Eviction(it, offer.candidate.worker.incarnation, step.id) }
+            vacancies.add(Vacancy(offer.candidate, evictions))
             if (!isGang) continue
             offer.takeTask()
             if (offer.fits) offers.add(offer)
         }
-        return if (isGang && evictions.size < missing) emptyList() else evictions
+        return if (isGang && vacancies.size < missing) emptyList() else vacancies
     }
 
     /**
@@ -41,8 +42,7 @@
      */
     private inner class EvictionOffer(private val step: WaitingStep, val candidate: WorkerCapacity, val order: Int) {
         private val description = step.description
-        private val maxTasks =
-            if (description.gang && description.maxPerWorker == 0) Int.MAX_VALUE else maxOf(1, description.maxPerWorker)
+        private val maxTasks = if (description.maxPerWorker == 0) Int.MAX_VALUE else description.maxPerWorker
         private var tasks = candidate.taskCount(step.id)
         private var free = candidate.free
         private val stoppable: ArrayDeque<Map.Entry<RunId, StepDescription>>
@@ -83,5 +83,12 @@
     }
 }
 
+/**
+ * Room for one task at [worker] once the runs of [evictions] have stopped.
+ *
+ * @property evictions runs to stop; empty if all of them are being stopped already.
+ */
+internal class Vacancy(val worker: WorkerCapacity, val evictions: List<Eviction>)
+
 /** Run to stop so that a task of [beneficiary] fits. */
 internal data class Eviction(val run: RunId, val incarnation: WorkerIncarnation, val beneficiary: StepId)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -67,7 +67,7 @@
         private fun addPermitted(step: WaitingStep) {
             val placed = place(step, capacities, probed, reservations, limit - claims.size)
             claims.addAll(placed.claims)
-            evictions.addAll(placed.evictions.flatten())
+            evictions.addAll(placed.vacancies.flatMap { it.evictions })
             caps.started(step.job, step.description, placed.claims.size)
             val missing = step.tasks.size - placed.claims.size
             if (missing > 0 && mayEverFit(step)) addUnplaced(step, placed, missing)
@@ -98,7 +98,7 @@
             val wanted = caps.wantable(step.job, step.description, missing)
             if (wanted == 0) return
             caps.addWanted(step.job, step.description, wanted)
-            val demand = unplacedOf(step, wanted, freed = placed.evictions.size)
+            val demand = unplacedOf(step, wanted, freed = placed.vacancies.size)
             unplaced.merge(step.queue.service, demand, UnplacedDemand::plus)
             val isWhole = step.description.gang || placed.claims.isEmpty()
             if (isWhole && order.hasWaited(step)) reservations.reserve(step.withFirst(wanted))
@@ -160,22 +160,24 @@
         // Searching runs to stop for a gang that never fits would take the leader's time in every plan.
         val isHopeless = step.description.gang && !reservations.isUseful(step)
         val wanted = if (isHopeless) 0 else caps.wantable(step.job, step.description, missing)
-        val evictions = if (wanted == 0) emptyList() else eviction.choose(step, wanted, candidates)
-        val isFreeing = if (step.description.gang) evictions.size == missing else evictions.isNotEmpty()
+        val vacancies = if (wanted == 0) emptyList() else eviction.choose(step, wanted, candidates)
+        // The runs end one by one; smaller tasks would take the room of the first ones.
+        vacancies.forEach { reservations.keepForLasting(it.worker) }
+        val isFreeing = if (step.description.gang) vacancies.size == missing else vacancies.isNotEmpty()
         val quarantined = placement.candidates(step, probed)
-        if (isFreeing || quarantined.isEmpty()) return Placement(placed, evictions)
+        if (isFreeing || quarantined.isEmpty()) return Placement(placed, vacancies)
         val left = step.tasks.drop(placed.size)
         val probes = placement.place(step, left, candidates + quarantined, limit - placed.size)
-        return Placement(placed + probes, evictions)
+        return Placement(placed + probes, vacancies)
     }
 }
 
 /**
  * Result for one step.
  *
- * @property evictions runs to stop, one list for each task that fits then.
+ * @property vacancies room for further tasks once runs have stopped.
  */
-private class Placement(val claims: List<Record.RunClaimed>, val evictions: List<List<Eviction>> = emptyList())
+private class Placement(val claims: List<Record.RunClaimed>, val vacancies: List<Vacancy> = emptyList())
 
 /**
  * Result of a [Planner].
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Reservations.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Reservations.kt
@@ -24,6 +24,11 @@
     /** Whether [worker] accepts only lasting tasks for the rest of the plan. */
     fun isReserved(worker: WorkerCapacity): Boolean = worker in reserved
 
+    /** Keeps [worker] for lasting tasks for the rest of the plan, because runs are stopped there for one. */
+    fun keepForLasting(worker: WorkerCapacity) {
+        reserved.add(worker)
+    }
+
     /** Whether a task of the step takes more than half of every worker. */
     fun isLarge(step: WaitingStep): Boolean {
         val largest = capacities.of(step.queue.service).maxOfOrNull { it.worker.capacity.millicores } ?: 0
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/DisplacedTasksTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/DisplacedTasksTest.kt
@@ -143,6 +143,11 @@
         Result(downBesideShortTasks(seed, step.copy(maxPerWorker = 2)), 2.seconds)
     }
 
+    @Test
+    fun noRunIsEvictedForALastingTaskWhereAnotherTaskOfItsStepRuns() = forEachSeed { seed ->
+        Result(downBesideShortTasks(seed, step.copy(maxPerWorker = 0)), 2.seconds)
+    }
+
     private fun downBesideShortTasks(seed: Int, description: StepDescription): Duration {
         val fleet = VirtualFleet.withWorkers(4, seed)
         fleet.submit("lasting", description)
