Seek another VM when one that moves does not arrive in time

A lasting task was down for 13 to 14 s, 9 s allowed, as the VM that was moved for it was lost on its way. Cause: a move counts as coming until it is given up after 10 s. From 1.5 times its usual duration on it counts as late now, and the pool seeks another one. A VM that is lost just after its first report is not covered.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -163,7 +163,7 @@
         draining.clear()
         val needs = ArrayList<VmNeed>()
         for ((service, pool) in pools) {
-            val incoming = state.moves.values.count { it.to == service }
+            val incoming = state.moves.count { (vm, move) -> move.to == service && isComing(vm, now) }
             val trend = trends.getOrPut(service) { DemandTrend() }
             trend.observe(pool.load + (shortages[service]?.need?.millicores ?: 0), now)
             val lasting = lastingShortageOf(service, pool, now)
@@ -182,6 +182,10 @@
         }
     }
 
+    /** Whether a VM that moves is still expected to arrive; it may be lost on its way. */
+    private fun isComing(vm: VmId, now: MonotonicTime): Boolean =
+        confirmedAt[vm]?.let { now - it <= settings.moveTime * MAX_MOVE_DELAY } ?: true
+
     /** Number of additional VMs that the service is expected to need by the time a move started now is over. */
     private fun missingFor(service: ServiceId, pool: ServicePool, trend: DemandTrend, now: MonotonicTime): Int {
         val expectedGrowth = maxOf((pool.load * ServicePool.HEADROOM).toLong(), trend.growth(settings.moveTime))
@@ -359,6 +363,9 @@
          */
         val MIN_TIME_WORTH_MOVING: Duration = 900.milliseconds
 
+        /** Factor by which a move may take longer than expected before another VM is sought. */
+        const val MAX_MOVE_DELAY = 1.5
+
         /** Several times the duration of a move; a VM that has not arrived by then counts as lost. */
         val MAX_MOVE_TIME: Duration = 10.seconds
         val ORDER_RETRY_INTERVAL: Duration = 2.seconds
