Keep as many VMs as the lasting tasks of a pool need, also without a limit per worker

A VM that was borrowed for a lasting task was returned before the lease of its lost worker had run out, and the task was down for 40 s, the whole test, beside a donor that had become busy. Cause: the surplus of a pool counted millicores, so tasks that do not share a VM seemed to fit; a limit per worker was the only other bound. It counts how many tasks of each step fit on a VM now.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/ServicePool.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/ServicePool.kt
@@ -36,8 +36,7 @@
     val minSize: Int = if (state.waves.values.all { it.isComplete }) 0 else minVmsForSpread()
 
     /** Smallest number of VMs on which the lasting tasks of each step fit. */
-    private val minForLasting = stepsOf { it.lasting && it.maxPerWorker > 0 }
-        .maxOfOrNull { (it.count + it.maxPerWorker - 1) / it.maxPerWorker } ?: 0
+    private val minForLasting = stepsOf { it.lasting }.maxOfOrNull(::minVmsFor) ?: 0
 
     /** Number of VMs that the service does not need; negative if it needs more than it has. */
     val surplus: Int
@@ -47,6 +46,12 @@
     fun vmsFor(millicores: Long): Int =
         if (typicalCapacity == 0L || millicores <= 0) 0 else ((millicores - 1) / typicalCapacity).toInt() + 1
 
+    private fun minVmsFor(step: StepDescription): Int {
+        val limit = if (step.maxPerWorker == 0) step.count else minOf(step.maxPerWorker, step.count)
+        val perVm = workers.maxOf { step.reserved.timesIn(it.profile.capacity, limit) }
+        return if (perVm == 0) 0 else (step.count + perVm - 1) / perVm
+    }
+
     private fun minVmsForSpread(): Int = stepsOf { it.lasting && it.mayMiss > 0 }
         .maxOfOrNull { (it.count + it.mayMiss - 1) / it.mayMiss } ?: 0
 
