Ask for advice on workers without a ticket first

Of 120 lasting tasks of a step on 130 workers only 100 ran. Cause: each call for advice named the first 100 workers, however full, and the rest never got a ticket. DisplacedTasksTest#aStepIsWiderThanOneCallForAdvice failed and passes.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/AdviceCache.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/AdviceCache.kt
@@ -20,7 +20,11 @@
         return ticket.text.takeIf { now < ticket.validUntil }
     }
 
-    /** Returns the workers of [candidates] to ask about for [step], or an empty list if no call is due. */
+    /**
+     * Returns the workers of [candidates] to ask about for [step], or an empty list if no call is due.
+     *
+     * Workers without a ticket come first, as a call names only some of many workers.
+     */
     fun workersToAsk(step: StepId, candidates: List<WorkerId>, now: MonotonicTime): List<WorkerId> {
         if (callsInProgress >= MAX_CALLS_IN_PROGRESS || candidates.isEmpty()) return emptyList()
         val entry = entries[step]
@@ -32,7 +36,8 @@
             // All workers with a ticket are full or have left, so ask about workers that joined or refused a ticket.
             else -> now - entry.askedAt >= REFRESH_INTERVAL && candidates.any { it !in entry.askedWorkers }
         }
-        return if (isDue) candidates.take(MAX_WORKERS_PER_CALL) else emptyList()
+        if (!isDue) return emptyList()
+        return candidates.sortedBy { ticket(step, it, now) != null }.take(MAX_WORKERS_PER_CALL)
     }
 
     /** Records a call about [workers]; earlier tickets stay valid until it is answered. */
