Let newcomers wait for a place, or refuse them with an answer

What callers saw.

Cause. closeForNewcomer closed a connection when all were open: the newcomer itself if all others were busy (an idle connection was looked for among all, and the newcomer is one), or the oldest without a request, even if its whole request had arrived and only was not read yet.

Temporary trace, 3 of 3 failing runs on: the ordinary request is connection 500, the last one, and it is chosen itself with open=201 busy=200 unproven=1; 97 or 98 of the 301 connections closed were the newcomer itself.

An eighth of the connections, 1 to 32, is kept for newcomers, within the same maximum. They wait there unread, the rest in the backlog of the socket, and are served in turn as places become free. Once some newcomer has waited at all times for the message timeout, those without a place get 503 with Retry-After. Whoever makes place is read first. One log line when refusals begin and one when they end. A rejected connection is now the last that makes place.

Why it works. The busy requests end (here within 1.5 s without a leader), and the newcomer is answered then; nobody is closed who has sent a whole request, and no more connections are held than before.

Measured, x86-64. The three new tests of HttpServerTest fail before (3 of 3, one run) and pass after (3 runs). secondRequestsThatStopShort: before, 2 of 4 failed without trace; after, ClientCrowdTest as a whole 5 of 5 at a load of 4 to 17 by others, and this test 5 of 5 beside 8 busy loops (load 24 to 41). All 25 test classes of dispatch pass (one run).

A client that sends its request later than newcomers arrive at a full server is still closed without an answer.

--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/http/HttpServer.kt
@@ -13,10 +13,13 @@
 /**
  * Serves HTTP/1.1 on one address and processes the requests of each connection one at a time.
  *
+ * When connections run out, a newcomer takes the place of a connection without a whole request. If there is none, it
+ * waits for a place, and is refused with 503 once there has been one that waits for longer than the message timeout.
+ *
  * @property limits size limits of requests in force, read for each attempt to parse a request.
  * @property timeouts timeouts of connections in force, read for each check.
- * @property maxConnections maximum number of open connections; a further one takes the place of a connection without a
- *   request, and is closed when it is accepted if there is none.
+ * @property maxConnections maximum number of open connections, at least 2; an eighth of them, but 1 to 32, is kept for
+ *   newcomers that wait to be served or are being refused. Further ones wait in the backlog of the socket.
  * @property memory budget of the bytes that clients make the process hold; a request without room is refused with 503.
  * @property handle called with each request and a function that sends its response; only the first call of that
  *   function has an effect.
@@ -34,6 +37,15 @@
 
     /** Connections that have not sent a whole request yet, in the order in which they were accepted. */
     private val unproven = LinkedHashSet<ServerConnection>()
+
+    /** Connections that wait to be served or are being refused, in the order in which they were accepted. */
+    private val newcomers = LinkedHashSet<ServerConnection>()
+    private val maxNewcomers = (maxConnections / NEWCOMER_SHARE).coerceIn(1, MAX_NEWCOMERS)
+
+    /** Time since which there has always been a newcomer that could not be served at once, or null. */
+    private var fullSince: MonotonicTime? = null
+    private var refused = 0
+    private var isAdmissionPosted = false
     private val listener = Connection.listen(loop, address) { ServerConnection().handlers }
     private var isDraining = false
 
@@ -61,11 +73,12 @@
     /**
      * Rejects requests that have not arrived within the message timeout, and closes connections that have no request
      * in progress and no activity for longer than the idle timeout, including those whose caller does not read the
-     * response.
+     * response. Refuses newcomers that cannot be served.
      */
     public fun closeTimedOutConnections() {
         val now = loop.now
         openConnections.toList().forEach { it.checkTimeouts(now, timeouts()) }
+        admitNewcomers()
     }
 
     /** Stops listening and closes every connection. */
@@ -75,15 +88,59 @@
         openConnections.toList().forEach { it.close() }
     }
 
+    /** Serves newcomers in turn while there are places, and refuses the others once they have waited too long. */
+    private fun admitNewcomers() {
+        val waiting = newcomers.filter { !it.isEnding }
+        val left = waiting.dropWhile { newcomer -> hasPlace().also { if (it) newcomer.admit() } }
+        if (left.isNotEmpty()) {
+            refuseIfLate(left)
+        } else if (waiting.isNotEmpty()) {
+            endQueue()
+        }
+        listener.isPaused = newcomers.size >= maxNewcomers
+    }
+
+    /** Admits newcomers in the next turn, when nothing is being read. */
+    private fun admitSoon() {
+        if (isAdmissionPosted || (newcomers.isEmpty() && !listener.isPaused)) return
+        isAdmissionPosted = true
+        loop.post {
+            isAdmissionPosted = false
+            admitNewcomers()
+        }
+    }
+
+    private fun refuseIfLate(waiting: List<ServerConnection>) {
+        val since = fullSince ?: loop.now.also { fullSince = it }
+        val age = loop.now - since
+        if (age <= timeouts().messageTimeout) return
+        if (refused == 0) {
+            val (port, ms) = address.port to age.inWholeMilliseconds
+            logger.info("event=newcomers_refused port={} connections={} full_ms={}", port, connections, ms)
+        }
+        refused += waiting.size
+        waiting.forEach { it.refuse() }
+    }
+
+    private fun endQueue() {
+        if (refused > 0) logger.info("event=newcomers_admitted port={} refused={}", address.port, refused)
+        refused = 0
+        fullSince = null
+    }
+
     /**
-     * Closes the connection that has waited longest for its first request, or else an idle one, one whose next request
-     * is not complete, or [newcomer].
+     * Returns whether one more connection can be served, and closes one for it if necessary: the one that has waited
+     * longest for its first request, or else an idle one, one whose next request is not complete, or one whose request
+     * was rejected.
      */
-    private fun closeForNewcomer(newcomer: ServerConnection) {
-        val leaving = unproven.firstOrNull { it !== newcomer }
-            ?: openConnections.firstOrNull { it.isIdle }
-            ?: openConnections.firstOrNull { it !== newcomer && it.isWithoutWork }
-        (leaving ?: newcomer).close()
+    private fun hasPlace(): Boolean {
+        if (openConnections.size - newcomers.size < maxOf(1, maxConnections - maxNewcomers)) return true
+        while (true) {
+            val oldest = unproven.firstOrNull() ?: break
+            if (oldest.makePlace()) return true
+        }
+        val candidates = openConnections.filter { it.isWithoutWork && it !in newcomers }
+        return candidates.sortedWith(compareBy({ it.isEnding }, { !it.isIdle })).any { it.makePlace() }
     }
 
     /** An accepted connection with its parser and the state of its current request. */
@@ -95,11 +152,15 @@
         private var messageStartedAt: MonotonicTime? = null
 
         /** Whether the connection closes after its last answer and reads no further requests. */
-        private var isEnding = false
+        var isEnding = false
+            private set
         private var isAnswerUnread = false
 
         /** Whether bytes that followed the current request were dropped, so that the connection has to end with it. */
         private var hasDropped = false
+
+        /** Number of messages that have arrived whole or were rejected. */
+        private var messages = 0
         var isBusy = false
             private set
 
@@ -116,26 +177,52 @@
             onOpened = {
                 connection = it
                 it.onFlushed = ::onFlushed
+                it.pauseReading(isPaused = true)
                 openConnections.add(this)
-                unproven.add(this)
-                if (openConnections.size > maxConnections) closeForNewcomer(this)
+                newcomers.add(this)
+                admitNewcomers()
             },
             onBytes = { _, bytes -> receive(bytes) },
             onClosed = {
                 openConnections.remove(this)
                 unproven.remove(this)
+                newcomers.remove(this)
                 parser.clear()
                 // The work of a request goes on without its caller, and holds its bytes until it is answered.
                 if (!isBusy) release()
+                admitSoon()
             },
         )
 
+        fun admit() {
+            newcomers.remove(this)
+            unproven.add(this)
+            lastActivityAt = loop.now
+            connection?.pauseReading(isPaused = false)
+        }
+
+        fun refuse() = end(UNAVAILABLE, "too many connections at the same time")
+
+        /** Closes this connection unless it has work or a message turns out to have arrived; returns whether it did. */
+        fun makePlace(): Boolean {
+            if (!isWithoutWork) return false
+            val before = messages
+            when {
+                isEnding -> Unit
+                parser.hasRest -> goOn()
+                else -> connection?.readArrived()
+            }
+            if (messages > before) return false
+            close()
+            return true
+        }
+
         fun close() {
             connection?.close()
         }
 
         fun checkTimeouts(now: MonotonicTime, timeouts: HttpTimeouts) {
-            if (isBusy) return
+            if (isBusy || this in newcomers) return
             val isSlow = parser.isInMessage && messageStartedAt?.let { now - it > timeouts.messageTimeout } == true
             if (isSlow && !isAnswerUnread && !isEnding) return reject(REQUEST_TIMEOUT, "request not complete in time")
             if (now - lastActivityAt > timeouts.idleTimeout) close()
@@ -185,6 +272,7 @@
             holding = current
             if (!current.begin(bytes)) return reject(UNAVAILABLE, "too many large messages at the same time")
             unproven.remove(this)
+            messages += 1
             isBusy = true
             messageStartedAt = null
             var isAnswered = false
@@ -239,6 +327,7 @@
         private fun settle() {
             release()
             if (parser.heldBytes > 0) reserve(parser.heldBytes)
+            admitSoon()
         }
 
         private fun resume(connection: Connection) {
@@ -251,10 +340,17 @@
 
         private fun reject(status: Int, detail: String) {
             if (isEnding) return
+            logger.info("event=request_unreadable status={} detail=\"{}\"", status, detail)
+            end(status, detail)
+        }
+
+        /** Answers with [status] and closes the connection once its caller can have read the answer. */
+        private fun end(status: Int, detail: String) {
             isEnding = true
+            unproven.remove(this)
+            messages += 1
             parser.clear()
             release()
-            logger.info("event=request_unreadable status={} detail=\"{}\"", status, detail)
             val pause = ceil(timeouts().messageTimeout.toDouble(DurationUnit.SECONDS)).toInt()
             val headers = if (status == UNAVAILABLE) mapOf("retry-after" to pause.toString()) else emptyMap()
             val response = HttpResponse.json(status, "{\"error\":\"$detail\"}", headers)
@@ -266,6 +362,8 @@
     private companion object {
         val logger = LoggerFactory.getLogger(HttpServer::class.java)
 
+        const val NEWCOMER_SHARE = 8
+        const val MAX_NEWCOMERS = 32
         const val REQUEST_TIMEOUT = 408
         const val UNAVAILABLE = 503
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/Connection.kt
@@ -139,14 +139,27 @@
         updateInterest()
     }
 
-    private fun handle(key: SelectionKey) {
+    /**
+     * Reads what has arrived already, although the loop has not reported it yet.
+     *
+     * Must not be called from within [onBytes] of any connection, whose buffer it would overwrite.
+     */
+    public fun readArrived() {
+        if (isOpen && !isReadPaused) closeOnFailure(::read)
+    }
+
+    private fun handle(key: SelectionKey) = closeOnFailure {
+        if (key.isConnectable && socket.finishConnect()) {
+            markOpen()
+            onConnected?.invoke()
+        }
+        if (key.isValid && key.isWritable) flush()
+        if (key.isValid && key.isReadable) read()
+    }
+
+    private inline fun closeOnFailure(block: () -> Unit) {
         try {
-            if (key.isConnectable && socket.finishConnect()) {
-                markOpen()
-                onConnected?.invoke()
-            }
-            if (key.isValid && key.isWritable) flush()
-            if (key.isValid && key.isReadable) read()
+            block()
         } catch (_: IOException) {
             close()
         } catch (e: Exception) {
@@ -271,13 +284,15 @@
             server.configureBlocking(false)
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
             server.bind(address, ACCEPT_BACKLOG)
-            loop.register(server, SelectionKey.OP_ACCEPT) { acceptAll(loop, server, accept) }
-            return Listener(server)
+            val listener = Listener(server)
+            listener.key = loop.register(server, SelectionKey.OP_ACCEPT) { listener.acceptAll(loop, accept) }
+            return listener
         }
 
-        private fun acceptAll(loop: EventLoop, server: ServerSocketChannel, accept: () -> Handlers) {
+        private fun Listener.acceptAll(loop: EventLoop, accept: () -> Handlers) {
             // A closed channel keeps its descriptor until the next turn.
             repeat(MAX_ACCEPTS_PER_TURN) {
+                if (isPaused) return
                 val channel = try {
                     server.accept() ?: return
                 } catch (_: IOException) {
@@ -312,7 +327,17 @@
     )
 
     /** A listening socket. */
-    public class Listener internal constructor(private val server: ServerSocketChannel) {
+    public class Listener internal constructor(internal val server: ServerSocketChannel) {
+        internal var key: SelectionKey? = null
+
+        /** Whether connections are left in the backlog of the socket, in the order in which they arrived. */
+        public var isPaused: Boolean = false
+            set(value) {
+                if (field == value) return
+                field = value
+                key?.takeIf { it.isValid }?.interestOps(if (value) 0 else SelectionKey.OP_ACCEPT)
+            }
+
         /** Local address of the socket. */
         public val address: InetSocketAddress
             get() = server.localAddress as InetSocketAddress
