--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/LeavingWorkers.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/LeavingWorkers.kt
@@ -53,7 +53,7 @@
     }
 
     private companion object {
-        /** Shorter than any worker drains. */
+        /** Time for which the limit of unavailable tasks holds; workers usually drain for longer. */
         val PACED_TIME: Duration = 2.seconds
     }
 }
