Log the runs that end with their worker, and which of them had started last

The claims of a worker vanished from the state without a line when another worker reported from its VM, so no log told which runs it took along. The state now notes when a run was claimed and which runs the latest batch lost, and the leader logs each as run_lost. Nothing is decided by it yet.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -247,6 +247,7 @@
 
     private fun logBatch(batch: RecordBatch) {
         val endedJobs = HashSet<JobId>()
+        state.lostRuns.forEach(::logLost)
         for (record in batch.records) {
             when (record) {
                 is Record.JobAccepted -> logAccepted(record)
@@ -291,6 +292,15 @@
         log("job_accepted", "job" to record.id, "queue" to record.queue.name, "lasting_tasks" to lasting)
     }
 
+    private fun logLost(lost: LostRun) = log(
+        "run_lost",
+        "run" to lost.run,
+        "worker" to lost.incarnation,
+        "cause" to lost.cause.name.lowercase(),
+        "runs" to lost.runs,
+        "started_last" to lost.startedLast,
+    )
+
     /** Logs the end of a run, and the end of its job once; [endedJobs] contains the jobs whose end is logged. */
     private fun logEnd(record: Record.RunEnded, atMs: Long, endedJobs: MutableSet<JobId>) {
         log("run_ended", "run" to record.run, "worker" to record.incarnation, "end" to record.end)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -172,9 +172,18 @@
         internal set
 }
 
-/** A run that may be in progress at [incarnation]. */
+/**
+ * A run that may be in progress at [incarnation].
+ *
+ * @property claimedMs time of day of the batch that claimed the run, in Unix milliseconds, never earlier than that of a
+ *   batch before; 0 if an earlier build applied it.
+ */
 @Serializable
-public data class Claim(val number: Int, @SerialName("life") val incarnation: WorkerIncarnation)
+public data class Claim(
+    val number: Int,
+    @SerialName("life") val incarnation: WorkerIncarnation,
+    @SerialName("t") val claimedMs: Long = 0,
+)
 
 /** Whether [claim] of a run of this task of [step] takes effect; a copy needs one of [attempts] to be left. */
 internal fun Task.accepts(claim: Record.RunClaimed, step: StepDescription, attempts: Int): Boolean = when {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -45,6 +45,14 @@
     private val activeJobs = LinkedHashMap<JobId, Job>()
     private val claimTable = HashMap<WorkerIncarnation, LinkedHashMap<RunId, StepDescription>>()
     private val finishedJobs = ArrayDeque<Job>()
+    private val lost = ArrayList<LostRun>()
+
+    /** Runs that the latest batch claimed, whose start orders are not sent yet. */
+    private val unsent = HashSet<RunId>()
+
+    /** Runs whose worker ended in the latest batch. */
+    internal val lostRuns: List<LostRun>
+        get() = lost
 
     /** Estimated size of the state of [jobs], in bytes. */
     public var storedBytes: Long = 0
@@ -126,8 +134,10 @@
      * @param now reading of this process's monotonic clock; it does not enter the replicated state.
      */
     public fun apply(batch: RecordBatch, now: MonotonicTime) {
-        batch.records.forEach { apply(it, batch.atMs, now) }
+        lost.clear()
+        unsent.clear()
         latestMs = maxOf(latestMs, batch.atMs)
+        batch.records.forEach { apply(it, batch.atMs, now) }
         batch.records.forEach { record -> orderedVm(record)?.let { orderTable[it] = batch.atMs } }
         removeExpired(batch.atMs)
     }
@@ -282,6 +292,7 @@
         others.filter { it !== known }.forEach { remove(it.profile.incarnation, atMs) }
         val ended = endedTable[incarnation.worker]?.let { WorkerIncarnation(incarnation.worker, it.startedMs) }
         val earlier = known?.profile?.incarnation ?: ended
+        known?.let { workerLost(it.profile.incarnation, lossOf(it, unplanned = WorkerLoss.RESTARTED)) }
         workerTable[incarnation.worker] =
             Worker(record.profile, record.leaving, earlier = earlier).also { it.registeredAt = now }
         if (earlier != null) moveClaims(earlier, incarnation)
@@ -293,12 +304,23 @@
         claimsOf(to).putAll(claims)
         for (run in claims.keys) {
             task(run.task)?.claims?.replaceAll {
-                if (it.number == run.number && it.incarnation == from) Claim(run.number, to) else it
+                if (it.number == run.number && it.incarnation == from) it.copy(incarnation = to) else it
             }
         }
     }
 
+    /** Notes the runs that were claimed at [incarnation] when it ended, without those that were never ordered there. */
+    private fun workerLost(incarnation: WorkerIncarnation, loss: WorkerLoss) {
+        val claims = claimTable[incarnation].orEmpty().keys.filter { it !in unsent }.mapNotNull { run ->
+            val claim = task(run.task)?.claims?.find { it.number == run.number && it.incarnation == incarnation }
+            claim?.let { run to it }
+        }.toMap()
+        val last = startedLast(claims)
+        claims.keys.mapTo(lost) { LostRun(it, incarnation, loss, claims.size, if (it in last) last.size else 0) }
+    }
+
     private fun remove(incarnation: WorkerIncarnation, atMs: Long) {
+        worker(incarnation)?.let { workerLost(incarnation, lossOf(it)) }
         workerTable.remove(incarnation.worker)
         endedTable.remove(incarnation.worker)
         endedTable[incarnation.worker] = EndedIncarnation(incarnation.startedMs, atMs)
@@ -322,7 +344,8 @@
         val task = job.step(id.step).tasks[id.index]
         // After this claim was decided, the end of an earlier run or another leader's claim may have been committed.
         if (!task.accepts(record, job.description.steps[id.step.step], job.queue.attempts)) return
-        task.claims.add(Claim(record.run.number, record.incarnation))
+        task.claims.add(Claim(record.run.number, record.incarnation, latestMs))
+        unsent.add(record.run)
         task.lastRun = maxOf(task.lastRun, record.run.number)
         claimsOf(record.incarnation)[record.run] = job.description.steps[id.step.step]
     }
