--- /dev/null
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/DeadlyTaskTest.kt
@@ -0,0 +1,208 @@
+package org.auburnstream.scheduling
+
+import org.auburnstream.model.JobId
+import org.auburnstream.model.Resources
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Tests that a task which crashes each worker that starts it is given up, and the sound ones beside it are not. */
+class DeadlyTaskTest {
+    private val task = StepDescription(count = 4, demand = Resources(400, 100), estimateMs = 700)
+    private val lasting = task.copy(count = 3, estimateMs = 0, lasting = true, maxPerWorker = 1)
+
+    /** Load of one job each 200 ms, in which the jobs of [deadlyJobs] have a deadly task in their step [deadlyStep]. */
+    private class Load(val fleet: VirtualFleet, val deadlyJobs: Set<Int>, val deadlyStep: Int)
+
+    private fun load(
+        seed: Int,
+        workers: Int = 8,
+        deadlyJobs: Set<Int> = setOf(4, 11, 12),
+        deadlyStep: Int = 0,
+        steps: List<StepDescription> = listOf(task, task.copy(dependsOn = listOf(0))),
+        prepare: VirtualFleet.() -> Unit = {},
+    ): Load {
+        val fleet = VirtualFleet.withWorkers(workers, seed)
+        fleet.isDeadly = { task ->
+            val number = task.step.job.value.removePrefix("job").toIntOrNull()
+            number in deadlyJobs && task.step.step == deadlyStep && task.index == 1
+        }
+        fleet.prepare()
+        repeat(JOBS) { number ->
+            fleet.at((number * 200).milliseconds) { fleet.submit("job$number", *steps.toTypedArray()) }
+        }
+        return Load(fleet, deadlyJobs, deadlyStep)
+    }
+
+    /** Runs the load and checks that exactly the jobs with a deadly task fail, and that nothing else breaks a rule. */
+    private fun Load.check(seed: Int, duration: Duration = 60.seconds) {
+        fleet.run(duration)
+        fleet.checkFinalState()
+        val failed = (0 until JOBS).filter { fleet.phase("job$it") == JobPhase.FAILED }
+        assertEquals(emptyList(), fleet.violations, "seed $seed")
+        assertEquals(deadlyJobs.toList(), failed, "seed $seed: ${crashesOfFailed(failed)}")
+        val deadly = fleet.crashes.filterKeys(fleet.isDeadly).values
+        assertTrue(deadly.size >= deadlyJobs.size && deadly.all { it <= MAX_CRASHES }, "seed $seed: crashes $deadly")
+    }
+
+    private fun Load.crashesOfFailed(jobs: List<Int>) =
+        fleet.crashes.filterKeys { id -> jobs.any { id.step.job == JobId("job$it") } }
+
+    @Test
+    fun aTaskThatCrashesItsWorkersIsGivenUp() {
+        repeat(SEEDS) { seed -> load(seed).check(seed) }
+    }
+
+    @Test
+    fun itIsGivenUpAcrossLeadersAndSnapshots() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed)
+            repeat(6) { number ->
+                load.fleet.at((1_300 + number * 1_900 + seed * 53).milliseconds) {
+                    load.fleet.restoreFromSnapshot()
+                    load.fleet.changeLeader()
+                }
+            }
+            load.check(seed)
+        }
+    }
+
+    @Test
+    fun itIsGivenUpIfTheWorkersKeepTheirIds() {
+        repeat(SEEDS) { seed -> load(seed) { keepsIdAfterCrash = true }.check(seed) }
+    }
+
+    @Test
+    fun itIsGivenUpIfTheWorkersAreLostForGood() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed, workers = 16, deadlyJobs = setOf(4)) {
+                timeToReturn = null
+                crashesSilently = true
+            }
+            load.check(seed, 90.seconds)
+        }
+    }
+
+    @Test
+    fun itIsGivenUpIfTheVmsHangAndReturnLate() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed, workers = 12, deadlyJobs = setOf(4, 12)) {
+                timeToReturn = 9.seconds
+                crashesSilently = true
+            }
+            load.check(seed, 90.seconds)
+        }
+    }
+
+    @Test
+    fun itIsGivenUpIfOrdersAreCarriedOutLate() {
+        repeat(SEEDS) { seed -> load(seed) { lateOrderShare = 0.1 }.check(seed, 90.seconds) }
+    }
+
+    @Test
+    fun itIsGivenUpInALaterStep() {
+        repeat(SEEDS) { seed -> load(seed, deadlyStep = 1).check(seed) }
+    }
+
+    @Test
+    fun itIsGivenUpIfItsStepAllowsCopies() {
+        val copyable = task.copy(allowsCopies = true)
+        repeat(SEEDS) { seed ->
+            load(seed, steps = listOf(copyable, copyable.copy(dependsOn = listOf(0)))).check(seed)
+        }
+    }
+
+    @Test
+    fun aGangOfWhichAMemberCrashesItsWorkersIsGivenUp() {
+        val gang = task.copy(gang = true)
+        repeat(SEEDS) { seed -> load(seed, steps = listOf(gang, task.copy(dependsOn = listOf(0)))).check(seed) }
+    }
+
+    @Test
+    fun aThirdOfTheJobsHasADeadlyTask() {
+        repeat(SEEDS) { seed ->
+            load(seed, deadlyJobs = (0 until JOBS step 3).toSet()).check(seed, 120.seconds)
+        }
+    }
+
+    @Test
+    fun eachOccurrenceIsBounded() {
+        repeat(SEEDS) { seed ->
+            val fleet = VirtualFleet.withWorkers(8, seed)
+            fleet.isDeadly = { it.step.step == 0 && it.index == 1 && it.step.occurrence >= 1 }
+            val schedule = Schedule(occurrences = 4, firstMs = fleet.nowMs + 500, intervalMs = 2_000)
+            val description = JobDescription("payload", listOf(task), schedule)
+            fleet.call { Event.JobSubmitted(it, JobId("scheduled"), VirtualFleet.QUEUE, description) }
+            fleet.run(60.seconds)
+
+            assertEquals(emptyList(), fleet.violations, "seed $seed")
+            assertEquals(JobPhase.FAILED, fleet.phase("scheduled"), "seed $seed")
+            assertTrue(fleet.crashes.values.all { it <= MAX_CRASHES }, "seed $seed: ${fleet.crashes}")
+        }
+    }
+
+    @Test
+    fun lastingTasksBesideItRunOn() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed)
+            load.fleet.submit("lasting", lasting)
+            load.check(seed)
+            val starts = load.fleet.state.active.getValue(JobId("lasting")).occurrences.getValue(0).steps[0].tasks
+            assertTrue(starts.all { it.lastRun <= 4 }, "seed $seed: started ${starts.map { it.lastRun }} times")
+        }
+    }
+
+    @Test
+    fun aLastingTaskThatCrashesItsWorkersIsGivenUp() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed, deadlyJobs = emptySet())
+            load.fleet.submit("lasting", lasting)
+            load.fleet.at(2.seconds) { load.fleet.submit("job99", lasting) }
+            load.fleet.isDeadly = { it.step.job == JobId("job99") && it.index == 1 }
+            load.check(seed)
+
+            assertEquals(JobPhase.FAILED, load.fleet.phase("job99"), "seed $seed")
+        }
+    }
+
+    @Test
+    fun soundTasksOutliveWorkersThatCrashAgainAndAgain() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed, deadlyJobs = emptySet())
+            load.fleet.submit("lasting", lasting)
+            // Half of the workers crash at the same time, three times, as if a rack lost power.
+            repeat(3) { number ->
+                load.fleet.at((1_500 + number * 4_000 + seed * 37).milliseconds) {
+                    load.fleet.workers.values.filter { it.isUp }.take(4).forEach(load.fleet::crash)
+                }
+            }
+            load.check(seed)
+        }
+    }
+
+    @Test
+    fun cutWorkersAreNoCrashes() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed, deadlyJobs = emptySet())
+            repeat(4) { number ->
+                load.fleet.at((1_000 + number * 9_000 + seed * 31).milliseconds) {
+                    val cut = load.fleet.workers.values.filter { it.isUp }.take(3)
+                    cut.forEach { it.isReachable = false }
+                    load.fleet.at(8.seconds) { cut.forEach { it.isReachable = true } }
+                }
+            }
+            load.check(seed, 90.seconds)
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 10
+        const val JOBS = 30
+
+        /** Three crashes, then at most two more starts. */
+        const val MAX_CRASHES = 5
+    }
+}
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantChecker.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/InvariantChecker.kt
@@ -61,6 +61,12 @@
     private val unrecordedEnds = HashMap<RunId, UnrecordedEnd>()
     private val running = HashMap<RunId, VirtualWorker>()
     private val failures = HashMap<TaskId, Int>()
+
+    /** Number of workers that crashed under each task. */
+    val crashes = HashMap<TaskId, Int>()
+
+    /** Starts of each deadly task after the third crash under it. */
+    private val startsAfterCrashes = HashMap<TaskId, Int>()
     private val unavailable = HashMap<TaskId, Unavailability>()
     private val waves = HashMap<Long, Int>()
     private val lastOrders = HashMap<VmId, VmOrder>()
@@ -119,6 +125,10 @@
         ) {
             report(Invariant.BUDGET, "$run starts after $failed failures")
         }
+        if ((crashes[run.task] ?: 0) >= MAX_CRASHES && worker.isDeadly(run.task)) {
+            val starts = startsAfterCrashes.merge(run.task, 1, Int::plus) ?: 0
+            if (starts == MAX_LATER_STARTS) report(Invariant.BUDGET, "$run starts after ${crashes[run.task]} crashes")
+        }
         running[run] = worker
         unavailable.remove(run.task)
         job.hasStarted = true
@@ -141,6 +151,11 @@
         if (stepOf(run)?.lasting == true) unavailable[run.task] = Unavailability(now(), isPlanned = false)
     }
 
+    /** Handles that a worker crashed under [run]; called before the run ends. */
+    fun workerCrashed(run: RunId) {
+        crashes.merge(run.task, 1, Int::plus)
+    }
+
     /** Handles that the failure of [run] is recorded. */
     fun failureRecorded(run: RunId) = copies.failureRecorded(run.task)
 
@@ -215,6 +230,7 @@
             val lasting = job.description.steps.any { it.lasting }
             when {
                 !job.isAccepted || job.isCancelled -> Unit
+                phase == JobPhase.FAILED && crashes.any { it.key.step.job == id && it.value >= MIN_CRASHES } -> Unit
                 phase == null -> report(Invariant.LOST, "$id was accepted and is not known")
                 lasting -> checkLasting(id, job, phase)
                 phase == JobPhase.FAILED -> {
@@ -327,6 +343,12 @@
     private class VmOrder(val fence: Long, val at: MonotonicTime)
 
     private companion object {
+        /** Crashes under a task after which its job may be given up. */
+        const val MIN_CRASHES = 2
+
+        /** Crashes under a task after which it may start only a few times more. */
+        const val MAX_CRASHES = 3
+        const val MAX_LATER_STARTS = 3
         val LEADER_LEASE: Duration = 3_000.milliseconds
         val MAX_CANCEL_TIME: Duration = 3_000.milliseconds
         val UNAVAILABILITY_GRACE: Duration = 4_500.milliseconds
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.scheduling
 
+import kotlinx.serialization.cbor.Cbor
 import org.auburnstream.model.DataCentreId
 import org.auburnstream.model.JobId
 import org.auburnstream.model.MonotonicTime
@@ -67,6 +68,22 @@
     /** Returns the actual work of a run in ms; the runs of a task differ only where a test replaces it. */
     var workOfRun: (RunId, StepDescription) -> Long = { run, step -> workOf(run.task, step) }
 
+    /** Whether a task crashes each worker that starts it. */
+    var isDeadly: (TaskId) -> Boolean = { false }
+
+    /** Time from the crash of a worker under a deadly task until its VM is back; null if it is lost for good. */
+    var timeToReturn: Duration? = 3.seconds
+
+    /** Whether a worker that comes back after a crash keeps its id. */
+    var keepsIdAfterCrash = false
+
+    /** Whether connections to a worker that has crashed under a deadly task hang, as if its VM were lost. */
+    var crashesSilently = false
+
+    /** Number of workers that crashed under each task. */
+    val crashes: Map<TaskId, Int>
+        get() = invariants.crashes
+
     /** Work of runs that were stopped before they were done, in ms. */
     var wastedMs = 0L
 
@@ -187,6 +204,29 @@
         }
     }
 
+    /** Crashes [worker] now; its VM is back after [timeToReturn]. */
+    fun crash(worker: VirtualWorker) {
+        worker.crash(silent = crashesSilently)
+        val profile = worker.profile
+        val name = if (keepsIdAfterCrash) profile.incarnation.worker.value else "${profile.vm}-$order"
+        at(timeToReturn ?: return) {
+            addWorker(
+                name = name,
+                service = profile.service,
+                vm = checkNotNull(profile.vm),
+                cpu = profile.capacity.millicores,
+                rack = checkNotNull(profile.rack).value,
+            )
+        }
+    }
+
+    /** Replaces the state by what a snapshot of it contains. */
+    fun restoreFromSnapshot() {
+        val cbor = Cbor { ignoreUnknownKeys = true }
+        val image = cbor.encodeToByteArray(StateImage.serializer(), state.image())
+        state.restore(cbor.decodeFromByteArray(StateImage.serializer(), image), now)
+    }
+
     fun submit(id: String, vararg steps: StepDescription, queue: Queue = QUEUE, tenant: TenantName? = null): CallId =
         call { Event.JobSubmitted(it, JobId(id), queue, JobDescription("payload", steps.toList()), tenant) }
 
@@ -236,6 +276,9 @@
         workers.values.toList().forEach { it.endMembers(run, others) }
     }
 
+    /** Records that a worker crashed under [run], which has not ended. */
+    fun workerCrashed(run: RunId) = invariants.workerCrashed(run)
+
     fun leaseExpired(worker: VirtualWorker) = invariants.leaseExpired(worker)
 
     fun endRecorded(run: RunId) = invariants.endRecorded(run)
