Give up tasks that crash the workers that start them

Cause: only ends that a worker reports count against a task. A run that went down with its worker vanished from the state with the worker's registration, so nothing bounded the starts, and nothing kept sound tasks apart from it.

A crash of a worker now counts against the tasks that ran there, in the replicated state, from records that exist: a new worker on the VM, a restart under the same id, a lease that expires in silence (RunReleased.loss). Ends that were announced or ordered do not count, nor runs that end later. A task that had started last is a suspect, and so is one under which two workers have crashed. Suspects start apart: one a worker, away from lasting tasks and gangs, and the worker gets nothing else for 300 ms. A second crash at the start of the one suspect there proves it, and its job fails; four crashes of any kind are the bound (five in a row for lasting tasks, each within 10 s).

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/CapacityTracker.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/CapacityTracker.kt
@@ -8,16 +8,24 @@
  * Free capacity of the usable workers, updated while a plan is made.
  *
  * The capacity of a run stays reserved until its end is recorded, also while the run is being stopped.
+ *
+ * @param onProbation workers on which a suspect has just started, see [Probation].
  */
-internal class CapacityTracker(state: SchedulerState, isUsable: (Worker) -> Boolean) {
+internal class CapacityTracker(
+    state: SchedulerState,
+    onProbation: Set<WorkerIncarnation> = emptySet(),
+    isUsable: (Worker) -> Boolean,
+) {
     private val byService = HashMap<ServiceId, ArrayList<WorkerCapacity>>()
     private val byIncarnation = HashMap<WorkerIncarnation, WorkerCapacity>()
 
     init {
         for (worker in state.workers.values) {
             if (!isUsable(worker)) continue
-            val capacity = WorkerCapacity(worker.profile)
-            state.claimsAt(worker.profile.incarnation).forEach { (run, step) -> capacity.reserve(run.task.step, step) }
+            val claims = state.claimsAt(worker.profile.incarnation)
+            val capacity = WorkerCapacity(worker.profile, claims.size)
+            claims.forEach { (run, step) -> capacity.reserve(run.task.step, step) }
+            capacity.isOnProbation = worker.profile.incarnation in onProbation
             byService.getOrPut(worker.profile.service) { ArrayList() }.add(capacity)
             byIncarnation[worker.profile.incarnation] = capacity
         }
@@ -28,8 +36,12 @@
     fun at(incarnation: WorkerIncarnation): WorkerCapacity? = byIncarnation[incarnation]
 }
 
-/** Free capacity of one worker. */
-internal class WorkerCapacity(val worker: WorkerProfile) {
+/**
+ * Free capacity of one worker.
+ *
+ * @param claimedRuns number of runs that the state shows there.
+ */
+internal class WorkerCapacity(val worker: WorkerProfile, private val claimedRuns: Int = 0) {
     var free: Resources = worker.capacity
         private set
 
@@ -38,6 +50,22 @@
         private set
     private val perStep = HashMap<StepId, Int>()
 
+    /** Whether a suspect has just started or is about to start there, so that no other task may. */
+    var isOnProbation = false
+
+    /** Number of runs that are claimed or planned there. */
+    var runs = 0
+        private set
+
+    /** Whether the current plan starts a run there. */
+    val hasPlannedRuns: Boolean
+        get() = runs > claimedRuns
+
+    /** Whether runs are there that must not be lost: lasting tasks and members of gangs. */
+    val hasFragileRuns: Boolean
+        get() = fragileRuns > 0
+    private var fragileRuns = 0
+
     /** Capacity of the lasting runs. */
     private var held = Resources.None
 
@@ -84,6 +112,8 @@
         hold(description, description.reserved)
         if (description.fillsUnused) fillerMillicores += description.demand.millicores
         perStep[step] = (perStep[step] ?: 0) + 1
+        runs += 1
+        if (description.lasting || description.gang) fragileRuns += 1
     }
 
     fun release(step: StepId, description: StepDescription) {
@@ -91,6 +121,8 @@
         hold(description, Resources.None - description.reserved)
         if (description.fillsUnused) fillerMillicores -= description.demand.millicores
         perStep[step] = (perStep[step] ?: 0) - 1
+        runs -= 1
+        if (description.lasting || description.gang) fragileRuns -= 1
     }
 
     private fun hold(description: StepDescription, amount: Resources) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -38,6 +38,7 @@
     private val deregistrations = Deregistrations(state, contacts, pendingRecords, runs) { actions.add(it) }
     private val disruptionBudget = DisruptionBudget(state, contacts)
     private val displacedTasks = DisplacedTasks(state, settings, contacts)
+    private val probation = Probation(state, settings, contacts)
     private val leavingWorkers = LeavingWorkers(state, contacts, disruptionBudget, runs::isStopping)
     private val waitingSteps = WaitingSteps(durations)
     private val copies =
@@ -49,6 +50,7 @@
     /** VMs whose latest move order was the first one, not a repeat. */
     private val firstOrders = HashSet<VmId>()
     private val advice = AdviceCache()
+    private val batchLog = BatchLog(state, ::log)
     private val lastingTaskWaits = LastingTaskWaits(state, ::exclusionOf) { actions.add(it) }
     private val shares = TenantShares()
     private val cappedTenants = CappedTenants(state) { actions.add(it) }
@@ -239,75 +241,19 @@
                 else -> Unit
             }
         }
+        stopRunsOfGivenUpJobs(now)
         if (batch.records.any { it is Record.WorkerRegistered }) runs.restartedWorkers.tick(now)
         runs.sendDueQueries(now)
         needsPlan = true
-        logBatch(batch)
+        batchLog.committed(batch)
     }
 
-    private fun logBatch(batch: RecordBatch) {
-        val endedJobs = HashSet<JobId>()
-        state.lostRuns.forEach(::logLost)
-        for (record in batch.records) {
-            when (record) {
-                is Record.JobAccepted -> logAccepted(record)
-                is Record.JobCancelled -> log("job_cancelled", "job" to record.id)
-                is Record.CatalogAccepted -> log("catalog_accepted", "version" to record.catalog.version)
-                is Record.CatalogReplaced -> log(
-                    "catalog_accepted",
-                    "version" to record.version,
-                    "queues" to state.catalog?.queues?.size,
-                    "log_bytes" to record.maxSize(),
-                )
-                is Record.WorkerRegistered -> log(
-                    "worker_seen",
-                    "worker" to record.profile.incarnation,
-                    "service" to record.profile.service,
-                    "leaving" to record.leaving,
-                )
-                is Record.WorkerEnded -> log("worker_gone", "worker" to record.incarnation)
-                is Record.RunReleased -> log("run_released", "run" to record.run, "worker" to record.incarnation)
-                is Record.RunEnded -> logEnd(record, batch.atMs, endedJobs)
-                is Record.LeaseClosed ->
-                    log("lease_closed", "worker" to record.incarnation, "left_ms" to record.leftMs)
-                is Record.LeaseReopened -> log("lease_reopened", "worker" to record.incarnation)
-                is Record.WaveAccepted -> log("wave_accepted", "wave" to record.wave, "vms" to record.vms.size)
-                is Record.UpkeepBegun -> log("upkeep_begun", "wave" to record.wave, "vm" to record.vm)
-                is Record.UpkeepEnded -> log("upkeep_ended", "wave" to record.wave, "vm" to record.vm)
-                is Record.UpkeepRefused -> log("upkeep_refused", "wave" to record.wave, "vm" to record.vm)
-                is Record.MoveBegun -> log("move_begun", "vm" to record.vm, "from" to record.from, "to" to record.to)
-                is Record.MoveEnded -> log("move_ended", "vm" to record.vm)
-                is Record.MoveRefused -> log("move_refused", "vm" to record.vm)
-                // Logged as run_claimed when its start order is sent, just after the commit.
-                is Record.RunClaimed -> Unit
-                is Record.MoveConfirmed, is Record.UpkeepConfirmed, is Record.EndsRecorded, is Record.JobStarted -> Unit
-                // Logged as worker_fenced when the worker answers.
-                is Record.WorkerFenced -> Unit
-            }
-        }
-    }
-
-    private fun logAccepted(record: Record.JobAccepted) {
-        val lasting = record.description.steps.filter { it.lasting }.sumOf { it.count }
-        log("job_accepted", "job" to record.id, "queue" to record.queue.name, "lasting_tasks" to lasting)
-    }
-
-    private fun logLost(lost: LostRun) = log(
-        "run_lost",
-        "run" to lost.run,
-        "worker" to lost.incarnation,
-        "cause" to lost.cause.name.lowercase(),
-        "runs" to lost.runs,
-        "started_last" to lost.startedLast,
-    )
-
-    /** Logs the end of a run, and the end of its job once; [endedJobs] contains the jobs whose end is logged. */
-    private fun logEnd(record: Record.RunEnded, atMs: Long, endedJobs: MutableSet<JobId>) {
-        log("run_ended", "run" to record.run, "worker" to record.incarnation, "end" to record.end)
-        val job = state.jobs[record.run.task.step.job] ?: return
-        if (!job.isActive && job.endedMs == atMs && endedJobs.add(job.id)) {
-            log("job_over", "job" to job.id, "phase" to job.phase, "age_ms" to atMs - job.acceptedMs)
+    private fun stopRunsOfGivenUpJobs(now: MonotonicTime) {
+        val jobs = state.crashes.lostRuns.mapTo(HashSet()) { it.run.task.step.job }.filter {
+            state.jobs[it]?.isActive ==
+                false
         }
+        if (jobs.isNotEmpty()) runs.stopAll(now) { it.task.step.job in jobs }
     }
 
     private fun batchRejected() {
@@ -364,11 +310,12 @@
         // Looking through all runs in progress after each commit would take the leader's time.
         if (!needsCopyDecisions) return
         needsCopyDecisions = false
+        val onProbation = probation.workers(now)
         copies.decide(
             waiting = waiting,
             plan = plan,
             caps = caps,
-            isUsable = isUsable,
+            isUsable = { isUsable(it) && it.profile.incarnation !in onProbation },
             mayRun = { step, queue, worker -> mayRun(step, queue, worker, now) },
             isBeingCancelled = pendingRecords::isBeingCancelled,
             now = now,
@@ -404,6 +351,7 @@
             caps = caps,
             aboveShare = aboveShare,
             displaced = displaced,
+            onProbation = probation.workers(now),
         )
         val plan = planner.plan(nowMs, waiting, MAX_CLAIMS)
         pools.updateShortages(plan.unplaced, now)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/CopyControl.kt
@@ -144,6 +144,8 @@
         val startedAt = order.startedAt ?: return null
         val isLeaving = order.isStopRequested || run to copyable.incarnation in ending
         if (isLeaving || copyable.task.failures >= minOf(queue.attempts, job.queue.attempts)) return null
+        // A second run may crash a second worker at the same time.
+        if (copyable.task.isSuspect) return null
         val id = run.task.step
         val fromMs = job.description.schedule?.dueMs(id.occurrence) ?: job.acceptedMs
         val status = contact.running.firstOrNull { it.run == run }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Job.kt
@@ -113,7 +113,7 @@
     /** All tasks are done. */
     COMPLETE,
 
-    /** A task failed in its last permitted attempt. */
+    /** A task failed in its last permitted attempt, or was given up because workers crashed under it. */
     FAILED,
 
     /** A caller cancelled the job. */
@@ -170,6 +170,15 @@
     /** Latest saved state; empty if there is none. */
     public var saved: String = ""
         internal set
+
+    /**
+     * Crashes of workers under runs of the task, the oldest first.
+     *
+     * A run whose end is reported later did not end with its worker, and a lasting task that has worked for some time
+     * starts anew.
+     */
+    public var crashes: List<Crash> = emptyList()
+        internal set
 }
 
 /**
@@ -189,7 +198,7 @@
 internal fun Task.accepts(claim: Record.RunClaimed, step: StepDescription, attempts: Int): Boolean = when {
     isDone -> false
     claim.isCopy ->
-        step.mayHaveCopies && claim.run.number > lastRun && failures < attempts &&
+        step.mayHaveCopies && claim.run.number > lastRun && failures < attempts && !isGivenUp(step.lasting) &&
             claims.size == 1 && claims.single().incarnation.worker != claim.incarnation.worker
     else -> claims.isEmpty()
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Planner.kt
@@ -18,6 +18,7 @@
  * @property aboveShare tenants that use far more than their weighted share.
  * @property spares capacities of the VMs that are switched off, or null if they are not known yet.
  * @property displaced lasting tasks in progress that will need another worker, see [DisplacedTasks].
+ * @property onProbation workers on which a suspect has just started, see [Probation].
  */
 internal class Planner(
     private val state: SchedulerState,
@@ -29,9 +30,11 @@
     private val caps: TenantCaps = TenantCaps(state),
     private val aboveShare: Set<TenantName> = emptySet(),
     private val displaced: List<WaitingStep> = emptyList(),
+    private val onProbation: Set<WorkerIncarnation> = emptySet(),
 ) {
     private val placement = TaskPlacement(state, mayRun)
     private val eviction = EvictionChoice(state, isStopping)
+    private val suspects = state.crashes.suspects.groupBy({ it.step }, { it.index })
 
     /** Returns at most [limit] runs to claim at [nowMs], and the runs to stop so that lasting tasks fit. */
     fun plan(nowMs: Long, waiting: List<WaitingStep>, limit: Int): Plan {
@@ -49,8 +52,8 @@
         val unplaced = HashMap<ServiceId, UnplacedDemand>()
         val capped = ArrayList<CappedStep>()
         val places = HashMap<StepId, Int>()
-        private val capacities = CapacityTracker(state, isUsable)
-        private val probed = CapacityTracker(state, mayProbe)
+        private val capacities = CapacityTracker(state, onProbation, isUsable)
+        private val probed = CapacityTracker(state, onProbation, mayProbe)
         private val reservations = Reservations(state, capacities, nowMs)
         val order = WaitingOrder(reservations, capacities, nowMs, aboveShare)
 
@@ -69,7 +72,7 @@
             claims.addAll(placed.claims)
             evictions.addAll(placed.vacancies.flatMap { it.evictions })
             caps.started(step.job, step.description, placed.claims.size)
-            val missing = step.tasks.size - placed.claims.size
+            val missing = step.tasks.size - placed.claims.size - placed.held
             if (missing > 0 && mayEverFit(step)) addUnplaced(step, placed, missing)
         }
 
@@ -80,7 +83,7 @@
          */
         fun addDisplaced(step: WaitingStep) {
             var missing = step.tasks.size
-            for (capacity in placement.candidates(step, capacities)) {
+            for (capacity in placement.permitted(step, capacities)) {
                 val slots = capacity.slotsForLasting(step.id, step.description, limit = missing)
                 repeat(slots) { capacity.reserve(step.id, step.description) }
                 missing -= slots
@@ -144,13 +147,38 @@
         return false
     }
 
-    /** Places the tasks of a step; if it is lasting, evicts runs or uses quarantined workers for those left. */
+    /** Places the tasks of a step, the suspects among them apart; lasting ones also if no worker is open for that. */
     private fun place(
         step: WaitingStep,
         usable: CapacityTracker,
         probed: CapacityTracker,
         reservations: Reservations,
         limit: Int,
+    ): Placement {
+        val suspects = suspects[step.id].orEmpty().filter { it in step.tasks }
+        if (suspects.isEmpty()) return placeSound(step, usable, probed, reservations, limit)
+        val permitted = placement.permitted(step, usable)
+        val open = permitted.filter { !it.isOnProbation && (step.description.lasting || !reservations.isReserved(it)) }
+        if (step.description.gang) {
+            val claims = placement.placeSuspectGang(step, open)
+            return if (claims.isEmpty()) placeSound(step, usable, probed, reservations, limit) else Placement(claims)
+        }
+        val apart = placement.placeSuspects(step, suspects, permitted, open, limit)
+        val placed = apart.mapTo(HashSet()) { it.run.task.index }
+        val held = if (step.description.lasting) emptySet() else suspects.toSet() - placed
+        val others = step.with(step.tasks.filter { it !in placed && it !in held })
+        val rest = placeSound(others, usable, probed, reservations, limit - apart.size)
+        val waiting = if (permitted.any { it.fits(step.id, step.description) }) held.size else 0
+        return Placement(apart + rest.claims, rest.vacancies, waiting)
+    }
+
+    /** Places the tasks of a step; if it is lasting, evicts runs or uses quarantined workers for those left. */
+    private fun placeSound(
+        step: WaitingStep,
+        usable: CapacityTracker,
+        probed: CapacityTracker,
+        reservations: Reservations,
+        limit: Int,
     ): Placement {
         val candidates = placement.candidates(step, usable)
         val open = candidates.filter { step.description.lasting || !reservations.isReserved(it) }
@@ -176,8 +204,13 @@
  * Result for one step.
  *
  * @property vacancies room for further tasks once runs have stopped.
+ * @property held number of suspects that wait for a worker of their own, but for no capacity.
  */
-private class Placement(val claims: List<Record.RunClaimed>, val vacancies: List<Vacancy> = emptyList())
+private class Placement(
+    val claims: List<Record.RunClaimed>,
+    val vacancies: List<Vacancy> = emptyList(),
+    val held: Int = 0,
+)
 
 /**
  * Result of a [Planner].
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -90,12 +90,17 @@
         @SerialName("c") val isCopy: Boolean = false,
     ) : Record
 
-    /** The run certainly does not run at [incarnation] and never will. */
+    /**
+     * The run certainly does not run at [incarnation] and never will.
+     *
+     * @property loss how the incarnation was lost under the run, or null if the run did not start there.
+     */
     @Serializable
     @SerialName("f")
     public data class RunReleased(
         @SerialName("r") val run: RunId,
         @SerialName("l") val incarnation: WorkerIncarnation,
+        @SerialName("c") val loss: WorkerLoss? = null,
     ) : Record
 
     /** The run ended at [incarnation]. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RestartedWorkers.kt
@@ -14,7 +14,7 @@
     private val state: SchedulerState,
     private val settings: SchedulingSettings,
     private val contacts: WorkerContacts,
-    private val release: (RunId, WorkerIncarnation, String, Array<Pair<String, Any?>>) -> Unit,
+    private val release: (RunId, WorkerIncarnation) -> Unit,
     private val runLost: (RunId, MonotonicTime) -> Unit,
     private val record: (Record) -> Unit,
     private val emit: (Action) -> Unit,
@@ -59,12 +59,12 @@
                 "claims" to claims.size,
             )
             return claims.filter { contact.orders[it]?.isListed == true }
-                .forEach { releaseLost(it, contact.incarnation) }
+                .forEach { release(it, contact.incarnation) }
         }
         if (known.fencedAt == null) known.fencedAt = now
         if (!answer.hasAllEnds) return
         val present = answer.running.map { it.run }.toSet() + answer.ended.map { it.run }
-        claims.filter { it !in present }.forEach { releaseLost(it, contact.incarnation) }
+        claims.filter { it !in present }.forEach { release(it, contact.incarnation) }
     }
 
     /** Handles the first [answer] of the incarnation of [contact], which has raised its fence. */
@@ -96,7 +96,7 @@
             "ended" to ended.size,
             "unclear" to unclear.size,
         )
-        ended.forEach { releaseLost(it, later.incarnation) }
+        ended.forEach { release(it, later.incarnation) }
     }
 
     /**
@@ -112,8 +112,5 @@
         record(Record.WorkerFenced(contact.incarnation))
     }
 
-    private fun releaseLost(run: RunId, incarnation: WorkerIncarnation) =
-        release(run, incarnation, "worker restarted", emptyArray())
-
     private fun log(event: String, vararg fields: Pair<String, Any?>) = emit(Action.Note(event, fields.toList()))
 }
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -33,8 +33,15 @@
     private val heldLastingTasks = HeldLastingTasks(state, settings, contacts, emit)
     val closedLeases = ClosedLeases(state, settings, contacts, record)
 
-    val restartedWorkers =
-        RestartedWorkers(state, settings, contacts, ::release, heldLastingTasks::runLost, record, emit)
+    val restartedWorkers = RestartedWorkers(
+        state = state,
+        settings = settings,
+        contacts = contacts,
+        release = { run, worker -> release(run, worker, "worker restarted", loss = WorkerLoss.RESTARTED) },
+        runLost = heldLastingTasks::runLost,
+        record = record,
+        emit = emit,
+    )
 
     /**
      * Runs whose claims are in the batch being committed.
@@ -289,7 +296,7 @@
             if (worker == null || (isSilent && !contacts.mayRunLateOrders(contact, now))) {
                 val inputs = contact.leaseFields(now)
                 state.claimsAt(incarnation).keys.filter { it !in unsentClaims }
-                    .forEach { release(it, incarnation, "lease ran out", inputs) }
+                    .forEach { release(it, incarnation, "lease ran out", inputs, WorkerLoss.SILENT) }
                 continue
             }
             resendStops(contact, now)
@@ -455,17 +462,22 @@
         record(Record.WorkerEnded(incarnation))
     }
 
-    /** Records that [run] does not run at [incarnation]; [cause] and [inputs] go to the log. */
+    /**
+     * Records that [run] does not run at [incarnation]; [cause] and [inputs] go to the log.
+     *
+     * @param loss how [incarnation] was lost under the run, or null if the run did not start there.
+     */
     private fun release(
         run: RunId,
         incarnation: WorkerIncarnation,
         cause: String,
         inputs: Array<Pair<String, Any?>> = emptyArray(),
+        loss: WorkerLoss? = null,
     ) {
         if (!pendingEnds.add(run to incarnation)) return
         log("run_not_there", "run" to run, "worker" to incarnation, "cause" to cause, *inputs)
         contacts.find(incarnation)?.let { heldLastingTasks.runLost(run, it.runsKnownAt) }
-        record(Record.RunReleased(run, incarnation))
+        record(Record.RunReleased(run, incarnation, loss))
     }
 
     private fun log(event: String, vararg fields: Pair<String, Any?>) = emit(Action.Note(event, fields.toList()))
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -41,18 +41,14 @@
     private val endedTable = LinkedHashMap<WorkerId, EndedIncarnation>()
 
     /** Latest time of day of all applied batches, in Unix milliseconds. */
-    private var latestMs = 0L
+    internal var latestMs = 0L
+        private set
     private val activeJobs = LinkedHashMap<JobId, Job>()
     private val claimTable = HashMap<WorkerIncarnation, LinkedHashMap<RunId, StepDescription>>()
     private val finishedJobs = ArrayDeque<Job>()
-    private val lost = ArrayList<LostRun>()
-
-    /** Runs that the latest batch claimed, whose start orders are not sent yet. */
-    private val unsent = HashSet<RunId>()
 
-    /** Runs whose worker ended in the latest batch. */
-    internal val lostRuns: List<LostRun>
-        get() = lost
+    /** Crashes of workers that count against tasks. */
+    internal val crashes = CrashRecords(this)
 
     /** Estimated size of the state of [jobs], in bytes. */
     public var storedBytes: Long = 0
@@ -134,9 +130,8 @@
      * @param now reading of this process's monotonic clock; it does not enter the replicated state.
      */
     public fun apply(batch: RecordBatch, now: MonotonicTime) {
-        lost.clear()
-        unsent.clear()
         latestMs = maxOf(latestMs, batch.atMs)
+        crashes.beginBatch(batch)
         batch.records.forEach { apply(it, batch.atMs, now) }
         batch.records.forEach { record -> orderedVm(record)?.let { orderTable[it] = batch.atMs } }
         removeExpired(batch.atMs)
@@ -171,6 +166,7 @@
         listOf(jobTable, workerTable, waveTable, moveTable, homeTable, orderTable, endedTable, activeJobs, claimTable)
             .forEach { it.clear() }
         finishedJobs.clear()
+        crashes.clear()
         storedDocument = image.catalogDocument ?: CatalogDocument.of(image.document)
         catalog = image.decodedCatalog ?: image.catalog ?: storedDocument.text().ifEmpty { null }?.let(decodeCatalog)
         for (worker in image.workers) {
@@ -197,10 +193,9 @@
     private fun indexClaims(job: Job, number: Int, occurrence: Occurrence) {
         occurrence.steps.forEachIndexed { step, progress ->
             progress.tasks.forEachIndexed { index, task ->
-                task.claims.forEach {
-                    val run = RunId(TaskId(StepId(job.id, number, step), index), it.number)
-                    claimsOf(it.incarnation)[run] = job.description.steps[step]
-                }
+                val id = TaskId(StepId(job.id, number, step), index)
+                task.claims.forEach { claimsOf(it.incarnation)[RunId(id, it.number)] = job.description.steps[step] }
+                crashes.update(id, task)
             }
         }
     }
@@ -229,9 +224,13 @@
             }
             is Record.LeaseClosed -> worker(record.incarnation)?.let {
                 it.leaseLeftMs = record.leftMs
+                it.leaseClosedMs = latestMs
                 it.leaseClosedAt = now
             }
-            is Record.LeaseReopened -> worker(record.incarnation)?.leaseLeftMs = null
+            is Record.LeaseReopened -> worker(record.incarnation)?.let {
+                it.leaseLeftMs = null
+                it.leaseClosedMs = null
+            }
             is Record.WorkerFenced -> worker(record.incarnation)?.earlier = null
             is Record.WaveAccepted -> waveTable.getOrPut(record.wave) {
                 Wave(record.wave, record.vms.distinct(), record.dueMs, record.cap)
@@ -292,7 +291,7 @@
         others.filter { it !== known }.forEach { remove(it.profile.incarnation, atMs) }
         val ended = endedTable[incarnation.worker]?.let { WorkerIncarnation(incarnation.worker, it.startedMs) }
         val earlier = known?.profile?.incarnation ?: ended
-        known?.let { workerLost(it.profile.incarnation, lossOf(it, unplanned = WorkerLoss.RESTARTED)) }
+        known?.let { crashes.recordLoss(it, WorkerLoss.RESTARTED) }
         workerTable[incarnation.worker] =
             Worker(record.profile, record.leaving, earlier = earlier).also { it.registeredAt = now }
         if (earlier != null) moveClaims(earlier, incarnation)
@@ -309,25 +308,14 @@
         }
     }
 
-    /** Notes the runs that were claimed at [incarnation] when it ended, without those that were never ordered there. */
-    private fun workerLost(incarnation: WorkerIncarnation, loss: WorkerLoss) {
-        val claims = claimTable[incarnation].orEmpty().keys.filter { it !in unsent }.mapNotNull { run ->
-            val claim = task(run.task)?.claims?.find { it.number == run.number && it.incarnation == incarnation }
-            claim?.let { run to it }
-        }.toMap()
-        val last = startedLast(claims)
-        claims.keys.mapTo(lost) { LostRun(it, incarnation, loss, claims.size, if (it in last) last.size else 0) }
-    }
-
     private fun remove(incarnation: WorkerIncarnation, atMs: Long) {
-        worker(incarnation)?.let { workerLost(incarnation, lossOf(it)) }
+        worker(incarnation)?.let { crashes.recordLoss(it, WorkerLoss.CRASHED) }
         workerTable.remove(incarnation.worker)
         endedTable.remove(incarnation.worker)
         endedTable[incarnation.worker] = EndedIncarnation(incarnation.startedMs, atMs)
         for (run in claimTable[incarnation]?.keys?.toList().orEmpty()) {
             release(run, incarnation)
-            // The other run of the task may have failed in its last attempt.
-            if (stepOf(run.task)?.mayHaveCopies == true) failIfExhausted(run.task, atMs)
+            failIfExhausted(run.task, atMs)
         }
     }
 
@@ -345,7 +333,7 @@
         // After this claim was decided, the end of an earlier run or another leader's claim may have been committed.
         if (!task.accepts(record, job.description.steps[id.step.step], job.queue.attempts)) return
         task.claims.add(Claim(record.run.number, record.incarnation, latestMs))
-        unsent.add(record.run)
+        crashes.claimed(record.run)
         task.lastRun = maxOf(task.lastRun, record.run.number)
         claimsOf(record.incarnation)[record.run] = job.description.steps[id.step.step]
     }
@@ -365,6 +353,7 @@
         val task = task(id) ?: return
         val step = job.step(id.step)
         val description = job.description.steps[id.step.step]
+        crashes.runEnded(record.run, task)
         if (record.saved.isNotEmpty()) {
             task.saved = record.saved
             step.saved = record.saved
@@ -386,6 +375,7 @@
             it.isDone = true
             step.undone -= 1
         }
+        crashes.tasksDone(id.step)
         val occurrence = job.open[id.step.occurrence] ?: return
         if (!occurrence.isDone) return
         job.finish(id.step.occurrence)
@@ -397,9 +387,10 @@
         val job = activeJobs[id.step.job] ?: return
         val task = task(id) ?: return
         val description = job.description.steps[id.step.step]
-        if (description.lasting || task.isDone || task.claims.isNotEmpty()) return
+        if (task.isDone || task.claims.isNotEmpty()) return
         val failures = if (description.gang) job.step(id.step).failedRuns.size else task.failures
-        if (failures >= job.queue.attempts) end(job, JobPhase.FAILED, atMs)
+        val isExhausted = failures >= job.queue.attempts && !description.lasting
+        if (isExhausted || task.isGivenUp(description.lasting)) end(job, JobPhase.FAILED, atMs)
     }
 
     private fun end(job: Job, phase: JobPhase, atMs: Long) {
@@ -409,6 +400,7 @@
         job.forgetWork()
         storedBytes += job.storedBytes
         activeJobs.remove(job.id)
+        crashes.jobEnded(job)
         finishedJobs.addLast(job)
     }
 
@@ -464,6 +456,9 @@
     /** Time after [leaseClosedAt] within which every lease of the worker expires, in ms; null while it gets leases. */
     internal var leaseLeftMs: Long? = null
 
+    /** Time of day at which the worker's silence was recorded, in Unix milliseconds; null while it gets leases. */
+    internal var leaseClosedMs: Long? = null
+
     /** When this process applied the record that set [leaseLeftMs]; never before the record was decided. */
     @Transient
     internal var leaseClosedAt: MonotonicTime = MonotonicTime.Zero
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulingSettings.kt
@@ -38,6 +38,7 @@
  *   retransmission of one lost packet.
  * @property orderDelay time after which an unanswered order is certainly not executed any more.
  * @property retryInterval time between two attempts of an unanswered order or status query.
+ * @property probation time for which a worker gets no further task after the start of one that may crash its workers.
  * @property unavailabilityGrace time for which a lasting task may be down before it counts as unavailable.
  * @property upkeepTime duration of the maintenance of a VM.
  * @property maxWaitingJobs maximum number of accepted jobs of one queue that have not started.
@@ -66,6 +67,7 @@
     val shortestOrderTimeout: Duration = 250.milliseconds,
     val orderDelay: Duration = 12.seconds,
     val retryInterval: Duration = 300.milliseconds,
+    val probation: Duration = 300.milliseconds,
     val unavailabilityGrace: Duration = 4500.milliseconds,
     val upkeepTime: Duration = 2.seconds,
     val maxWaitingJobs: Int = 2_000,
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/TaskPlacement.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/TaskPlacement.kt
@@ -38,6 +38,52 @@
         return claims
     }
 
+    /**
+     * Places [suspects], which may crash their workers, apart from each other and from what else starts in the plan.
+     *
+     * They go to workers without lasting tasks and gangs, if there are any, and to those that have been up longest,
+     * as a VM that has just crashed may do so again. At most half of [workers] are on probation at a time.
+     *
+     * @param workers all usable workers of the service.
+     */
+    fun placeSuspects(
+        step: WaitingStep,
+        suspects: List<Int>,
+        workers: List<WorkerCapacity>,
+        candidates: List<WorkerCapacity>,
+        limit: Int,
+    ): List<Record.RunClaimed> {
+        val claims = ArrayList<Record.RunClaimed>()
+        val preferred = step.description.dataRack
+        val order = compareBy<WorkerCapacity>(
+            { it.hasFragileRuns },
+            { preferred != null && it.rack != preferred },
+            { it.runs },
+            { it.worker.incarnation.startedMs },
+        )
+        val allowed = maxOf(1, workers.size / 2) - workers.count { it.isOnProbation }
+        for (index in suspects.take(minOf(limit, allowed).coerceAtLeast(0))) {
+            val open = candidates.filter { !it.isOnProbation && !it.hasPlannedRuns }
+            val target = open.filter { it.fits(step.id, step.description) }.minWithOrNull(order) ?: break
+            target.reserve(step.id, step.description)
+            target.isOnProbation = true
+            val last = step.progress.tasks[index].lastRun
+            claims.add(Record.RunClaimed(RunId(TaskId(step.id, index), last + 1), target.worker.incarnation))
+        }
+        return claims
+    }
+
+    /** Places a gang with a suspect, one member a worker if possible; all of these workers count as on probation. */
+    fun placeSuspectGang(step: WaitingStep, candidates: List<WorkerCapacity>): List<Record.RunClaimed> {
+        val open = candidates.filterNot { it.hasPlannedRuns }
+        val claims = placeAll(step, open.filterNot { it.hasFragileRuns }, isSpread = true)
+            ?: placeAll(step, open, isSpread = true)
+            ?: placeGang(step, open)
+        val used = claims.mapTo(HashSet()) { it.incarnation }
+        open.filter { it.worker.incarnation in used }.forEach { it.isOnProbation = true }
+        return claims
+    }
+
     private fun placeGang(step: WaitingStep, candidates: List<WorkerCapacity>): List<Record.RunClaimed> {
         val racks = if (step.description.prefersOneRack) candidates.mapNotNull { it.rack }.distinct() else emptyList()
         for (rack in racks) {
@@ -47,12 +93,17 @@
         return placeAll(step, candidates).orEmpty()
     }
 
-    /** Places every task of the step, or none. */
-    private fun placeAll(step: WaitingStep, candidates: List<WorkerCapacity>): List<Record.RunClaimed>? {
+    /** Places every task of the step, or none; if [isSpread], each on a worker of its own. */
+    private fun placeAll(
+        step: WaitingStep,
+        candidates: List<WorkerCapacity>,
+        isSpread: Boolean = false,
+    ): List<Record.RunClaimed>? {
         val number = 1 + (step.progress.tasks.maxOfOrNull { it.lastRun } ?: 0)
         val taken = ArrayList<WorkerCapacity>()
         for (index in step.tasks) {
-            val candidate = choose(step, candidates, rack = null)
+            val open = if (isSpread) candidates.filter { it !in taken } else candidates
+            val candidate = choose(step, open, rack = null)
             if (candidate == null) {
                 taken.forEach { it.release(step.id, step.description) }
                 return null
@@ -65,7 +116,12 @@
         }
     }
 
+    /** Returns the workers that may run the step and that are not on probation. */
     fun candidates(step: WaitingStep, capacities: CapacityTracker): List<WorkerCapacity> =
+        permitted(step, capacities).filterNot { it.isOnProbation }
+
+    /** Returns the workers that may run the step. */
+    fun permitted(step: WaitingStep, capacities: CapacityTracker): List<WorkerCapacity> =
         capacities.of(step.queue.service).filter { mayRun(step, it.worker) }
 
     private fun commonRack(step: WaitingStep, candidates: List<WorkerCapacity>): RackId? {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaitingStep.kt
@@ -22,22 +22,21 @@
     val rank: Int = 0,
 ) {
     /** Returns this step with only the first [count] of its [tasks]. */
-    fun withFirst(count: Int): WaitingStep = if (count >= tasks.size) {
-        this
-    } else {
-        WaitingStep(
-            job = job,
-            id = id,
-            description = description,
-            progress = progress,
-            queue = queue,
-            tasks = tasks.subList(0, count),
-            dueMs = dueMs,
-            workMs = workMs,
-            remainingMs = remainingMs,
-            rank = rank,
-        )
-    }
+    fun withFirst(count: Int): WaitingStep = if (count >= tasks.size) this else with(tasks.subList(0, count))
+
+    /** Returns this step with only [tasks], which are some of its own. */
+    fun with(tasks: List<Int>): WaitingStep = WaitingStep(
+        job = job,
+        id = id,
+        description = description,
+        progress = progress,
+        queue = queue,
+        tasks = tasks,
+        dueMs = dueMs,
+        workMs = workMs,
+        remainingMs = remainingMs,
+        rank = rank,
+    )
 }
 
 /**
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -265,6 +265,7 @@
     fun runStarted(worker: VirtualWorker, order: Action.Start) {
         invariants.runStarted(worker, order)
         startedAt.putIfAbsent(order.run.task, now)
+        if (isDeadly(order.run.task)) at(CRASH_DELAY) { if (worker.runs(order.run.task)) crash(worker) }
     }
 
     /** Records the end of a run and ends the other members of its gang. */
@@ -545,6 +546,9 @@
                 timeoutMs = 3_000,
             )
         val SECOND = 1.seconds
+
+        /** Time from the start of a deadly task to the crash of its worker. */
+        val CRASH_DELAY = 10.milliseconds
         val LATE_DROP = 2_500.milliseconds
     }
 }
