Keep the latest of a worker's capacities, however its reports arrive

A worker's capacity may change while it runs, and three faults let an earlier one stand, so that workers which do not guard theirs were started beyond it: a report that was overtaken brought the larger capacity back, also at a new leader; of two changes during a commit the second was dropped and answered as accepted; and a return to the committed capacity during the commit of a change was dropped as well. All of them lasted until the next report.

The record of a report now has its sequence number, which the state compares, so that it holds for later leaders; a report that was overtaken still announces a shutdown. The latest record that waits is compared instead of the fact that one waits, and each report is answered after the record that holds its profile.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -115,8 +115,8 @@
             return actions.plusAssign(Action.Answer(event.call, Reply.Accepted))
         }
         val contact = contacts.of(incarnation, now)
-        val isLate = event.sequence <= contact.sequence
-        if (!isLate) {
+        val committed = state.worker(incarnation)
+        if (event.sequence > contact.sequence) {
             contact.sequence = event.sequence
             contact.recordContact(now, event.clockMs)
             // For an idle worker, a report is as good as an answered status query.
@@ -124,8 +124,12 @@
                 contact.failedQueries = 0
                 contact.nextQueryAt = minOf(contact.nextQueryAt, now)
             }
+            if (committed == null || event.sequence >= committed.sequence) contact.reported = event.profile
         }
-        pendingRecords.submit(event)
+        // A report that was overtaken repeats the profile of the latest one, but may be the first to announce the end.
+        val profile = contact.reported ?: committed?.profile ?: event.profile
+        val sequence = maxOf(event.sequence, contact.sequence, committed?.sequence ?: 0)
+        pendingRecords.submit(event.copy(profile = profile, sequence = sequence))
     }
 
     private fun startAnswered(event: Event.StartAnswered, now: MonotonicTime) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Deregistrations.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Deregistrations.kt
@@ -45,7 +45,7 @@
                 else -> {
                     // Tells later leaders not to place tasks there.
                     if (!worker.isLeaving) {
-                        pendingRecords.record(Record.WorkerRegistered(worker.profile, leaving = true))
+                        pendingRecords.record(Record.WorkerRegistered(worker.profile, leaving = true, worker.sequence))
                     }
                     claims.forEach { runs.evacuate(it, incarnation, cause = "farewell", now) }
                     continue
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PendingRecords.kt
@@ -26,7 +26,9 @@
     private val unproposed = HashSet<CallId>()
     private val pendingJobs = HashMap<JobId, Record.JobAccepted>()
     private val pendingCancels = HashSet<JobId>()
-    private val pendingWorkers = HashMap<WorkerIncarnation, Boolean>()
+
+    /** Latest record of each worker that waits to be committed. */
+    private val pendingWorkers = HashMap<WorkerIncarnation, Record.WorkerRegistered>()
     private var pendingCatalog: Long? = null
     private val pendingWaves = HashSet<Long>()
     private var batchCalls = ArrayList<CallId>()
@@ -161,12 +163,16 @@
                     )
         }
         if (isSuperseded) return replyAccepted(event.call)
-        val isCurrent = known?.profile == profile && (known.isLeaving || !event.isLeaving)
-        if (isCurrent) return replyAccepted(event.call)
         val pending = pendingWorkers[incarnation]
-        if (pending == null || (event.isLeaving && !pending)) {
-            if (!add(Record.WorkerRegistered(profile, event.isLeaving), event.call)) return
-            pendingWorkers[incarnation] = event.isLeaving
+        val newest = pending?.profile ?: known?.profile
+        val isLeaving =
+            pending?.leaving == true || (known?.isLeaving == true && known.profile.incarnation == incarnation)
+        if (newest != profile || (event.isLeaving && !isLeaving)) {
+            val record = Record.WorkerRegistered(profile, event.isLeaving || isLeaving, event.sequence)
+            if (!add(record, event.call)) return
+            pendingWorkers[incarnation] = record
+        } else if (pending == null) {
+            return replyAccepted(event.call)
         }
         val isQueued = records.any { it is Record.WorkerRegistered && it.profile.incarnation == incarnation }
         await(event.call, isProposed = !isQueued)
@@ -257,7 +263,7 @@
             when (record) {
                 is Record.JobAccepted -> pendingJobs.remove(record.id)
                 is Record.JobCancelled -> pendingCancels.remove(record.id)
-                is Record.WorkerRegistered -> pendingWorkers.remove(record.profile.incarnation)
+                is Record.WorkerRegistered -> pendingWorkers.remove(record.profile.incarnation, record)
                 is Record.WaveAccepted -> pendingWaves.remove(record.wave)
                 is Record.CatalogReplaced -> if (pendingCatalog == record.version) pendingCatalog = null
                 else -> Unit
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -61,12 +61,15 @@
      *
      * The claims of an earlier incarnation of the same worker move to this one, because it may carry out the earlier
      * orders.
+     *
+     * @property sequence number of the report, see [Event.WorkerReported]; 0 in a record of an earlier build.
      */
     @Serializable
     @SerialName("w")
     public data class WorkerRegistered(
         @SerialName("p") val profile: WorkerProfile,
         @SerialName("l") val leaving: Boolean,
+        @SerialName("n") val sequence: Long = 0,
     ) : Record
 
     /** The incarnation and its runs have certainly ended; its late reports have no effect. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -278,7 +278,10 @@
         val incarnation = record.profile.incarnation
         val known = workerTable[incarnation.worker]
         if (known?.profile?.incarnation == incarnation) {
-            known.profile = record.profile
+            if (record.sequence >= known.sequence) {
+                known.profile = record.profile
+                known.sequence = record.sequence
+            }
             known.isLeaving = known.isLeaving || record.leaving
             return
         }
@@ -293,7 +296,8 @@
         val earlier = known?.profile?.incarnation ?: ended
         known?.let { crashes.recordLoss(it, WorkerLoss.RESTARTED) }
         workerTable[incarnation.worker] =
-            Worker(record.profile, record.leaving, earlier = earlier).also { it.registeredAt = now }
+            Worker(record.profile, record.leaving, earlier = earlier, sequence = record.sequence)
+                .also { it.registeredAt = now }
         if (earlier != null) moveClaims(earlier, incarnation)
     }
 
@@ -444,6 +448,7 @@
  * @property isLeaving whether the worker has announced that it shuts down.
  * @property lastRecordedEnd number of the last run end that is recorded.
  * @property earlier latest earlier incarnation of the same worker whose orders this one may carry out, or null if none.
+ * @property sequence number of the report that [profile] is from.
  */
 @Serializable
 public class Worker internal constructor(
@@ -451,6 +456,7 @@
     public var isLeaving: Boolean,
     @SerialName("endsNoted") public var lastRecordedEnd: Long = 0,
     public var earlier: WorkerIncarnation? = null,
+    internal var sequence: Long = 0,
 ) {
 
     /** Time after [leaseClosedAt] within which every lease of the worker expires, in ms; null while it gets leases. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerContact.kt
@@ -23,6 +23,12 @@
     /** Sequence number of the latest report. */
     var sequence = Long.MIN_VALUE
 
+    /** Profile in the latest report, which may not be committed yet, or null. */
+    var reported: WorkerProfile? = null
+
+    /** Returns the latest profile of [worker], the state of this incarnation. */
+    fun latestProfile(worker: Worker): WorkerProfile = reported ?: worker.profile
+
     /** Time of the last report or answer under this leadership, or null. */
     var lastContactAt: MonotonicTime? = null
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerProfile.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WorkerProfile.kt
@@ -9,7 +9,9 @@
 import org.auburnstream.model.VmId
 
 /**
- * Describes one incarnation of a worker as the worker reports it; only the address may change during the incarnation.
+ * Describes one incarnation of a worker as the worker reports it.
+ *
+ * The address and the capacity may change during the incarnation; the report with the highest sequence number holds.
  *
  * @property address address at which the worker accepts orders.
  * @property vm VM on which the worker runs, or null if the worker does not report it.
