Check the capacity of a worker once more before a committed claim is ordered

A claim is decided with the capacity of that time. If the worker reports a smaller one while the claim is being committed, the order still went out, and a worker that does not guard its capacity started all of it.

The start is compared with the latest report, committed or not, and the claim is released if it does not fit.

aClaimedRunIsOrderedThoughTheWorkerHasShrunk: three runs started before on a worker with room for one, one now.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/RunControl.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.scheduling
 
 import org.auburnstream.model.MonotonicTime
+import org.auburnstream.model.Resources
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -51,6 +52,9 @@
      */
     private var unsentClaims: Set<RunId> = emptySet()
 
+    /** Runs whose claims are committed and whose start orders follow. */
+    private val dueStarts = HashSet<RunId>()
+
     /** Remembers the claims of [batch], which is about to be committed. */
     fun batchSubmitted(batch: RecordBatch) {
         unsentClaims = batch.records.filterIsInstance<Record.RunClaimed>().map { it.run }.toSet()
@@ -59,12 +63,15 @@
 
     /** Forgets the claims of the last batch, whose start orders are sent now or which was rejected. */
     fun batchSettled() {
+        dueStarts.clear()
+        dueStarts.addAll(unsentClaims)
         unsentClaims = emptySet()
         startedJobs.batchSettled()
     }
 
     /** Sends the start order for a committed claim, or releases the run if it can no longer start there. */
     fun start(claim: Record.RunClaimed, ticket: String?, now: MonotonicTime) {
+        dueStarts.remove(claim.run)
         val worker = state.worker(claim.incarnation)
         val job = state.active[claim.run.task.step.job]
         val isClaimed = claim.run in state.claimsAt(claim.incarnation)
@@ -88,6 +95,15 @@
         }
         // A stop was requested before the start was sent, because another member of the gang did not start.
         if (isStopping(claim.run, claim.incarnation)) return release(claim.run, claim.incarnation, "gang not whole")
+        // The claim was decided with a capacity that may have shrunk since.
+        if (!state.reservedAt(
+                contact.incarnation,
+                dueStarts,
+                pendingEnds,
+            ).fitsIn(contact.latestProfile(worker).capacity)
+        ) {
+            return release(claim.run, claim.incarnation, "worker shrank")
+        }
         val order = Order(now)
         contact.orders[claim.run] = order
         val progress = job.step(claim.run.task.step)
@@ -493,3 +509,12 @@
     "unknown_run",
     listOf("run" to run, "worker" to incarnation, "claimed_at" to task(run.task).claimants),
 )
+
+/** Returns what the runs at [incarnation] reserve, without those of [dueStarts] and [ends]. */
+private fun SchedulerState.reservedAt(
+    incarnation: WorkerIncarnation,
+    dueStarts: Set<RunId>,
+    ends: Set<Pair<RunId, WorkerIncarnation>>,
+): Resources = claimsAt(incarnation)
+    .filterKeys { it !in dueStarts && (it to incarnation) !in ends }
+    .values.fold(Resources.None) { sum, step -> sum + step.reserved }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/ResizedWorkerTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/ResizedWorkerTest.kt
@@ -111,6 +111,23 @@
         assertEquals(Reply.Accepted, fleet.replies[calls.last()])
     }
 
+    @Test
+    fun aClaimedRunIsOrderedThoughTheWorkerHasShrunk() {
+        val fleet = VirtualFleet.withWorkers(1)
+        val worker = fleet.onlyWorker()
+        fleet.commitTime = 200.milliseconds
+        fleet.submit("job", task)
+        fleet.run(250.milliseconds)
+        // The claims are being committed, and the report waits for the next batch.
+        worker.resize(1_500)
+        worker.reportNow()
+        fleet.run(700.milliseconds)
+
+        assertEquals(1, worker.starts, "runs started on a worker with room for one")
+        fleet.run(10.seconds)
+        assertEquals(JobPhase.COMPLETE, fleet.phase("job"))
+    }
+
     @Test
     fun runsStartBeyondCapacitiesThatShrinkAndGrow() {
         repeat(SEEDS) { seed ->
