Show the crashes that count against a job's tasks to operators

Whether a job is about to be given up, or why it was, could only be read from the log. 'auburnctl schedule job ID' now lists each crash with its run and how much it speaks against the task; crashesUnderAJobAreListed shows the view.

--- a/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
+++ b/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
@@ -70,6 +70,7 @@
  * @property tasksDone tasks that are done of the occurrences in progress.
  * @property runs runs that may be in progress.
  * @property tenant tenant that the job belongs to, or null if it belongs to none.
+ * @property crashes crashes of workers that count against tasks of the job, which is given up for too many.
  */
 @Serializable
 public data class ScheduledJobView(
@@ -81,12 +82,21 @@
     val tasksDone: Int,
     val runs: List<RunView> = emptyList(),
     val tenant: String? = null,
+    val crashes: List<CrashView> = emptyList(),
 )
 
 /** A run that may be in progress. */
 @Serializable
 public data class RunView(val run: String, val worker: String)
 
+/**
+ * Crash of a worker under [run].
+ *
+ * @property suspicion how much it speaks against the task: `bystander`, `started_last`, `at_start` or `at_start_alone`.
+ */
+@Serializable
+public data class CrashView(val run: String, val suspicion: String)
+
 /**
  * A queue of the catalog.
  *
--- a/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleReads.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleReads.kt
@@ -49,11 +49,15 @@
     override val path get() = "${ScheduleRoutes.JOBS}/$job"
 
     override fun table(view: ScheduledJobView): String {
-        val job = jobTable(listOf(view)).toString()
-        if (view.runs.isEmpty()) return job
         val runs = Table("RUN", "WORKER")
         view.runs.forEach { runs.row(it.run, it.worker) }
-        return "$job\n\n$runs"
+        val crashes = Table("CRASHED UNDER", "SUSPICION")
+        view.crashes.forEach { crashes.row(it.run, it.suspicion) }
+        return listOfNotNull(
+            jobTable(listOf(view)),
+            runs.takeIf { view.runs.isNotEmpty() },
+            crashes.takeIf { view.crashes.isNotEmpty() },
+        ).joinToString("\n\n")
     }
 }
 
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/ScheduleViews.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/ScheduleViews.kt
@@ -1,6 +1,7 @@
 package org.auburnstream.dispatch.operators
 
 import org.auburnstream.api.schedule.AmountView
+import org.auburnstream.api.schedule.CrashView
 import org.auburnstream.api.schedule.JobSubmission
 import org.auburnstream.api.schedule.QueueView
 import org.auburnstream.api.schedule.RunView
@@ -19,6 +20,7 @@
 import org.auburnstream.scheduling.SchedulerState
 import org.auburnstream.scheduling.StepDescription
 import org.auburnstream.scheduling.StepId
+import org.auburnstream.scheduling.Task
 import org.auburnstream.scheduling.TaskId
 import org.auburnstream.scheduling.TenantName
 import org.auburnstream.scheduling.TenantUsage
@@ -51,22 +53,23 @@
             tasksDone = tasks.count { it.isDone },
             runs = runs(job),
             tenant = job.owner?.tenant?.value,
+            crashes = crashes(job),
         )
     }
 
-    private fun runs(job: Job): List<RunView> {
-        val views = ArrayList<RunView>()
-        for ((number, occurrence) in job.occurrences) {
-            occurrence.steps.forEachIndexed { step, progress ->
-                progress.tasks.forEachIndexed { index, task ->
-                    val id = TaskId(StepId(job.id, number, step), index)
-                    task.claims.forEach {
-                        views.add(RunView(RunId(id, it.number).toString(), it.incarnation.toString()))
-                    }
-                }
-            }
+    private fun runs(job: Job): List<RunView> = tasks(job).flatMap { (id, task) ->
+        task.claims.map { RunView(RunId(id, it.number).toString(), it.incarnation.toString()) }
+    }
+
+    private fun crashes(job: Job): List<CrashView> = tasks(job).flatMap { (id, task) ->
+        task.crashes.map { CrashView(RunId(id, it.number).toString(), it.suspicion.name.lowercase()) }
+    }
+
+    /** Returns the tasks of the occurrences in progress. */
+    private fun tasks(job: Job): List<Pair<TaskId, Task>> = job.occurrences.flatMap { (number, occurrence) ->
+        occurrence.steps.flatMapIndexed { step, progress ->
+            progress.tasks.mapIndexed { index, task -> TaskId(StepId(job.id, number, step), index) to task }
         }
-        return views
     }
 
     fun queues(state: SchedulerState): List<QueueView> = state.catalog?.queues.orEmpty().map { queue ->
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/OperatorRequestsTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/OperatorRequestsTest.kt
@@ -6,6 +6,7 @@
 import org.auburnstream.api.ApiErrorType
 import org.auburnstream.api.ApiJson
 import org.auburnstream.api.schedule.AmountView
+import org.auburnstream.api.schedule.CrashView
 import org.auburnstream.api.schedule.JobSubmission
 import org.auburnstream.api.schedule.QueueView
 import org.auburnstream.api.schedule.ScheduleRoutes
@@ -135,6 +136,20 @@
         }
     }
 
+    @Test
+    fun crashesUnderAJobAreListed() {
+        submit(submission)
+        val incarnation = WorkerIncarnation(WorkerId("w"), 1)
+        val profile =
+            WorkerProfile(incarnation, FakeLeader.SERVICE, "w:1", DataCentreId("a"), null, Resources(16_000))
+        val run = RunId(TaskId(StepId(JobId(submission.id), 0, 0), 1), 1)
+        leader.apply(Record.WorkerRegistered(profile, leaving = false), Record.RunClaimed(run, incarnation))
+        leader.apply(Record.WorkerEnded(incarnation))
+
+        val job = read("${ScheduleRoutes.JOBS}/${submission.id}", ScheduledJobView.serializer())
+        assertEquals(listOf(CrashView(run.toString(), "at_start")), job.crashes)
+    }
+
     @Test
     fun invalidRequestsAreRefusedWithReason() {
         val invalidJobs = listOf(
