Let records of earlier builds change a worker's capacity

A leader of an earlier build records reports without a sequence number, which the state of this build would have taken for overtaken ones: its followers would have kept the capacity of before for as long as that build led. aLeaderOfAnEarlierBuildRecordsACapacityWithoutANumber shows it.

--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -253,10 +253,7 @@
     }
 
     private fun stopRunsOfGivenUpJobs(now: MonotonicTime) {
-        val jobs = state.crashes.lostRuns.mapTo(HashSet()) { it.run.task.step.job }.filter {
-            state.jobs[it]?.isActive ==
-                false
-        }
+        val jobs = state.crashes.lostRuns.mapTo(HashSet()) { it.run.task.step.job } - state.active.keys
         if (jobs.isNotEmpty()) runs.stopAll(now) { it.task.step.job in jobs }
     }
 
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -280,9 +280,10 @@
         val incarnation = record.profile.incarnation
         val known = workerTable[incarnation.worker]
         if (known?.profile?.incarnation == incarnation) {
-            if (record.sequence >= known.sequence) {
+            // A record of an earlier build has no number.
+            if (record.sequence == 0L || record.sequence >= known.sequence) {
                 known.profile = record.profile
-                known.sequence = record.sequence
+                known.sequence = maxOf(known.sequence, record.sequence)
             }
             known.isLeaving = known.isLeaving || record.leaving
             return
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/ResizedWorkerTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/ResizedWorkerTest.kt
@@ -111,6 +111,21 @@
         assertEquals(Reply.Accepted, fleet.replies[calls.last()])
     }
 
+    @Test
+    fun aLeaderOfAnEarlierBuildRecordsACapacityWithoutANumber() {
+        val fleet = VirtualFleet.withWorkers(1)
+        val worker = fleet.onlyWorker()
+        worker.reportNow()
+        fleet.run(100.milliseconds)
+        val smaller = worker.profile.copy(capacity = Resources(1_000, 16_000))
+        fleet.state.apply(
+            RecordBatch(fleet.nowMs, listOf(Record.WorkerRegistered(smaller, leaving = false))),
+            fleet.now,
+        )
+
+        assertEquals(1_000, fleet.knownMillicores(worker))
+    }
+
     @Test
     fun aClaimedRunIsOrderedThoughTheWorkerHasShrunk() {
         val fleet = VirtualFleet.withWorkers(1)
