--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/DeadlyTaskTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/DeadlyTaskTest.kt
@@ -2,6 +2,7 @@
 
 import org.auburnstream.model.JobId
 import org.auburnstream.model.Resources
+import org.auburnstream.model.VmId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -187,7 +188,7 @@
     }
 
     @Test
-    fun cutWorkersAreNoCrashes() {
+    fun soundTasksOutliveCutWorkers() {
         repeat(SEEDS) { seed ->
             val load = load(seed, deadlyJobs = emptySet())
             repeat(4) { number ->
@@ -201,6 +202,29 @@
         }
     }
 
+    @Test
+    fun plannedEndsAreNoCrashes() {
+        repeat(SEEDS) { seed ->
+            val load = load(seed, deadlyJobs = emptySet())
+            val fleet = load.fleet
+            fleet.submit("lasting", lasting.copy(count = 6, mayMiss = 2))
+            val losses = HashMap<RunId, LostRun>()
+            fleet.mutate =
+                { action -> listOf(action).also { fleet.state.crashes.lostRuns.associateByTo(losses) { it.run } } }
+            val vms = List(4) { VmId("vm-w$it") }
+            fleet.at(1.seconds) { fleet.call { Event.WaveSubmitted(it, wave = 1, vms, 12.seconds, cap = 2) } }
+            // These end with the runs that they have then, as workers do that get no answer.
+            fleet.at(2.seconds) {
+                listOf("w4", "w5").forEach { fleet.workers.getValue(WorkerId(it)).drain(300.milliseconds) }
+            }
+            load.check(seed)
+
+            val planned = setOf(WorkerLoss.ORDERED, WorkerLoss.ANNOUNCED)
+            assertEquals(planned, losses.values.map { it.loss }.toSet(), "seed $seed")
+            assertTrue(losses.values.all { it.crashes == 0 }, "seed $seed: planned ends count as crashes")
+        }
+    }
+
     @Test
     fun ordersToLostWorkersAreNoCrashes() {
         repeat(SEEDS) { seed ->
