--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
     echo "build first: the build line of deploy/system.toml, then review/build-3.sh" >&2
     exit 2
 fi
-exec java -Xmx256m -cp target/review-3 LateStart review/13
+exec java -Xmx256m -cp target/review-3 WaveList review/13
