--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -44,7 +44,7 @@
     private val copies =
         CopyControl(state, settings, contacts, durations, slowWorkers, runs.ending) { actions.add(it) }
     private val orderGuard = StaleOrderGuard(state, settings, now)
-    private val waves = WaveControl(state, settings, now, orderGuard)
+    private val waves = WaveControl(state, settings, now, orderGuard) { actions.add(it) }
     private val pools = PoolControl(state, settings, now, orderGuard, contacts::isAbsent)
 
     /** VMs whose latest move order was the first one, not a repeat. */
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -18,6 +18,7 @@
     private val settings: SchedulingSettings,
     private val startedAt: MonotonicTime,
     private val orderGuard: StaleOrderGuard,
+    private val emit: (Action) -> Unit = {},
 ) {
     private val draining = HashMap<VmId, MonotonicTime>()
     private val sentOrders = HashMap<VmId, SentOrder>()
@@ -83,6 +84,7 @@
                 val startedMs = workerStartedMsOf(workers[vm])
                 val isConfirmed = vm in wave.confirmed
                 if (isConfirmed && startedMs > wave.begun.getValue(vm) && isMaintenanceTimeOver(vm, now)) {
+                    log("upkeep_over", "wave" to wave.number, "vm" to vm, "cause" to "worker_returned")
                     pass.records.add(Record.UpkeepEnded(wave.number, vm))
                     sentOrders.remove(vm)
                 } else if (!isConfirmed && mayResend(vm, now) && mayTakeDown(vm, workers[vm], pass)) {
@@ -144,6 +146,7 @@
             }
             VmOrderResult.UNKNOWN_VM -> {
                 sentOrders.remove(vm)
+                log("upkeep_over", "wave" to wave, "vm" to vm, "cause" to "unknown_vm")
                 Record.UpkeepEnded(wave, vm)
             }
             VmOrderResult.FENCED, VmOrderResult.UNCERTAIN -> {
@@ -162,6 +165,14 @@
                 val entry = byId[vm]
                 val isBack = vm in wave.confirmed && entry?.state == VmCondition.UP
                 if (entry == null || isBack) {
+                    log(
+                        "upkeep_over",
+                        "wave" to wave.number,
+                        "vm" to vm,
+                        "cause" to if (isBack) "listed_up" else "not_listed",
+                        "listed" to vms.size,
+                        "list_age_ms" to listedAt?.let { (now - it).inWholeMilliseconds },
+                    )
                     records.add(Record.UpkeepEnded(wave.number, vm))
                     unrecorded.add(vm)
                     sentOrders.remove(vm)
@@ -289,6 +300,8 @@
         return now - order.sentAt > settings.upkeepTime + OVERDUE_MARGIN
     }
 
+    private fun log(event: String, vararg fields: Pair<String, Any?>) = emit(Action.Note(event, fields.toList()))
+
     private class Pass(
         val now: MonotonicTime,
         val nowMs: Long,
