--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/LeadershipLifecycleTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/LeadershipLifecycleTest.kt
@@ -19,6 +19,7 @@
 import org.auburnstream.scheduling.SchedulerState
 import org.auburnstream.scheduling.SchedulingSettings
 import org.auburnstream.scheduling.StepDescription
+import org.auburnstream.scheduling.VmListing
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -112,7 +113,7 @@
     @Test
     fun aCoordinatorThatFailedLeadsOnWithoutScheduling() {
         lead(term = 2)
-        begun[0].offer({ Event.VmsListed(UnreadableList) }) { }
+        begun[0].offer({ Event.VmsListed(VmListing(UnreadableList, requestedAt = MonotonicTime.Zero)) }) { }
 
         assertTrue(begun[0].hasEnded)
         assertNull(lifecycle.current)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Action.kt
@@ -1,5 +1,6 @@
 package org.auburnstream.scheduling
 
+import org.auburnstream.model.MonotonicTime
 import org.auburnstream.model.ServiceId
 import org.auburnstream.model.VmId
 import kotlin.time.Duration
@@ -78,8 +79,8 @@
     /** Orders the move of [vm] to the pool of [service] from the platform. */
     public data class OrderMove(val vm: VmId, val service: ServiceId) : Action
 
-    /** Requests the list of VMs from the platform. */
-    public data object ListVms : Action
+    /** Requests the list of VMs from the platform; [requestedAt] is returned with it. */
+    public data class ListVms(val requestedAt: MonotonicTime) : Action
 
     /** Writes a log line: the decision, the ids it concerns and the inputs it is based on. */
     public data class Note(val event: String, val fields: List<Pair<String, Any?>>) : Action
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/BatchLog.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/BatchLog.kt
@@ -36,7 +36,12 @@
                 is Record.LeaseReopened -> log("lease_reopened", "worker" to record.incarnation)
                 is Record.WaveAccepted -> log("wave_accepted", "wave" to record.wave, "vms" to record.vms.size)
                 is Record.UpkeepBegun -> log("upkeep_begun", "wave" to record.wave, "vm" to record.vm)
-                is Record.UpkeepEnded -> log("upkeep_ended", "wave" to record.wave, "vm" to record.vm)
+                is Record.UpkeepEnded -> log(
+                    "upkeep_ended",
+                    "wave" to record.wave,
+                    "vm" to record.vm,
+                    "cause" to record.cause?.name?.lowercase(),
+                )
                 is Record.UpkeepRefused -> log("upkeep_refused", "wave" to record.wave, "vm" to record.vm)
                 is Record.MoveBegun -> log("move_begun", "vm" to record.vm, "from" to record.from, "to" to record.to)
                 is Record.MoveEnded -> log("move_ended", "vm" to record.vm)
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Coordinator.kt
@@ -44,7 +44,7 @@
     private val copies =
         CopyControl(state, settings, contacts, durations, slowWorkers, runs.ending) { actions.add(it) }
     private val orderGuard = StaleOrderGuard(state, settings, now)
-    private val waves = WaveControl(state, settings, now, orderGuard) { actions.add(it) }
+    private val waves = WaveControl(state, settings, now, orderGuard)
     private val pools = PoolControl(state, settings, now, orderGuard, contacts::isAbsent)
 
     /** VMs whose latest move order was the first one, not a repeat. */
@@ -96,9 +96,9 @@
             is Event.AdviceAnswered -> adviceAnswered(event, now)
             is Event.UpkeepAnswered -> upkeepAnswered(event, now)
             is Event.MoveAnswered -> moveAnswered(event, now)
-            is Event.VmsListed -> event.vms?.let {
-                waves.vmsListed(it, now).forEach(pendingRecords::record)
-                pools.vmsListed(it)
+            is Event.VmsListed -> {
+                waves.vmsListed(event.listing, now).forEach(pendingRecords::record)
+                pools.vmsListed(event.listing)
             }
             is Event.Tick -> tick(now)
         }
@@ -114,6 +114,7 @@
             log("late_report_ignored", "worker" to incarnation)
             return actions.plusAssign(Action.Answer(event.call, Reply.Accepted))
         }
+        event.profile.vm?.let(waves::vmReported)
         val contact = contacts.of(incarnation, now)
         val committed = state.worker(incarnation)
         if (event.sequence > contact.sequence) {
@@ -161,7 +162,7 @@
         if (waves.needsList(now) || pools.needsList(now)) {
             waves.listRequested(now)
             pools.listRequested(now)
-            actions.add(Action.ListVms)
+            actions.add(Action.ListVms(requestedAt = now))
         }
         needsVmDecisions = true
         needsCopyDecisions = true
@@ -182,6 +183,10 @@
             waves.orderSent(vm, now, isFresh = false)
             actions.add(Action.OrderUpkeep(wave, vm))
         }
+        for ((wave, vm) in decision.checks) {
+            log("upkeep_overdue", "wave" to wave, "vm" to vm)
+            actions.add(Action.OrderUpkeep(wave, vm))
+        }
     }
 
     private fun decidePools(now: MonotonicTime) {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Event.kt
@@ -1,7 +1,6 @@
 package org.auburnstream.scheduling
 
 import org.auburnstream.model.JobId
-import org.auburnstream.model.Resources
 import org.auburnstream.model.VmId
 import kotlin.jvm.JvmInline
 import kotlin.time.Duration
@@ -90,8 +89,8 @@
     /** The platform answered an order for the move of [vm]. */
     public data class MoveAnswered(val vm: VmId, val answer: VmOrderResult) : Event
 
-    /** The platform listed its VMs; null if there was no answer. */
-    public data class VmsListed(val vms: List<ListedVm>?) : Event
+    /** The platform listed its VMs, as requested by [Action.ListVms]. */
+    public data class VmsListed(val listing: VmListing) : Event
 
     /** Time has passed; due at [Coordinator.nextDeadline] at the latest. */
     public data object Tick : Event
@@ -178,36 +177,15 @@
     /** The VM is not up, or is leaving. */
     BUSY,
 
-    /** The VM does not belong to the wave or does not exist. */
+    /** The platform has no such VM, or, for a move, the pool has other VMs. */
     UNKNOWN_VM,
 
+    /** The platform knows the VM, which does not belong to the wave. */
+    NOT_IN_WAVE,
+
     /** The platform has accepted an order of a later leader. */
     FENCED,
 
     /** The platform did not answer, or refused because it is overloaded. */
     UNCERTAIN,
 }
-
-/** A VM as the platform lists it. */
-public data class ListedVm(
-    val vm: VmId,
-    val pool: String,
-    val state: VmCondition,
-    val worker: WorkerId?,
-    val capacity: Resources = Resources.None,
-)
-
-/** Condition of a VM at the platform. */
-public enum class VmCondition {
-    /** The VM runs a worker. */
-    UP,
-
-    /** The VM is moving to another pool. */
-    MOVING,
-
-    /** The VM is in maintenance. */
-    UPKEEP,
-
-    /** The VM is switched off or lost. */
-    DOWN,
-}
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -59,10 +59,10 @@
         listedAt = now
     }
 
-    fun vmsListed(vms: List<ListedVm>) {
+    fun vmsListed(listing: VmListing) {
         val spare = spareService() ?: return
         isListed = true
-        spares = vms.filter { it.pool == spare.value && it.state != VmCondition.MOVING }
+        spares = listing.vms.filter { it.pool == spare.value && it.state != VmCondition.MOVING }
     }
 
     /** Updates the shortages from the demand that the latest plan could not place, by service. */
@@ -100,7 +100,7 @@
     fun orderAnswered(vm: VmId, answer: VmOrderResult, isFirst: Boolean, now: MonotonicTime): Record? {
         val record = when (answer) {
             VmOrderResult.BEGUN -> Record.MoveConfirmed(vm)
-            VmOrderResult.UNKNOWN_VM -> refuse(vm, now)
+            VmOrderResult.UNKNOWN_VM, VmOrderResult.NOT_IN_WAVE -> refuse(vm, now)
             // An unanswered copy may have started the move. The answer to a resent order shows when it is over.
             VmOrderResult.BUSY -> if (isFirst) refuse(vm, now) else null
             VmOrderResult.FENCED, VmOrderResult.UNCERTAIN -> null
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/Record.kt
@@ -167,10 +167,14 @@
     @SerialName("k")
     public data class UpkeepConfirmed(val wave: Long, val vm: VmId) : Record
 
-    /** The maintenance of [vm] has ended, or the platform no longer knows the VM. */
+    /**
+     * The maintenance of [vm] is over or will never begin.
+     *
+     * @property cause null in a record of an earlier build.
+     */
     @Serializable
     @SerialName("d")
-    public data class UpkeepEnded(val wave: Long, val vm: VmId) : Record
+    public data class UpkeepEnded(val wave: Long, val vm: VmId, @SerialName("c") val cause: UpkeepEnd? = null) : Record
 
     /** The platform refused the maintenance order for [vm], which has not begun. */
     @Serializable
@@ -203,6 +207,30 @@
     public data class MoveRefused(val vm: VmId) : Record
 }
 
+/** What showed that the maintenance of a VM is over, or that it will never begin. */
+@Serializable
+public enum class UpkeepEnd {
+    /** A worker started on the VM after the platform had confirmed that the maintenance has begun. */
+    WORKER_RETURNED,
+
+    /** The platform listed the VM as up after it had confirmed that the maintenance has begun. */
+    LISTED_UP,
+
+    /** The platform answered the order that it has no such VM. */
+    UNKNOWN_VM,
+
+    /** The platform answered the order that the VM does not belong to the wave. */
+    NOT_IN_WAVE,
+
+    /** The platform refused the order as for a VM that is down, and no longer lists the VM, see [MissingVms]. */
+    NOT_LISTED,
+    ;
+
+    /** Whether the maintenance was done, which requires that it had begun. */
+    public val isDone: Boolean
+        get() = this == WORKER_RETURNED || this == LISTED_UP
+}
+
 /** How a run ended, as reported by its worker. */
 @Serializable
 public enum class RunEnd {
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/SchedulerState.kt
@@ -238,13 +238,13 @@
                 Wave(record.wave, record.vms.distinct(), record.dueMs, record.cap)
             }
             is Record.UpkeepBegun -> waveTable[record.wave]?.begun?.set(record.vm, record.workerStartedMs)
-            is Record.UpkeepConfirmed -> waveTable[record.wave]?.confirmed?.add(record.vm)
-            is Record.UpkeepEnded -> waveTable[record.wave]?.ended?.add(record.vm)
+            is Record.UpkeepConfirmed -> waveTable[record.wave]?.confirm(record.vm)
+            is Record.UpkeepEnded -> waveTable[record.wave]?.end(record.vm, record.cause)
             is Record.MoveBegun -> moveTable[record.vm] = Move(record.from, record.to, record.workerStartedMs)
             is Record.MoveConfirmed -> moveTable[record.vm]?.isConfirmed = true
             is Record.MoveEnded -> moveTable.remove(record.vm)?.let { finishMove(record.vm, it) }
             is Record.MoveRefused -> moveTable.remove(record.vm)
-            is Record.UpkeepRefused -> waveTable[record.wave]?.begun?.remove(record.vm)
+            is Record.UpkeepRefused -> waveTable[record.wave]?.refuse(record.vm)
         }
     }
 
@@ -499,7 +499,9 @@
  * @property cap maximum number of VMs in maintenance at a time.
  * @property begun VMs whose maintenance was ordered, with the start of the worker incarnation that ran there, or 0.
  * @property confirmed VMs whose maintenance has begun, as confirmed by the platform.
- * @property ended VMs whose maintenance has ended or that the platform no longer knows.
+ * @property ended VMs whose maintenance has ended, and those in [unknown].
+ * @property unknown VMs that the platform does not know, or not as part of the wave, see [UpkeepEnd].
+ * @property refused VMs whose maintenance has not begun because the platform refused the latest order.
  */
 @Serializable
 public class Wave internal constructor(
@@ -510,10 +512,30 @@
     public val begun: MutableMap<VmId, Long> = LinkedHashMap(),
     public val confirmed: MutableSet<VmId> = LinkedHashSet(),
     public val ended: MutableSet<VmId> = LinkedHashSet(),
+    public val unknown: MutableSet<VmId> = LinkedHashSet(),
+    public val refused: MutableSet<VmId> = LinkedHashSet(),
 ) {
     /** Whether the maintenance of every VM has ended. */
     public val isComplete: Boolean
         get() = ended.size == vms.size
+
+    internal fun confirm(vm: VmId) {
+        confirmed.add(vm)
+        refused.remove(vm)
+    }
+
+    internal fun refuse(vm: VmId) {
+        begun.remove(vm)
+        refused.add(vm)
+    }
+
+    /** Ends the maintenance of [vm]; one that has not begun cannot be done. */
+    internal fun end(vm: VmId, cause: UpkeepEnd?) {
+        if (cause?.isDone == true && vm !in confirmed) return
+        if (!ended.add(vm)) return
+        refused.remove(vm)
+        if (cause?.isDone == false) unknown.add(vm)
+    }
 }
 
 /**
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/WaveControl.kt
@@ -18,11 +18,16 @@
     private val settings: SchedulingSettings,
     private val startedAt: MonotonicTime,
     private val orderGuard: StaleOrderGuard,
-    private val emit: (Action) -> Unit = {},
 ) {
     private val draining = HashMap<VmId, MonotonicTime>()
     private val sentOrders = HashMap<VmId, SentOrder>()
-    private val refusals = HashMap<VmId, Refusals>()
+
+    /** When the order for a VM may be sent again after a refusal. */
+    private val refusedUntil = HashMap<VmId, MonotonicTime>()
+
+    /** When the platform was last asked whether it still knows a VM whose maintenance is overdue. */
+    private val checkedAt = HashMap<VmId, MonotonicTime>()
+    private val missingVms = MissingVms()
 
     /**
      * VMs for which a record of an order's answer or of the end of the maintenance is not committed yet.
@@ -35,21 +40,17 @@
     private val withheld = HashSet<VmId>()
     private var listedAt: MonotonicTime? = null
 
-    /** Whether a list of the VMs is needed to learn the outcome of an order or the reason for repeated refusals. */
+    /** Whether a list of the VMs is needed to learn which are back from an overdue maintenance, or have left. */
     fun needsList(now: MonotonicTime): Boolean {
         val isStale = listedAt?.let { now - it > LIST_INTERVAL } ?: true
-        return isStale &&
-            state.waves.values.any { wave -> !wave.isComplete && wave.vms.any { hasUnknownOutcome(wave, it, now) } }
-    }
-
-    /** Whether the state of [vm] can only be learned from the platform's list of VMs. */
-    private fun hasUnknownOutcome(wave: Wave, vm: VmId, now: MonotonicTime): Boolean = when (vm) {
-        in wave.ended -> false
-        in wave.begun -> isOverdue(vm, now)
-        else -> isRefusedRepeatedly(vm)
+        return isStale && state.waves.values.any { wave ->
+            wave.inMaintenance().any { isOverdue(it, now) } ||
+                (!wave.isComplete && wave.vms.any { it !in wave.ended && missingVms.isSuspect(it) })
+        }
     }
 
-    private fun isRefusedRepeatedly(vm: VmId): Boolean = (refusals[vm]?.count ?: 0) >= REFUSALS_UNTIL_LIST
+    /** VMs of which the platform has confirmed that their maintenance has begun, and that are not known to be back. */
+    private fun Wave.inMaintenance(): List<VmId> = if (isComplete) emptyList() else confirmed.filter { it !in ended }
 
     /** Whether [worker] must get no new tasks because its VM is being drained or in maintenance. */
     fun isCordoned(worker: WorkerProfile): Boolean {
@@ -73,6 +74,7 @@
     fun decide(now: MonotonicTime, nowMs: Long, disruptionBudget: DisruptionBudget): WaveDecision {
         val orders = ArrayList<Pair<Long, VmId>>()
         val workers = state.workers.values.filter { it.profile.vm != null }.associateBy { it.profile.vm }
+        val checks = ArrayList<Pair<Long, VmId>>()
         val pass = Pass(now, nowMs, workers, disruptionBudget)
         withheld.clear()
         state.waves.values.forEach { wave ->
@@ -84,9 +86,11 @@
                 val startedMs = workerStartedMsOf(workers[vm])
                 val isConfirmed = vm in wave.confirmed
                 if (isConfirmed && startedMs > wave.begun.getValue(vm) && isMaintenanceTimeOver(vm, now)) {
-                    log("upkeep_over", "wave" to wave.number, "vm" to vm, "cause" to "worker_returned")
-                    pass.records.add(Record.UpkeepEnded(wave.number, vm))
+                    pass.records.add(Record.UpkeepEnded(wave.number, vm, UpkeepEnd.WORKER_RETURNED))
                     sentOrders.remove(vm)
+                } else if (isConfirmed && isCheckDue(vm, now)) {
+                    checkedAt[vm] = now
+                    checks.add(wave.number to vm)
                 } else if (!isConfirmed && mayResend(vm, now) && mayTakeDown(vm, workers[vm], pass)) {
                     orders.add(wave.number to vm)
                 }
@@ -95,7 +99,7 @@
         }
         // VMs that are no longer selected for draining accept tasks again.
         draining.keys.retainAll(pass.stillDraining)
-        return WaveDecision(pass.records, orders, pass.evacuations)
+        return WaveDecision(pass.records, orders, checks, pass.evacuations)
     }
 
     fun orderSent(vm: VmId, now: MonotonicTime, isFresh: Boolean) {
@@ -125,30 +129,19 @@
     }
 
     private fun recordOf(wave: Long, vm: VmId, answer: VmOrderResult, now: MonotonicTime): Record? {
+        if (vm in state.waves[wave]?.ended.orEmpty()) return null
+        val hasBegun = vm in state.waves[wave]?.confirmed.orEmpty()
         val order = sentOrders[vm]
         return when (answer) {
+            VmOrderResult.UNKNOWN_VM -> ended(wave, vm, UpkeepEnd.UNKNOWN_VM)
+            VmOrderResult.NOT_IN_WAVE -> ended(wave, vm, UpkeepEnd.NOT_IN_WAVE)
             VmOrderResult.BEGUN -> {
+                missingVms.seen(vm)
+                if (hasBegun) return null
                 order?.sentAt = now
                 Record.UpkeepConfirmed(wave, vm)
             }
-            VmOrderResult.BUSY -> {
-                // An earlier copy, or an earlier leader's order, may have started the maintenance. The answer to a
-                // resent order shows when it is over.
-                val mayHaveBegun = order == null || order.wasUncertain
-                if (mayHaveBegun) {
-                    order?.sentAt = now
-                    null
-                } else {
-                    sentOrders.remove(vm)
-                    refusals.getOrPut(vm) { Refusals() }.add(now + REFUSAL_PAUSE)
-                    Record.UpkeepRefused(wave, vm)
-                }
-            }
-            VmOrderResult.UNKNOWN_VM -> {
-                sentOrders.remove(vm)
-                log("upkeep_over", "wave" to wave, "vm" to vm, "cause" to "unknown_vm")
-                Record.UpkeepEnded(wave, vm)
-            }
+            VmOrderResult.BUSY -> refused(wave, vm, hasBegun, now)
             VmOrderResult.FENCED, VmOrderResult.UNCERTAIN -> {
                 order?.wasUncertain = true
                 null
@@ -156,30 +149,45 @@
         }
     }
 
-    /** Returns the records that follow from the platform's list. */
-    fun vmsListed(vms: List<ListedVm>, now: MonotonicTime): List<Record> {
-        val byId = vms.associateBy { it.vm }
-        val records = ArrayList<Record>()
-        for (wave in state.waves.values) {
-            for (vm in wave.vms.filter { hasUnknownOutcome(wave, it, now) }) {
-                val entry = byId[vm]
-                val isBack = vm in wave.confirmed && entry?.state == VmCondition.UP
-                if (entry == null || isBack) {
-                    log(
-                        "upkeep_over",
-                        "wave" to wave.number,
-                        "vm" to vm,
-                        "cause" to if (isBack) "listed_up" else "not_listed",
-                        "listed" to vms.size,
-                        "list_age_ms" to listedAt?.let { (now - it).inWholeMilliseconds },
-                    )
-                    records.add(Record.UpkeepEnded(wave.number, vm))
-                    unrecorded.add(vm)
-                    sentOrders.remove(vm)
-                }
-            }
+    private fun refused(wave: Long, vm: VmId, hasBegun: Boolean, now: MonotonicTime): Record? {
+        val order = sentOrders[vm]
+        val sentAt = if (hasBegun) checkedAt[vm] else order?.sentAt
+        if (sentAt != null && missingVms.isGone(vm, sentAt)) return ended(wave, vm, UpkeepEnd.NOT_LISTED)
+        missingVms.refused(vm, now)
+        if (hasBegun) return null
+        // An earlier copy, or an earlier leader's order, may have started the maintenance. The answer to a resent order
+        // shows when it is over.
+        val mayHaveBegun = order == null || order.wasUncertain
+        if (mayHaveBegun) {
+            order?.sentAt = now
+            return null
+        }
+        sentOrders.remove(vm)
+        refusedUntil[vm] = now + REFUSAL_PAUSE
+        return Record.UpkeepRefused(wave, vm)
+    }
+
+    /** Handles a report of the worker on [vm]. */
+    fun vmReported(vm: VmId) = missingVms.seen(vm)
+
+    private fun ended(wave: Long, vm: VmId, cause: UpkeepEnd): Record {
+        sentOrders.remove(vm)
+        return Record.UpkeepEnded(wave, vm, cause)
+    }
+
+    /**
+     * Returns the records that follow from the platform's list.
+     *
+     * A list that was requested before the maintenance was over may show the VM as it was before.
+     */
+    fun vmsListed(listing: VmListing, now: MonotonicTime): List<Record> {
+        missingVms.listed(listing, now)
+        val up = listing.vms.mapNotNullTo(HashSet()) { entry -> entry.vm.takeIf { entry.state == VmCondition.UP } }
+        return state.waves.values.flatMap { wave ->
+            wave.inMaintenance().filter { it in up && it !in unrecorded && isOverdue(it, listing.requestedAt) }
+                .onEach(unrecorded::add)
+                .map { ended(wave.number, it, UpkeepEnd.LISTED_UP) }
         }
-        return records
     }
 
     private fun startMaintenance(wave: Wave, pass: Pass) {
@@ -255,7 +263,17 @@
     private fun isEmpty(worker: Worker): Boolean = state.claimsAt(worker.profile.incarnation).values.all { it.lasting }
 
     private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean =
-        orderGuard.isOrderAllowed(vm, now) && refusals[vm]?.let { now >= it.until } ?: true
+        orderGuard.isOrderAllowed(vm, now) && refusedUntil[vm]?.let { now >= it } ?: true
+
+    /**
+     * Whether to repeat the order for [vm], whose maintenance has begun and is overdue, because the VM may be gone.
+     *
+     * The platform answers that the maintenance is done, unless the VM is down or gone.
+     */
+    private fun isCheckDue(vm: VmId, now: MonotonicTime): Boolean {
+        val isDue = checkedAt[vm]?.let { now - it > CHECK_INTERVAL } ?: true
+        return isDue && isOverdue(vm, now) && vm !in unrecorded && orderGuard.isOrderAllowed(vm, now)
+    }
 
     private fun mayResend(vm: VmId, now: MonotonicTime): Boolean {
         val isDue = sentOrders[vm]?.let { now - it.sentAt > ORDER_RETRY_INTERVAL } ?: true
@@ -295,12 +313,9 @@
 
     private fun incarnationOn(vm: VmId, pass: Pass): WorkerIncarnation? = pass.workers[vm]?.profile?.incarnation
 
-    private fun isOverdue(vm: VmId, now: MonotonicTime): Boolean {
-        val order = sentOrders[vm] ?: return now - startedAt > settings.upkeepTime + OVERDUE_MARGIN
-        return now - order.sentAt > settings.upkeepTime + OVERDUE_MARGIN
-    }
-
-    private fun log(event: String, vararg fields: Pair<String, Any?>) = emit(Action.Note(event, fields.toList()))
+    /** Whether a maintenance of [vm] that the platform has confirmed must have been over for a while by [at]. */
+    private fun isOverdue(vm: VmId, at: MonotonicTime): Boolean =
+        at - (sentOrders[vm]?.sentAt ?: startedAt) > settings.upkeepTime + OVERDUE_MARGIN
 
     private class Pass(
         val now: MonotonicTime,
@@ -322,23 +337,7 @@
         var wasUncertain = false
     }
 
-    /** Counts the refusals of the order for one VM; the order may be sent again at [until]. */
-    private class Refusals {
-        var count = 0
-            private set
-        var until = MonotonicTime.Zero
-            private set
-
-        fun add(until: MonotonicTime) {
-            count += 1
-            this.until = until
-        }
-    }
-
     private companion object {
-        /** A VM that is starting usually causes one refusal. */
-        const val REFUSALS_UNTIL_LIST = 2
-
         /**
          * Longest time to evacuate one VM: the time of several starts of a lasting task.
          *
@@ -346,6 +345,7 @@
          */
         val MAX_EVACUATION_TIME: Duration = 8.seconds
         val LIST_INTERVAL: Duration = 2.seconds
+        val CHECK_INTERVAL: Duration = 2.seconds
         val REFUSAL_PAUSE: Duration = 1.seconds
         val ORDER_RETRY_INTERVAL: Duration = 1.seconds
         val ORDER_LATENCY: Duration = 300.milliseconds
@@ -364,10 +364,12 @@
  *
  * @property records records to commit.
  * @property orders maintenance orders to resend, by wave and VM.
+ * @property checks maintenance orders to repeat although the platform has confirmed them, by wave and VM.
  * @property evacuations runs to stop so that they start on another worker.
  */
 internal class WaveDecision(
     val records: List<Record>,
     val orders: List<Pair<Long, VmId>>,
+    val checks: List<Pair<Long, VmId>>,
     val evacuations: Map<RunId, WorkerIncarnation>,
 )
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/VirtualFleet.kt
@@ -105,6 +105,12 @@
     /** Whether the platform's list still contains the VMs that are leaving. */
     var listsLeavingVms = true
 
+    /** Returns what can be read of the platform's list of VMs. */
+    var readList: (vms: List<ListedVm>, requestedAt: MonotonicTime) -> VmListing = { vms, at -> VmListing(vms, at) }
+
+    /** Whether the maintenance of [vm] in [wave] has begun. */
+    fun wasMaintained(wave: Long, vm: VmId): Boolean = (wave to vm) in maintained
+
     /** VMs that are switched off. */
     val spares = LinkedHashSet<VmId>()
 
@@ -336,7 +342,7 @@
                 invariants.vmOrderReceived(action.vm, fenceOf(from))
                 feed(Event.MoveAnswered(action.vm, move(action)), from)
             }
-            Action.ListVms -> at(networkDelay()) { feed(Event.VmsListed(listVms()), from) }
+            is Action.ListVms -> listVms(action.requestedAt, from)
         }
     }
 
@@ -386,7 +392,11 @@
 
     private fun workerOn(vm: VmId): VirtualWorker? = workers.values.lastOrNull { it.profile.vm == vm && it.isUp }
 
-    private fun listVms(): List<ListedVm> {
+    private fun listVms(requestedAt: MonotonicTime, from: Int) {
+        at(networkDelay()) { feed(Event.VmsListed(readList(listedVms(), requestedAt)), from) }
+    }
+
+    private fun listedVms(): List<ListedVm> {
         val up = workers.values.filter { it.isUp }.mapNotNull { worker ->
             worker.profile.vm?.let {
                 ListedVm(it, worker.profile.service.value, VmCondition.UP, worker.profile.incarnation.worker)
