--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -59,10 +59,18 @@
         listedAt = now
     }
 
+    /**
+     * Handles the platform's list of VMs.
+     *
+     * A spare VM that is missing from a list that is not whole may still exist; an order for it shows whether it does.
+     */
     fun vmsListed(listing: VmListing) {
         val spare = spareService() ?: return
-        isListed = true
-        spares = listing.vms.filter { it.pool == spare.value && it.state != VmCondition.MOVING }
+        // VMs that could not be read cannot be borrowed either.
+        isListed = isListed || listing.isRead
+        val listed = listing.vms.associateBy { it.vm }
+        val kept = if (listing.isWhole) emptyList() else spares.filter { it.vm !in listed }
+        spares = kept + listed.values.filter { it.pool == spare.value && it.state != VmCondition.MOVING }
     }
 
     /** Updates the shortages from the demand that the latest plan could not place, by service. */
