--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -37,13 +37,13 @@
     /** VMs for which the record of an answer is not committed yet; until then the state shows their order as open. */
     private val unrecorded = HashSet<VmId>()
     private val trends = HashMap<ServiceId, DemandTrend>()
-    private var spares: List<ListedVm> = emptyList()
+    private var spares: List<SpareVm> = emptyList()
     private var listedAt: MonotonicTime? = null
     private var isListed = false
 
     /** Capacities of the VMs that are switched off, or null if they are not known yet. */
     val spareCapacities: List<Resources>?
-        get() = if (isListed || spareService() == null) spares.map { it.capacity } else null
+        get() = if (isListed || spareService() == null) spares.map { it.listed.capacity } else null
 
     /** Whether [worker] must get no new tasks because its VM is being moved or drained for a move. */
     fun isCordoned(worker: WorkerProfile): Boolean = worker.vm in state.moves || worker.vm in draining
@@ -69,8 +69,11 @@
         // VMs that could not be read cannot be borrowed either.
         isListed = isListed || listing.isRead
         val listed = listing.vms.associateBy { it.vm }
-        val kept = if (listing.isWhole) emptyList() else spares.filter { it.vm !in listed }
-        spares = kept + listed.values.filter { it.pool == spare.value && it.state != VmCondition.MOVING }
+        val kept = spares.filter { it.asOf > listing.requestedAt || (!listing.isWhole && it.vm !in listed) }
+        val newer = kept.mapTo(HashSet()) { it.vm }
+        spares = kept + listed.values
+            .filter { it.pool == spare.value && it.state != VmCondition.MOVING && it.vm !in newer }
+            .map { SpareVm(it, listing.requestedAt) }
     }
 
     /** Updates the shortages from the demand that the latest plan could not place, by service. */
@@ -143,7 +146,8 @@
             val isOver = hasArrived || move.to == spare || now - since > MAX_MOVE_TIME
             if (isOver) decision.records.add(Record.MoveEnded(vm))
             if (move.to == spare) {
-                spares = spares.filterNot { it.vm == vm } + ListedVm(vm, move.to.value, VmCondition.UP, null)
+                spares = spares.filterNot { it.vm == vm } +
+                    SpareVm(ListedVm(vm, move.to.value, VmCondition.UP, worker = null), asOf = now)
             }
         }
     }
@@ -310,7 +314,10 @@
 
     private fun borrowSpares(service: ServiceId, count: Int, now: MonotonicTime, decision: PoolDecision): Int {
         val spare = spareService() ?: return 0
-        val free = spares.filter { it.vm !in state.moves && isAllowed(it.vm, now) && !decision.hasMoveOf(it.vm) }
+        val free = spares.filter { spare ->
+            val vm = spare.vm
+            !hasMovedSince(vm, spare.asOf) && isAllowed(vm, now) && !decision.hasMoveOf(vm)
+        }
         val taken = free.take(maxOf(0, count))
         taken.forEach { decision.beginMove(it.vm, spare, service, workerStartedMs = 0) }
         spares = spares - taken.toSet()
@@ -331,6 +338,10 @@
         }
     }
 
+    /** Whether [vm] moves, or may have moved after [time]. */
+    private fun hasMovedSince(vm: VmId, time: MonotonicTime): Boolean =
+        vm in state.moves || orderedAt[vm]?.let { it >= time } ?: false
+
     private fun spareService(): ServiceId? = state.catalog?.services?.firstOrNull { it.spare }?.service
 
     private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean =
@@ -344,6 +355,12 @@
         val remaining: (RunId, WorkerIncarnation) -> Duration,
     )
 
+    /** A VM that is switched off; [asOf] is a time since which it was [listed] so or moved there. */
+    private class SpareVm(val listed: ListedVm, val asOf: MonotonicTime) {
+        val vm: VmId
+            get() = listed.vm
+    }
+
     private class Shortage(val since: MonotonicTime) {
         var need = UnplacedDemand()
     }
--- a/scheduling/src/test/kotlin/org/auburnstream/scheduling/SpareVmTest.kt
+++ b/scheduling/src/test/kotlin/org/auburnstream/scheduling/SpareVmTest.kt
@@ -62,4 +62,29 @@
             assertEquals(known - 1, checkNotNull(pools.spareCapacities).size)
         }
     }
+
+    @Test
+    fun aVmThatWasBorrowedSinceTheListWasRequestedIsBorrowedAsASpareAgain() {
+        repeat(10) { seed ->
+            val fleet = fleet(seed, spares = 1)
+            val spare = ListedVm(VmId("spare0"), VirtualFleet.SPARE.value, VmCondition.UP, worker = null)
+            fleet.mutate = { action ->
+                if (action is Action.ListVms) {
+                    val listing = VmListing(listOf(spare), action.requestedAt)
+                    fleet.at(4.seconds) { fleet.feed(Event.VmsListed(listing)) }
+                    emptyList()
+                } else {
+                    listOf(action)
+                }
+            }
+            fleet.burst(proofs, jobs = 12, task.copy(estimateMs = 15_000))
+            fleet.at((3_600 + seed * 20).milliseconds) { fleet.burst(plates, jobs = 40) }
+            fleet.run(8.seconds)
+
+            assertEquals(1, fleet.moves, "seed $seed: moves of the spare VM while its tasks run")
+            fleet.run(60.seconds)
+            fleet.checkFinalState()
+            assertEquals(emptyList(), fleet.violations, "seed $seed")
+        }
+    }
 }
