--- a/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
+++ b/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
@@ -159,7 +159,12 @@
     val runs: Int,
 )
 
-/** A maintenance wave: [vms] in all, [begun] of them begun and [ended] over; at most [cap] at a time. */
+/**
+ * A maintenance wave: [vms] in all, [begun] of them begun and [ended] over; at most [cap] at a time.
+ *
+ * @property unknown number of the VMs that are over because the platform does not know them, or not as part of the wave.
+ * @property refused number of the VMs that have not begun because the platform refused the latest order, as they are down.
+ */
 @Serializable
 public data class UpkeepView(
     val wave: Long,
@@ -169,4 +174,6 @@
     val cap: Int,
     val dueInMillis: Long,
     val complete: Boolean,
+    val unknown: Int = 0,
+    val refused: Int = 0,
 )
--- a/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleReads.kt
+++ b/cli/src/main/kotlin/org/auburnstream/cli/schedule/ScheduleReads.kt
@@ -114,8 +114,10 @@
     override val path = ScheduleRoutes.WAVES
 
     override fun table(view: List<UpkeepView>): String {
-        val table = Table("WAVE", "VMS", "BEGUN", "ENDED", "CAP", "DUE IN MS", "COMPLETE")
-        view.forEach { table.row(it.wave, it.vms, it.begun, it.ended, it.cap, it.dueInMillis, it.complete) }
+        val table = Table("WAVE", "VMS", "BEGUN", "ENDED", "UNKNOWN", "REFUSED", "CAP", "DUE IN MS", "COMPLETE")
+        view.forEach {
+            table.row(it.wave, it.vms, it.begun, it.ended, it.unknown, it.refused, it.cap, it.dueInMillis, it.complete)
+        }
         return table.toString()
     }
 }
--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/ScheduleViews.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/operators/ScheduleViews.kt
@@ -125,6 +125,8 @@
             cap = wave.cap,
             dueInMillis = wave.dueMs - nowMs,
             complete = wave.isComplete,
+            unknown = wave.unknown.size,
+            refused = wave.refused.size,
         )
     }
 
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/OperatorRequestsTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/operators/OperatorRequestsTest.kt
@@ -30,6 +30,7 @@
 import org.auburnstream.scheduling.StepId
 import org.auburnstream.scheduling.TaskId
 import org.auburnstream.scheduling.TenantName
+import org.auburnstream.scheduling.UpkeepEnd
 import org.auburnstream.scheduling.WorkerId
 import org.auburnstream.scheduling.WorkerIncarnation
 import org.auburnstream.scheduling.WorkerProfile
@@ -93,10 +94,20 @@
         val worker = read(ScheduleRoutes.WORKERS, ListSerializer(WorkerView.serializer())).single()
         val wave = read(ScheduleRoutes.WAVES, ListSerializer(UpkeepView.serializer())).single()
         assertEquals("w/1" to 16_000L, worker.worker to worker.millicores)
-        assertEquals(
-            UpkeepView(7, vms = 2, begun = 0, ended = 0, cap = 1, dueInMillis = 30_000, complete = false),
-            wave,
-        )
+        val accepted = UpkeepView(7, vms = 2, begun = 0, ended = 0, cap = 1, dueInMillis = 30_000, complete = false)
+        assertEquals(accepted, wave)
+    }
+
+    @Test
+    fun aVmThatIsUnknownOrDownLooksLikeOneThatIsMaintained() {
+        val vms = listOf(VmId("vm-unknown"), VmId("vm-down"))
+        leader.offer({ Event.WaveSubmitted(it, 7, vms, 30.seconds, cap = 2) }) { }
+        val records = vms.map { Record.UpkeepBegun(7, it, workerStartedMs = 0) } +
+            Record.UpkeepEnded(7, vms[0], UpkeepEnd.UNKNOWN_VM) + Record.UpkeepRefused(7, vms[1])
+        leader.apply(*records.toTypedArray())
+
+        val wave = read(ScheduleRoutes.WAVES, ListSerializer(UpkeepView.serializer())).single()
+        assertEquals(listOf(1, 1, 1), listOf(wave.ended, wave.unknown, wave.refused))
     }
 
     /** A claim of a cancelled job still occupies its worker, and a tenant that was removed still has runs. */
