--- a/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/EventLoop.kt
+++ b/dispatch/src/main/kotlin/org/auburnstream/dispatch/loop/EventLoop.kt
@@ -37,6 +37,13 @@
     private val posted = ConcurrentLinkedQueue<Runnable>()
     private val isWakeupPending = AtomicBoolean()
     private val timers = PriorityQueue<Timer>()
+
+    /** Number of queued timers at which the cancelled ones are removed. */
+    private var purgeSize = MIN_PURGE_SIZE
+
+    /** Number of timers that are queued, cancelled ones included. */
+    internal val queuedTimers: Int
+        get() = timers.size
     private var sequence = 0L
 
     @Volatile
@@ -84,7 +91,7 @@
     /** Runs [block] after [delay] unless the returned timer is cancelled. */
     public fun after(delay: Duration, block: () -> Unit): Timer {
         sequence += 1
-        return Timer(now + delay, sequence, block).also(timers::add)
+        return Timer(now + delay, sequence, block).also(::add)
     }
 
     /**
@@ -116,16 +123,24 @@
         val timer = Timer(now + timeMillis.milliseconds, 0) {
             with(continuation) { resumeUndispatched(Unit) }
         }
-        runOnLoop { timers.add(timer) }
+        runOnLoop { add(timer) }
         continuation.invokeOnCancellation { timer.cancel() }
     }
 
     override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle {
         val timer = Timer(now + timeMillis.milliseconds, 0) { block.run() }
-        runOnLoop { timers.add(timer) }
+        runOnLoop { add(timer) }
         return DisposableHandle { timer.cancel() }
     }
 
+    private fun add(timer: Timer) {
+        timers.add(timer)
+        if (timers.size < purgeSize) return
+        timers.removeIf { it.isCancelled }
+        // Doubling the size keeps the cost of the removals in proportion to the number of timers.
+        purgeSize = maxOf(MIN_PURGE_SIZE, 2 * timers.size)
+    }
+
     private fun runOnLoop(block: () -> Unit) {
         if (Thread.currentThread() === thread || thread == null) block() else post { block() }
     }
@@ -154,7 +169,7 @@
             }
             if (timer.dueAt > currentTime) return
             timers.poll()
-            runLoggingFailure(timer.block)
+            timer.take()?.let(::runLoggingFailure)
         }
     }
 
@@ -184,20 +199,30 @@
         false
     }
 
-    /** A callback scheduled for [dueAt]; timers due at the same time run in the order of [sequence]. */
+    /**
+     * A callback scheduled for [dueAt]; timers due at the same time run in the order of [sequence].
+     *
+     * A timer stays queued after it was cancelled, so it drops its callback, which may refer to much that is over.
+     */
     public class Timer internal constructor(
         internal val dueAt: MonotonicTime,
         private val sequence: Long,
-        internal val block: () -> Unit,
+        block: () -> Unit,
     ) : Comparable<Timer> {
         @Volatile
-        internal var isCancelled = false
+        private var block: (() -> Unit)? = block
+
+        internal val isCancelled: Boolean
+            get() = block == null
 
         /** Cancels the callback if it has not run yet. */
         public fun cancel() {
-            isCancelled = true
+            block = null
         }
 
+        /** Returns the callback if it was not cancelled, and drops it. */
+        internal fun take(): (() -> Unit)? = block.also { block = null }
+
         override fun compareTo(other: Timer): Int =
             compareValuesBy(this, other, { it.dueAt.nanoseconds }, { it.sequence })
     }
@@ -237,6 +262,9 @@
         val logger = LoggerFactory.getLogger(EventLoop::class.java)
         const val NANOS_PER_MILLI = 1_000_000L
 
+        /** Cancelled timers that may stay queued; they take some tens of bytes each. */
+        const val MIN_PURGE_SIZE = 1_024
+
         /** Maximum wait without a timer; only a safeguard, because a process always has timers. */
         const val IDLE_WAIT_MS = 1_000L
     }
--- a/dispatch/src/test/kotlin/org/auburnstream/dispatch/loop/EventLoopTest.kt
+++ b/dispatch/src/test/kotlin/org/auburnstream/dispatch/loop/EventLoopTest.kt
@@ -3,10 +3,15 @@
 import ch.qos.logback.classic.Logger
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.read.ListAppender
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Timeout
 import org.slf4j.LoggerFactory
+import java.lang.ref.WeakReference
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -16,7 +21,9 @@
 import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 
 @Timeout(60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class EventLoopTest {
@@ -130,7 +137,57 @@
         }
     }
 
+    /** The leader kept the batches of the last 25 s, the time-out of a commit, and ran out of memory. */
+    @Test
+    fun aTimeoutThatWasNotReachedKeepsWhatItsBlockRefersTo() {
+        val kept = CompletableFuture<List<WeakReference<ByteArray>>>()
+        loop.post {
+            // Cancelled timers leave the queue at its head.
+            loop.after(30.minutes) { }
+            CoroutineScope(loop).launch {
+                val timeouts = List(TIMERS / 4) { reachNoTimeout(ByteArray(1_000)) }
+                val timers = List(TIMERS / 4) {
+                    val batch = ByteArray(1_000)
+                    loop.after(1.hours) { batch.fill(1) }.cancel()
+                    WeakReference(batch)
+                }
+                kept.complete(timeouts + timers)
+            }
+        }
+        val references = kept.get(WAIT_SECONDS, TimeUnit.SECONDS)
+        val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS / 4)
+        while (references.any { it.get() != null } && System.nanoTime() < end) System.gc()
+
+        val left = references.chunked(TIMERS / 4) { half -> half.count { it.get() != null } }
+        assertEquals(listOf(0, 0), left, "blocks of time-outs and of cancelled timers are still referred to")
+    }
+
+    private suspend fun reachNoTimeout(batch: ByteArray): WeakReference<ByteArray> {
+        withTimeoutOrNull(1.hours) {
+            yield()
+            batch.fill(1)
+        }
+        return WeakReference(batch)
+    }
+
+    @Test
+    fun cancelledTimersFillTheQueue() {
+        val sizes = CompletableFuture<List<Int>>()
+        loop.post {
+            val live = List(100) { loop.after(1.hours) { } }
+            repeat(20 * TIMERS) { loop.after(1.hours) { }.cancel() }
+            val before = loop.queuedTimers
+            live.forEach { it.cancel() }
+            repeat(2 * TIMERS) { loop.after(1.hours) { }.cancel() }
+            sizes.complete(listOf(before, loop.queuedTimers))
+        }
+
+        val (before, after) = sizes.get(WAIT_SECONDS, TimeUnit.SECONDS)
+        assertTrue(before in 100..2 * TIMERS && after <= 2 * TIMERS, "$before and $after timers are queued")
+    }
+
     private companion object {
+        const val TIMERS = 1_024
         const val WAIT_SECONDS = 20L
         val INTERVAL = 10.milliseconds
     }
