--- a/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
+++ b/api/src/main/kotlin/org/auburnstream/api/schedule/ScheduleMessages.kt
@@ -162,8 +162,8 @@
 /**
  * A maintenance wave: [vms] in all, [begun] of them begun and [ended] over; at most [cap] at a time.
  *
- * @property unknown number of the VMs that are over because the platform does not know them, or not as part of the wave.
- * @property refused number of the VMs that have not begun because the platform refused the latest order, as they are down.
+ * @property unknown number of VMs that are over because the platform does not know them, or not as part of the wave.
+ * @property refused number of VMs that have not begun because the platform refused the latest order.
  */
 @Serializable
 public data class UpkeepView(
--- a/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
+++ b/scheduling/src/main/kotlin/org/auburnstream/scheduling/PoolControl.kt
@@ -314,9 +314,9 @@
 
     private fun borrowSpares(service: ServiceId, count: Int, now: MonotonicTime, decision: PoolDecision): Int {
         val spare = spareService() ?: return 0
-        val free = spares.filter { spare ->
-            val vm = spare.vm
-            !hasMovedSince(vm, spare.asOf) && isAllowed(vm, now) && !decision.hasMoveOf(vm)
+        val free = spares.filter {
+            val hasMoved = it.vm in state.moves || orderedAt[it.vm]?.let { at -> at >= it.asOf } ?: false
+            !hasMoved && isAllowed(it.vm, now) && !decision.hasMoveOf(it.vm)
         }
         val taken = free.take(maxOf(0, count))
         taken.forEach { decision.beginMove(it.vm, spare, service, workerStartedMs = 0) }
@@ -338,10 +338,6 @@
         }
     }
 
-    /** Whether [vm] moves, or may have moved after [time]. */
-    private fun hasMovedSince(vm: VmId, time: MonotonicTime): Boolean =
-        vm in state.moves || orderedAt[vm]?.let { it >= time } ?: false
-
     private fun spareService(): ServiceId? = state.catalog?.services?.firstOrNull { it.spare }?.service
 
     private fun isAllowed(vm: VmId, now: MonotonicTime): Boolean =
